--- /dev/null
+++ b/crates/base/src/event.rs
@@ -0,0 +1,76 @@
+//! Catalogue of numbered events; docs/EVENTS.md lists the same.
+
+use strum::{Display, EnumIter, IntoStaticStr};
+
+/// Everything that a process records on the time line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u16)]
+pub enum Event {
+    /// The process takes work; the fields name its addresses.
+    Ready = 1001,
+    /// The process was asked to stop and finishes what it has.
+    Stopping = 1002,
+    /// The process ends.
+    Stopped = 1003,
+    /// A contract change was committed to the table.
+    ContractCommitted = 1101,
+    /// A contract change was refused.
+    ContractRefused = 1102,
+    /// A contract revision is in force in this process.
+    ContractInForce = 1103,
+    /// The table is not answering.
+    PlatformAway = 1201,
+    /// The table answers again.
+    PlatformBack = 1202,
+    /// A write's answer was lost and could not be settled in time.
+    WriteUnsettled = 1203,
+    /// This process reads the table for its data centre.
+    ReaderTaken = 1301,
+    /// Another process reads the table for the data centre.
+    ReaderLeft = 1302,
+    /// A peer joined or came back.
+    PeerJoined = 1303,
+    /// A peer was not heard of for too long.
+    PeerLost = 1304,
+    /// A lease was taken under a new epoch.
+    LeaseTaken = 1401,
+    /// A lease lapsed or was taken by another process.
+    LeaseLost = 1402,
+    /// An instance was entered in the table.
+    InstanceEntered = 1501,
+    /// A permit was taken and an instance drains.
+    DrainStarted = 1502,
+    /// A drain was not permitted.
+    DrainRefused = 1503,
+    /// A draining instance was seen idle.
+    InstanceIdle = 1504,
+    /// An instance was told to reboot into a pool.
+    RebootOrdered = 1505,
+    /// An instance serves again and its permit was returned.
+    InstanceServing = 1506,
+    /// An operator ordered a drain or a move.
+    OrderTaken = 1507,
+    /// A backend server is leaving, by the newest evidence.
+    ServerLeaving = 1601,
+    /// A backend server was set aside after failures.
+    ServerAside = 1602,
+    /// A backend server takes work again.
+    ServerBack = 1603,
+    /// A request's end is not known.
+    RequestUnknown = 1701,
+}
+
+impl Event {
+    /// Number of the event, as logs print it after an `E`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(base::Event::Ready.number(), 1001);
+    /// assert_eq!(base::Event::Ready.to_string(), "ready");
+    /// ```
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,11 @@
+//! What every process needs: settings, numbered events, the time line and metrics.
+
+pub mod admin;
+pub mod event;
+pub mod logging;
+pub mod settings;
+pub mod timeline;
+
+pub use event::Event;
+pub use logging::Logging;
+pub use timeline::{Entry, Timeline};
--- /dev/null
+++ b/crates/cli/src/contract.rs
@@ -0,0 +1,103 @@
+//! Commands about contracts.
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::call::{Control, encode};
+use crate::error::{Error, ReadSnafu};
+use crate::print;
+
+/// A contract or one change of it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Shown {
+    customer: String,
+    revision: u64,
+    #[serde(default)]
+    text: Option<String>,
+    by: String,
+    at_ms: u64,
+}
+
+/// A change that was committed.
+#[derive(Debug, Serialize, Deserialize)]
+struct Accepted {
+    customer: String,
+    revision: u64,
+}
+
+/// Applies a contract file.
+pub async fn apply(
+    control: &Control,
+    file: &Path,
+    base: Option<u64>,
+    json: bool,
+) -> Result<(), Error> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).context(ReadSnafu { file: name.as_str() })?;
+    let path = format!(
+        "/contracts/{}?base={}&file={}",
+        encode(&customer(&text)),
+        base.unwrap_or(0),
+        encode(&name)
+    );
+    let accepted: Accepted = control.put(&path, text).await?;
+    if json {
+        print::json(&accepted);
+    } else {
+        println!("contract of {} is accepted as revision {}", accepted.customer, accepted.revision);
+    }
+    Ok(())
+}
+
+/// Customer that a text names; the process asked checks the text itself.
+fn customer(text: &str) -> String {
+    let mut lines = text.lines().filter_map(|line| line.strip_prefix("customer:"));
+    let found = lines.next().unwrap_or("unnamed").split('#').next().unwrap_or_default();
+    found.trim().trim_matches(['"', '\'']).to_owned()
+}
+
+/// Shows a contract.
+pub async fn show(control: &Control, customer: &str, json: bool) -> Result<(), Error> {
+    let shown: Shown = control.get(&format!("/contracts/{}", encode(customer))).await?;
+    if json {
+        print::json(&shown);
+    } else {
+        println!("# revision {}", shown.revision);
+        print!("{}", shown.text.unwrap_or_default());
+    }
+    Ok(())
+}
+
+/// Shows all changes of a contract.
+pub async fn history(control: &Control, customer: &str, json: bool) -> Result<(), Error> {
+    let path = format!("/contracts/{}/history", encode(customer));
+    let changes: Vec<Shown> = control.get(&path).await?;
+    if json {
+        print::json(&changes);
+        return Ok(());
+    }
+    let rows: Vec<Vec<String>> = changes
+        .iter()
+        .map(|change| {
+            let what = if change.text.is_some() { "applied" } else { "deleted" };
+            let (revision, at) = (change.revision.to_string(), change.at_ms.to_string());
+            vec![revision, what.to_owned(), at, change.by.clone()]
+        })
+        .collect();
+    print::table(&["REVISION", "CHANGE", "AT (ms since 1970)", "BY"], &rows);
+    Ok(())
+}
+
+/// Deletes a contract.
+pub async fn delete(control: &Control, customer: &str, base: u64, json: bool) -> Result<(), Error> {
+    let path = format!("/contracts/{}?base={base}", encode(customer));
+    let accepted: Accepted = control.delete(&path).await?;
+    if json {
+        print::json(&accepted);
+    } else {
+        println!("contract of {} is deleted as revision {}", accepted.customer, accepted.revision);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/instance.rs
@@ -0,0 +1,131 @@
+//! Commands about instances and processes.
+
+use base::admin::Status;
+use serde::{Deserialize, Serialize};
+
+use crate::call::{Control, encode};
+use crate::error::Error;
+use crate::print;
+
+/// One instance.
+#[derive(Debug, Serialize, Deserialize)]
+struct Shown {
+    id: String,
+    centre: String,
+    rack: String,
+    pool: String,
+    customer: String,
+    phase: String,
+    listed: String,
+    reason: String,
+}
+
+/// What is known of an instance's last decision.
+#[derive(Debug, Serialize, Deserialize)]
+struct Why {
+    id: String,
+    pool: String,
+    phase: String,
+    decision: String,
+    reason: String,
+    by: String,
+    at_ms: u64,
+    order: Option<Order>,
+    permits: Vec<String>,
+}
+
+/// An order about an instance.
+#[derive(Debug, Serialize, Deserialize)]
+struct Order {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    target: Option<String>,
+    reason: String,
+}
+
+/// Lists all instances.
+pub async fn fleet(control: &Control, json: bool) -> Result<(), Error> {
+    let shown: Vec<Shown> = control.get("/fleet").await?;
+    if json {
+        print::json(&shown);
+        return Ok(());
+    }
+    let rows: Vec<Vec<String>> = shown
+        .into_iter()
+        .map(|each| {
+            vec![each.id, each.customer, each.pool, each.centre, each.rack, each.phase, each.listed]
+        })
+        .collect();
+    print::table(&["INSTANCE", "CUSTOMER", "POOL", "CENTRE", "RACK", "PHASE", "LISTED"], &rows);
+    Ok(())
+}
+
+/// Explains an instance.
+pub async fn why(control: &Control, id: &str, json: bool) -> Result<(), Error> {
+    let why: Why = control.get(&format!("/why/{}", encode(id))).await?;
+    if json {
+        print::json(&why);
+        return Ok(());
+    }
+    println!("{} is {} in pool {}.", why.id, why.phase, why.pool);
+    println!("Last decision: {}, because: {}.", why.decision, why.reason);
+    if !why.by.is_empty() {
+        println!("Decided by {} at {} ms since 1970.", why.by, why.at_ms);
+    }
+    match &why.order {
+        Some(Order { target: Some(pool), reason }) => {
+            println!("Open order: move to {pool}, because: {reason}.");
+        }
+        Some(order) => println!("Open order: maintenance stop, because: {}.", order.reason),
+        None => println!("No open order."),
+    }
+    println!("The customer's instances with a permit to be down: {}.", list(&why.permits));
+    Ok(())
+}
+
+fn list(names: &[String]) -> String {
+    if names.is_empty() { "none".to_owned() } else { names.join(", ") }
+}
+
+/// Orders a maintenance stop or a move.
+pub async fn order(
+    control: &Control,
+    id: &str,
+    target: Option<String>,
+    reason: Option<String>,
+    json: bool,
+) -> Result<(), Error> {
+    let order =
+        Order { target, reason: reason.unwrap_or_else(|| "an operator's order".to_owned()) };
+    let body = serde_json::to_string(&order).unwrap_or_default();
+    let order: Order = control.put(&format!("/orders/{}", encode(id)), body).await?;
+    if json {
+        print::json(&order);
+    } else {
+        println!("the order is taken; jtally why {id} tells how far it is");
+    }
+    Ok(())
+}
+
+/// Shows a process and the others that it knows.
+pub async fn status(control: &Control, json: bool) -> Result<(), Error> {
+    let status: Status = control.get("/status").await?;
+    if json {
+        print::json(&status);
+        return Ok(());
+    }
+    let platform = if status.away { "does not answer" } else { "answers" };
+    println!("{} ({}, {}): the platform {platform}.", status.name, status.role, status.centre);
+    for (customer, revision) in &status.contracts {
+        println!("Contract of {customer}: revision {revision} in force.");
+    }
+    let rows: Vec<Vec<String>> = status
+        .members
+        .into_iter()
+        .map(|each| {
+            let heard = if each.heard { "yes" } else { "no" };
+            vec![each.name, each.role, each.centre, each.admin.to_string(), heard.to_owned()]
+        })
+        .collect();
+    print::table(&["PROCESS", "ROLE", "CENTRE", "ADMIN", "HEARD"], &rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/api/contracts.rs
@@ -0,0 +1,206 @@
+//! Contracts: shown, changed and deleted, each change against the revision it was made on.
+
+use actix_web::web::{Data, Path, Query};
+use actix_web::{HttpResponse, web};
+use base::Event;
+use base::admin::Refusal;
+use peer::Facts;
+use peer::reader::decode;
+use peer::row::{ContractRow, HeadRow};
+use platform::{CommitError, Http, Row, Table, keys};
+use serde::{Deserialize, Serialize};
+
+use crate::api::writes::{LIMIT, txn, unread, unwritten};
+
+/// Tries of a change while other customers' changes go first.
+const TRIES: usize = 20;
+
+/// Query of a change.
+#[derive(Debug, Deserialize)]
+pub struct Base {
+    /// Revision that the change was made on; 0 for a new contract.
+    #[serde(default)]
+    base: u64,
+    /// Name of the file, for the problems found in it.
+    #[serde(default)]
+    file: String,
+}
+
+/// A contract as operators see it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Shown {
+    customer: String,
+    revision: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<String>,
+    by: String,
+    at_ms: u64,
+}
+
+/// Answer to a change that was committed.
+#[derive(Debug, Serialize)]
+struct Accepted {
+    customer: String,
+    revision: u64,
+}
+
+/// Lists the contracts in force here.
+pub async fn list(facts: Data<Facts>) -> HttpResponse {
+    HttpResponse::Ok().json(facts.status().contracts)
+}
+
+/// Shows a contract as the table has it, or as it is in force here while the table is away.
+pub async fn show(
+    facts: Data<Facts>,
+    platform: Data<Http>,
+    customer: Path<String>,
+) -> HttpResponse {
+    let customer = customer.into_inner();
+    if let Ok(rows) = platform.read(&[keys::contract(&customer)]).await {
+        return match rows.first().and_then(decode::<ContractRow>) {
+            Some(row) if row.text.is_some() => HttpResponse::Ok().json(shown(customer, row)),
+            _ => missing(&customer),
+        };
+    }
+    let state = facts.lock();
+    let Some(agreed) = state.contracts.find(&customer) else { return missing(&customer) };
+    let (revision, text) = (agreed.revision, Some(agreed.text.clone()));
+    HttpResponse::Ok().json(Shown { customer, revision, text, by: String::new(), at_ms: 0 })
+}
+
+/// Shows the changes of a contract, newest first.
+pub async fn history(platform: Data<Http>, customer: Path<String>) -> HttpResponse {
+    let prefix = format!("{}{customer}/", keys::HISTORY);
+    match platform.scan(&prefix).await {
+        Ok(rows) => {
+            let rows = rows.iter().rev().filter_map(decode::<ContractRow>);
+            let rows: Vec<Shown> = rows.map(|row| shown(customer.clone(), row)).collect();
+            HttpResponse::Ok().json(rows)
+        }
+        Err(error) => unread(&error),
+    }
+}
+
+/// Changes a contract; accepted means committed.
+pub async fn apply(
+    facts: Data<Facts>,
+    platform: Data<Http>,
+    customer: Path<String>,
+    query: Query<Base>,
+    body: web::Bytes,
+) -> HttpResponse {
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let file = if query.file.is_empty() { "contract" } else { &query.file };
+    let refusal = match fleet::file::parse(file, &text) {
+        Err(problems) => Some(problems.to_string()),
+        Ok(contract) if contract.customer != *customer => {
+            Some(format!("{file}: customer: is '{}', not '{customer}'", contract.customer))
+        }
+        Ok(contract) => overlap(&facts, &contract),
+    };
+    if let Some(refusal) = refusal {
+        facts.timeline().record(Event::ContractRefused, &[("customer", &customer.as_str())]);
+        return HttpResponse::UnprocessableEntity().json(Refusal::new(refusal));
+    }
+    change(&facts, &platform, &customer, query.base, Some(text)).await
+}
+
+/// Deletes a contract and leaves a tombstone.
+pub async fn delete(
+    facts: Data<Facts>,
+    platform: Data<Http>,
+    customer: Path<String>,
+    query: Query<Base>,
+) -> HttpResponse {
+    change(&facts, &platform, &customer, query.base, None).await
+}
+
+/// A pool belongs to one customer.
+fn overlap(facts: &Facts, contract: &fleet::Contract) -> Option<String> {
+    let state = facts.lock();
+    for (customer, _, agreed) in state.contracts.live() {
+        if customer == contract.customer {
+            continue;
+        }
+        for service in &contract.services {
+            if agreed.contract.served_by(&service.pool).is_some() {
+                let pool = &service.pool;
+                return Some(format!("pool '{pool}' belongs to customer '{customer}'"));
+            }
+        }
+    }
+    None
+}
+
+async fn change(
+    facts: &Facts,
+    platform: &Http,
+    customer: &str,
+    base: u64,
+    text: Option<String>,
+) -> HttpResponse {
+    for _ in 0..TRIES {
+        let asked = [keys::HEAD.to_owned(), keys::contract(customer)];
+        let rows = match platform.read(&asked).await {
+            Ok(rows) => rows,
+            Err(error) => return unread(&error),
+        };
+        let held: ContractRow = decode(&rows[1]).unwrap_or_default();
+        if held.revision != base {
+            return stale(facts, customer, base, held.revision);
+        }
+        match commit(facts, platform, customer, &rows, text.clone()).await {
+            Ok(revision) => return accepted(facts, customer, revision, text.as_deref()),
+            // Another customer's change took the revision: read the head again.
+            Err(CommitError::Conflict { .. }) => {}
+            Err(error) => return unwritten(&error),
+        }
+    }
+    HttpResponse::ServiceUnavailable().json(Refusal::new("too many changes at once, try again"))
+}
+
+async fn commit(
+    facts: &Facts,
+    platform: &Http,
+    customer: &str,
+    rows: &[Row],
+    text: Option<String>,
+) -> Result<u64, CommitError> {
+    let head: HeadRow = decode(&rows[0]).unwrap_or_default();
+    let revision = head.revision + 1;
+    let (by, at_ms) = (facts.lock().me.name.clone(), base::timeline::wall_ms());
+    let row = json(&ContractRow { revision, text, by, at_ms });
+    let txn = txn(facts, "contract")
+        .expect(keys::HEAD, rows[0].version)
+        .expect(keys::contract(customer), rows[1].version)
+        .put(keys::HEAD, json(&HeadRow { revision }))
+        .put(keys::contract(customer), row.clone())
+        .put(keys::history(customer, revision), row);
+    platform.commit(&txn, LIMIT).await.map(|_| revision)
+}
+
+fn accepted(facts: &Facts, customer: &str, revision: u64, text: Option<&str>) -> HttpResponse {
+    let fields: [(&str, &dyn std::fmt::Display); 2] =
+        [("customer", &customer), ("revision", &revision)];
+    facts.timeline().record(Event::ContractCommitted, &fields);
+    log::debug!("{} bytes", text.map_or(0, str::len));
+    HttpResponse::Ok().json(Accepted { customer: customer.to_owned(), revision })
+}
+
+fn stale(facts: &Facts, customer: &str, base: u64, revision: u64) -> HttpResponse {
+    facts.timeline().record(Event::ContractRefused, &[("customer", &customer)]);
+    let error = format!("the change was made on revision {base}, the newest is {revision}");
+    HttpResponse::Conflict().json(Refusal { error, revision: Some(revision) })
+}
+
+fn missing(customer: &str) -> HttpResponse {
+    HttpResponse::NotFound().json(Refusal::new(format!("no contract of customer '{customer}'")))
+}
+
+fn shown(customer: String, row: ContractRow) -> Shown {
+    Shown { customer, revision: row.revision, text: row.text, by: row.by, at_ms: row.at_ms }
+}
+
+fn json(row: &impl Serialize) -> String {
+    serde_json::to_string(row).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,35 @@
+//! Entry process: takes callers' requests and decides whether and where each runs.
+
+mod admin;
+mod cli;
+mod process;
+mod request;
+mod version;
+
+use std::process::ExitCode;
+
+use crate::process::Process;
+
+#[actix::main]
+async fn main() -> ExitCode {
+    let flags = cli::Flags::from_env_or_exit();
+    let settings = match base::settings::load(&flags.settings) {
+        Ok(settings) => settings,
+        Err(error) => return fail(2, &error),
+    };
+    if let Err(error) = settings.log.open() {
+        return fail(1, &error);
+    }
+    let process = match Process::spawn(&settings) {
+        Ok(process) => process,
+        Err(error) => return fail(1, &error),
+    };
+    base::admin::stop_signal().await;
+    process.close().await;
+    ExitCode::SUCCESS
+}
+
+fn fail(code: u8, error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/entry/src/request/attempt.rs
@@ -0,0 +1,154 @@
+//! One try of a request on one backend server.
+
+use std::time::{Duration, Instant};
+
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_web::http::{Method, StatusCode};
+use awc::error::SendRequestError;
+use awc::{Client, Connector};
+use bytes::Bytes;
+use fleet::{Outcome, Service};
+use peer::{Answer, Submit};
+use route::{Ended, Pick};
+
+/// Time to connect to a backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Connections that one thread may hold.
+const CONNECTIONS: usize = 4_096;
+/// Header by which a backend server says that it did not start a request.
+const REFUSED: &str = "x-refused";
+/// Headers of an answer that belong to one connection.
+const HOP_HEADERS: [&str; 6] =
+    ["connection", "content-length", "keep-alive", "te", "transfer-encoding", "upgrade"];
+
+/// What is sent to a backend server.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Id of the request.
+    pub id: String,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers of the caller.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum Reply {
+    /// The backend server's whole answer.
+    Whole(Answer),
+    /// The backend server refused before it started.
+    Refused(Ended),
+    /// Nothing left the process.
+    NotSent(String),
+    /// It may have run.
+    Lost(String),
+}
+
+/// Opens a client for the thread that calls.
+pub fn client() -> Client {
+    let connector = Connector::new().limit(CONNECTIONS).timeout(CONNECT_TIMEOUT);
+    Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+}
+
+impl From<Submit> for Call {
+    fn from(submit: Submit) -> Self {
+        Self {
+            id: submit.key,
+            method: submit.method.parse().unwrap_or(Method::POST),
+            path: submit.path,
+            headers: map(&submit.headers),
+            body: Bytes::from(submit.body),
+        }
+    }
+}
+
+/// Gives headers the form that the client takes; what is no header was refused before.
+pub fn map(headers: &[(String, String)]) -> HeaderMap {
+    let mut map = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            map.append(name, value);
+        }
+    }
+    map
+}
+
+/// Sends a request to the picked executor and reads the whole answer until `limit`.
+pub async fn send(
+    client: &Client,
+    pick: &Pick,
+    call: &Call,
+    service: &Service,
+    limit: Instant,
+) -> Reply {
+    match tokio::time::timeout_at(limit.into(), exchange(client, pick, call, service, limit)).await
+    {
+        Ok(reply) => reply,
+        Err(_) => Reply::Lost("no answer in time".to_owned()),
+    }
+}
+
+async fn exchange(
+    client: &Client,
+    pick: &Pick,
+    call: &Call,
+    service: &Service,
+    limit: Instant,
+) -> Reply {
+    let left = limit.saturating_duration_since(Instant::now()).as_millis();
+    let mut request = client
+        .request(call.method.clone(), format!("http://{}{}", pick.address, call.path))
+        .no_decompress();
+    *request.headers_mut() = call.headers.clone();
+    let request = request
+        .insert_header(("X-Request-Id", call.id.as_str()))
+        .insert_header(("X-Pool", service.pool.as_str()))
+        .insert_header(("X-Executor", pick.executor))
+        .insert_header(("X-Deadline-Ms", left.to_string()));
+    let mut response = match request.send_body(call.body.clone()).await {
+        Ok(response) => response,
+        Err(error) if unsent(&error) => return Reply::NotSent(error.to_string()),
+        Err(error) => return Reply::Lost(error.to_string()),
+    };
+    let status = response.status();
+    if let Some(refused) = refused(status, response.headers()) {
+        return Reply::Refused(refused);
+    }
+    let headers = kept(response.headers());
+    match response.body().limit(service.body).await {
+        Ok(body) => Reply::Whole(Answer {
+            outcome: Outcome::Done.to_string(),
+            status: status.as_u16(),
+            headers,
+            body: body.to_vec(),
+            retry_ms: 0,
+            reason: String::new(),
+        }),
+        Err(error) => Reply::Lost(format!("the answer broke off: {error}")),
+    }
+}
+
+/// Whether an error proves that nothing left the process.
+fn unsent(error: &SendRequestError) -> bool {
+    matches!(error, SendRequestError::Connect(_) | SendRequestError::Url(_))
+}
+
+fn refused(status: StatusCode, headers: &HeaderMap) -> Option<Ended> {
+    let reason = headers.get(REFUSED).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)?;
+    Some(match reason.as_bytes() {
+        b"leaving" => Ended::Leaving,
+        _ => Ended::Busy,
+    })
+}
+
+fn kept(headers: &HeaderMap) -> Vec<(String, String)> {
+    let kept = headers.iter().filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()));
+    kept.filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+        .collect()
+}
--- /dev/null
+++ b/crates/entry/src/request/handler.rs
@@ -0,0 +1,113 @@
+//! Takes callers' requests.
+
+use std::time::{Duration, Instant};
+
+use actix_web::web::{Bytes, Data, Path, Payload};
+use actix_web::{HttpRequest, HttpResponse};
+use awc::Client;
+use fleet::Repeat;
+use peer::{Answer, Submit};
+use serde::Serialize;
+
+use crate::process::Shared;
+use crate::request::attempt::{self, Call};
+use crate::request::parse::{self, Ask};
+use crate::request::{answer, repeatable};
+
+/// Time that asking for a result may take.
+const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Answer to `POST /_/tickets`.
+#[derive(Serialize)]
+struct Issued {
+    ticket: String,
+}
+
+/// Hands out a ticket for a request that may not be repeated.
+pub async fn ticket(shared: Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(Issued { ticket: shared.owners.issue().to_string() })
+}
+
+/// Gives the result of an earlier request.
+pub async fn result(shared: Data<Shared>, path: Path<(String, String)>) -> HttpResponse {
+    let (customer, key) = path.into_inner();
+    let submit = Submit {
+        key: key.clone(),
+        incarnation: 0,
+        customer,
+        service: String::new(),
+        method: String::new(),
+        path: String::new(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        left_ms: u64::try_from(FETCH_LIMIT.as_millis()).unwrap_or(u64::MAX),
+        ask: true,
+    };
+    answer::respond(shared.owners.fetch(submit).await, &key)
+}
+
+/// Runs a request and answers with its outcome.
+pub async fn request(
+    shared: Data<Shared>,
+    client: Data<Client>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
+    let start = Instant::now();
+    let (id, answer) = match parse::ask(&request, &shared.rules()) {
+        Ok(ask) => run(&shared, &client, &request, ask, payload, start).await,
+        Err(answer) => (String::new(), answer),
+    };
+    shared.metrics.count(answer.outcome.parse().unwrap_or(fleet::Outcome::Unknown));
+    shared.metrics.latency.observe(start.elapsed().as_secs_f64());
+    answer::respond(answer, &id)
+}
+
+async fn run(
+    shared: &Shared,
+    client: &Client,
+    request: &HttpRequest,
+    ask: Ask,
+    payload: Payload,
+    start: Instant,
+) -> (String, Answer) {
+    let deadline = start + ask.deadline;
+    let id = ask.key.clone().unwrap_or_else(|| shared.owners.issue().to_string());
+    let body = match body(payload, ask.rule.service.body, deadline).await {
+        Ok(body) => body,
+        Err(answer) => return (id, answer),
+    };
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let method = request.method().clone();
+    let answer = if ask.repeat == Repeat::Allowed {
+        let headers = attempt::map(&ask.headers);
+        let call = Call { id: id.clone(), method, path, headers, body };
+        repeatable::run(client, &shared.slots, &ask.rule, &call, deadline).await
+    } else {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let submit = Submit {
+            key: id.clone(),
+            incarnation: 0,
+            customer: ask.rule.customer.clone(),
+            service: ask.rule.service.name.clone(),
+            method: method.to_string(),
+            path,
+            headers: ask.headers,
+            body: body.to_vec(),
+            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            ask: false,
+        };
+        shared.owners.submit(ask.rule, submit).await
+    };
+    (id, answer)
+}
+
+async fn body(payload: Payload, limit: usize, deadline: Instant) -> Result<Bytes, Answer> {
+    let read = payload.to_bytes_limited(limit);
+    match tokio::time::timeout_at(deadline.into(), read).await {
+        Ok(Ok(Ok(body))) => Ok(body),
+        Ok(Ok(Err(error))) => Err(answer::bad(&format!("the body can't be read: {error}"))),
+        Ok(Err(_)) => Err(answer::large(&format!("the body is larger than {limit} bytes"))),
+        Err(_) => Err(answer::bad("the body did not arrive before the deadline")),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request/mod.rs
@@ -0,0 +1,17 @@
+//! What lives as long as one request of a caller.
+
+pub mod answer;
+pub mod attempt;
+pub mod handler;
+pub mod parse;
+pub mod repeatable;
+
+use actix_web::web;
+
+/// Adds the callers' routes.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/_/tickets", web::post().to(handler::ticket))
+        .route("/_/requests/{customer}/{key}", web::get().to(handler::result))
+        .default_service(web::to(handler::request));
+}
--- /dev/null
+++ b/crates/entry/src/request/parse.rs
@@ -0,0 +1,117 @@
+//! Reads what a caller asked for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::HttpRequest;
+use fleet::Repeat;
+use peer::Answer;
+
+use crate::process::owner::KEY_LIMIT;
+use crate::request::answer;
+use crate::version::rules::Missing;
+use crate::version::{Rule, Rules};
+
+/// Longest deadline that a caller may name.
+const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+/// Headers that belong to one connection or that this process sets itself.
+const OWN_HEADERS: [&str; 13] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-deadline-ms",
+    "x-executor",
+    "x-pool",
+    "x-request-id",
+];
+
+/// A caller's request without its body.
+#[derive(Debug)]
+pub struct Ask {
+    /// Rule of its service.
+    pub rule: Arc<Rule>,
+    /// Time that it may take.
+    pub deadline: Duration,
+    /// Whether it may run more than once.
+    pub repeat: Repeat,
+    /// The caller's own key or ticket.
+    pub key: Option<String>,
+    /// Headers for the backend server.
+    pub headers: Vec<(String, String)>,
+}
+
+/// Reads a request's path and headers.
+pub fn ask(request: &HttpRequest, rules: &Rules) -> Result<Ask, Answer> {
+    let mut parts = request.path().trim_start_matches('/').splitn(3, '/');
+    let customer = parts.next().unwrap_or_default();
+    let service = parts.next().unwrap_or_default();
+    if customer.is_empty() || service.is_empty() {
+        return Err(answer::missing("the path is not /customer/service"));
+    }
+    let rule = rules.find(customer, service).map_err(|missing| match missing {
+        Missing::Customer => answer::missing(&format!("no contract of customer '{customer}'")),
+        Missing::Service => {
+            answer::missing(&format!("customer '{customer}' has no service '{service}'"))
+        }
+    })?;
+    let deadline = deadline(request)?.unwrap_or(rule.service.deadline);
+    let key = header(request, "Idempotency-Key")?.map(str::to_owned);
+    if key.as_ref().is_some_and(|key| !valid(key)) {
+        let what = format!("Idempotency-Key: allowed is 1 to {KEY_LIMIT} printable characters");
+        return Err(answer::bad(&what));
+    }
+    let repeat = repeat(request, &rule)?;
+    Ok(Ask { rule, deadline, repeat, key, headers: headers(request)? })
+}
+
+fn valid(key: &str) -> bool {
+    !key.is_empty() && key.len() <= KEY_LIMIT && key.chars().all(|c| c.is_ascii_graphic())
+}
+
+fn deadline(request: &HttpRequest) -> Result<Option<Duration>, Answer> {
+    let Some(text) = header(request, "X-Deadline-Ms")? else { return Ok(None) };
+    let allowed = 1..=u64::try_from(MAX_DEADLINE.as_millis()).unwrap_or(u64::MAX);
+    let left = text.parse().ok().filter(|left| allowed.contains(left)).ok_or_else(|| {
+        answer::bad(&format!("X-Deadline-Ms is '{text}', allowed is 1 to {}", allowed.end()))
+    })?;
+    Ok(Some(Duration::from_millis(left)))
+}
+
+/// A caller may forbid what the contract allows, never the other way round.
+fn repeat(request: &HttpRequest, rule: &Rule) -> Result<Repeat, Answer> {
+    match header(request, "X-Repeat")? {
+        None | Some("allowed") => Ok(rule.service.repeat),
+        Some("never") => Ok(Repeat::Never),
+        Some(other) => {
+            Err(answer::bad(&format!("X-Repeat is '{other}', allowed is allowed, never")))
+        }
+    }
+}
+
+fn header<'a>(request: &'a HttpRequest, name: &str) -> Result<Option<&'a str>, Answer> {
+    let mut values = request.headers().get_all(name);
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(answer::bad(&format!("{name} stands twice")));
+    }
+    value.to_str().map(Some).map_err(|_| answer::bad(&format!("{name} is no printable text")))
+}
+
+fn headers(request: &HttpRequest) -> Result<Vec<(String, String)>, Answer> {
+    let mut kept = Vec::with_capacity(request.headers().len());
+    for (name, value) in request.headers() {
+        if OWN_HEADERS.contains(&name.as_str()) {
+            continue;
+        }
+        let value = value.to_str();
+        let value = value.map_err(|_| answer::bad(&format!("{name} is no printable text")))?;
+        kept.push((name.as_str().to_owned(), value.to_owned()));
+    }
+    Ok(kept)
+}
--- /dev/null
+++ b/crates/peer/src/facts.rs
@@ -0,0 +1,362 @@
+//! The copy of the shared facts that one process keeps.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base::admin::{MemberStatus, Status};
+use base::{Event, Timeline};
+use fleet::{Contract, Instance, Listed};
+use indexmap::IndexMap;
+use route::{Evidence, Standing};
+use tokio::sync::{Notify, watch};
+
+use crate::member::{Known, Member, Role};
+use crate::versions::Versions;
+use crate::wire::{
+    Have, News, WireContract, WireEvidence, WireInstance, WireLine, WireListed, WireMember,
+};
+
+/// Silence after which a member counts as lost.
+pub const LOST_AFTER: Duration = Duration::from_millis(2_000);
+
+/// A contract that is in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Agreed {
+    /// Revision of the change that brought it.
+    pub revision: u64,
+    /// Text as the operator wrote it.
+    pub text: String,
+    /// The contract.
+    pub contract: Contract,
+}
+
+/// Handle on a process's facts; copies share them.
+#[derive(Debug, Clone)]
+pub struct Facts {
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+    push: Arc<Notify>,
+    timeline: Timeline,
+}
+
+/// The facts themselves.
+#[derive(Debug)]
+pub struct State {
+    /// This process.
+    pub me: Member,
+    /// Contracts by customer.
+    pub contracts: Versions<Agreed>,
+    /// Instance rows by instance.
+    pub instances: Versions<Instance>,
+    /// The platform's list by instance.
+    pub list: Versions<Listed>,
+    /// Newest sightings by instance.
+    pub evidence: IndexMap<String, Evidence>,
+    /// Other members by name.
+    pub members: IndexMap<String, Known>,
+    /// Whether the platform answered this process last.
+    pub away: bool,
+}
+
+impl Facts {
+    /// Opens an empty copy for a process.
+    pub fn open(me: Member, timeline: Timeline) -> Self {
+        let state = State {
+            me,
+            contracts: Versions::default(),
+            instances: Versions::default(),
+            list: Versions::default(),
+            evidence: IndexMap::new(),
+            members: IndexMap::new(),
+            away: false,
+        };
+        let (changed, _) = watch::channel(0);
+        let (state, changed) = (Arc::new(Mutex::new(state)), Arc::new(changed));
+        Self { state, changed, push: Arc::default(), timeline }
+    }
+
+    /// Locks the facts for a short read or change.
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time line of the process.
+    pub fn timeline(&self) -> &Timeline {
+        &self.timeline
+    }
+
+    /// Tells watchers apart from one another; each sees every later change.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Completes when this process has news that its peers should get at once.
+    pub async fn pushed(&self) {
+        self.push.notified().await;
+    }
+
+    /// Tells watchers that facts changed, and peers too when the news began here.
+    pub fn announce(&self, own: bool) {
+        self.changed.send_modify(|count| *count += 1);
+        if own {
+            self.push.notify_one();
+        }
+    }
+
+    /// Takes in a contract or its tombstone; true when it was newer.
+    ///
+    /// A text that this version can't read keeps the older contract in force.
+    pub fn contract(&self, customer: &str, revision: u64, text: Option<&str>) -> bool {
+        let agreed = match text.map(|text| fleet::file::parse(customer, text)).transpose() {
+            Ok(contract) => contract.map(|contract| {
+                let text = text.unwrap_or_default().to_owned();
+                Agreed { revision, text, contract }
+            }),
+            Err(problems) => {
+                log::error!("contract of {customer} at revision {revision}: {problems}");
+                return false;
+            }
+        };
+        let new = self.lock().contracts.apply(customer, revision, agreed);
+        if new {
+            let fields: [(&str, &dyn std::fmt::Display); 2] =
+                [("customer", &customer), ("revision", &revision)];
+            self.timeline.record(Event::ContractInForce, &fields);
+        }
+        new
+    }
+
+    /// Takes in a sighting; true when it was newer.
+    pub fn sighting(&self, id: &str, seen: Evidence) -> bool {
+        let mut state = self.lock();
+        let newer = state.evidence.get(id).is_none_or(|held| seen.replaces(*held));
+        if newer {
+            state.evidence.insert(id.to_owned(), seen);
+        }
+        drop(state);
+        if newer && seen.standing == Standing::Leaving {
+            self.timeline.record(Event::ServerLeaving, &[("instance", &id)]);
+        }
+        newer
+    }
+
+    /// Takes in a member that was read about or heard from.
+    pub fn member(&self, member: Member, heard: Option<Instant>) {
+        let mut state = self.lock();
+        if member.name == state.me.name {
+            return;
+        }
+        let known = state.members.get(&member.name);
+        if known.is_some_and(|known| known.member.incarnation > member.incarnation) {
+            return;
+        }
+        let was = known.filter(|known| known.member == member).and_then(|known| known.heard);
+        let near = member.centre == state.me.centre;
+        let joined = near && was.is_none() && heard.is_some();
+        let name = member.name.clone();
+        let away = known.is_some_and(|known| known.away);
+        state.members.insert(name.clone(), Known { member, heard: heard.or(was), away });
+        drop(state);
+        if joined {
+            self.timeline.record(Event::PeerJoined, &[("peer", &name)]);
+            self.announce(false);
+        }
+    }
+
+    /// Forgets that silent members were heard; those of other data centres are not reported.
+    pub fn expire(&self, now: Instant) {
+        let mut lost = Vec::new();
+        let mut state = self.lock();
+        let centre = state.me.centre.clone();
+        for known in state.members.values_mut() {
+            let age = known.heard.map(|heard| now.saturating_duration_since(heard));
+            if age.is_some_and(|age| age > LOST_AFTER) {
+                known.heard = None;
+                if known.member.centre == centre {
+                    lost.push(known.member.name.clone());
+                }
+            }
+        }
+        drop(state);
+        for name in &lost {
+            self.timeline.record(Event::PeerLost, &[("peer", name)]);
+        }
+        if !lost.is_empty() {
+            self.announce(false);
+        }
+    }
+
+    /// State for operators.
+    pub fn status(&self) -> Status {
+        let state = self.lock();
+        let contracts = state.contracts.live();
+        let contracts = contracts.map(|(customer, revision, _)| (customer.to_owned(), revision));
+        let members = state.members.values().map(|known| MemberStatus {
+            name: known.member.name.clone(),
+            role: known.member.role.to_string(),
+            centre: known.member.centre.clone(),
+            admin: known.member.admin,
+            heard: known.heard.is_some(),
+        });
+        Status {
+            name: state.me.name.clone(),
+            role: state.me.role.to_string(),
+            centre: state.me.centre.clone(),
+            away: state.away,
+            reads: state.reads(),
+            contracts: contracts.collect(),
+            members: members.collect(),
+        }
+    }
+
+    /// What to tell a peer that holds `have`.
+    pub fn news(&self, have: Have) -> News {
+        let state = self.lock();
+        let mine = state.have();
+        let contracts = state.contracts.since(have.contracts);
+        let contracts = contracts.map(|(customer, revision, agreed)| WireContract {
+            customer: customer.to_owned(),
+            revision,
+            text: agreed.map(|agreed| agreed.text.clone()),
+        });
+        let instances = state.instances.since(have.instances);
+        let instances =
+            instances.filter_map(|(_, stamp, row)| row.map(|row| WireInstance::new(stamp, row)));
+        let list = state.list.since(have.list).map(|(id, stamp, line)| WireLine {
+            id: id.to_owned(),
+            stamp,
+            line: line.map(WireListed::from),
+        });
+        let evidence = state.fresh_evidence().map(|(id, seen)| WireEvidence {
+            id: id.clone(),
+            incarnation: seen.incarnation,
+            leaving: seen.standing == Standing::Leaving,
+        });
+        let members = state.members.values().map(|known| WireMember::from(&known.member));
+        let members = if mine.members == have.members { Vec::new() } else { members.collect() };
+        News {
+            from: WireMember::from(&state.me),
+            clock: self.timeline.clock(),
+            away: state.away,
+            have: mine,
+            contracts: contracts.collect(),
+            instances: instances.collect(),
+            list: list.collect(),
+            evidence: evidence.collect(),
+            members,
+        }
+    }
+
+    /// Takes in what a peer told.
+    pub fn hear(&self, news: News, now: Instant) {
+        self.timeline.observe(news.clock);
+        let mut changed = false;
+        for contract in &news.contracts {
+            changed |=
+                self.contract(&contract.customer, contract.revision, contract.text.as_deref());
+        }
+        changed |= self.rows(news.instances);
+        changed |= self.lines(news.list);
+        for seen in &news.evidence {
+            changed |= self.sighting(&seen.id, seen.into());
+        }
+        for member in news.members {
+            self.known(member, None);
+        }
+        let name = news.from.name.clone();
+        self.known(news.from, Some(now));
+        if let Some(known) = self.lock().members.get_mut(&name) {
+            known.away = news.away;
+        }
+        if changed {
+            self.announce(false);
+        }
+    }
+
+    fn known(&self, member: WireMember, heard: Option<Instant>) {
+        match Member::try_from(member) {
+            Ok(member) => self.member(member, heard),
+            Err(error) => log::warn!("a peer spoke of a member: {error}"),
+        }
+    }
+
+    fn rows(&self, rows: Vec<WireInstance>) -> bool {
+        let mut state = self.lock();
+        let mut changed = false;
+        for row in rows {
+            let stamp = row.stamp;
+            match Instance::try_from(row) {
+                Ok(row) => changed |= state.instances.apply(&row.id.clone(), stamp, Some(row)),
+                Err(error) => log::warn!("a peer sent an instance row: {error}"),
+            }
+        }
+        changed
+    }
+
+    fn lines(&self, lines: Vec<WireLine>) -> bool {
+        let mut state = self.lock();
+        let mut changed = false;
+        for line in lines {
+            let listed = line.line.map(|listed| listed.named(&line.id));
+            changed |= state.list.apply(&line.id, line.stamp, listed);
+        }
+        changed
+    }
+}
+
+impl State {
+    /// Highest stamps held.
+    pub fn have(&self) -> Have {
+        Have {
+            contracts: self.contracts.top(),
+            instances: self.instances.top(),
+            list: self.list.top(),
+            members: self.digest(),
+        }
+    }
+
+    /// Other members of the data centre that were heard of lately.
+    pub fn local(&self) -> impl Iterator<Item = &Member> {
+        let live = self.members.values().filter(|known| known.heard.is_some());
+        live.map(|known| &known.member).filter(|member| member.centre == self.me.centre)
+    }
+
+    /// Entry processes of the data centre, this one included when it is one.
+    pub fn entries(&self) -> usize {
+        let others = self.local().filter(|member| member.role == Role::Entry).count();
+        others + usize::from(self.me.role == Role::Entry)
+    }
+
+    /// Whether this process reads the platform for its data centre.
+    ///
+    /// The first live member by name does, unless the platform does not answer it.
+    pub fn reads(&self) -> bool {
+        let centre = &self.me.centre;
+        let mut live = self.members.values().filter(|known| known.heard.is_some());
+        !live.any(|known| {
+            known.member.centre == *centre && !known.away && known.member.name < self.me.name
+        })
+    }
+
+    /// Sightings that the platform's list does not tell yet.
+    fn fresh_evidence(&self) -> impl Iterator<Item = (&String, &Evidence)> {
+        self.evidence.iter().filter(|(id, seen)| {
+            self.list.find(id).is_none_or(|line| {
+                let leaving = line.state == fleet::ListState::Leaving;
+                let told = line.incarnation == seen.incarnation
+                    && leaving == (seen.standing == Standing::Leaving);
+                line.incarnation <= seen.incarnation && !told
+            })
+        })
+    }
+
+    fn digest(&self) -> u64 {
+        let mut names: Vec<_> = self.members.values().map(|known| &known.member).collect();
+        names.push(&self.me);
+        names.sort_by_key(|member| &member.name);
+        let mut hasher = DefaultHasher::new();
+        names.hash(&mut hasher);
+        hasher.finish()
+    }
+}
--- /dev/null
+++ b/crates/peer/src/gossip.rs
@@ -0,0 +1,86 @@
+//! Exchanges facts with peers: at every beat, and at once when news began here.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::seq::IteratorRandom;
+use tokio::task::JoinHandle;
+
+use crate::facts::Facts;
+use crate::link::Links;
+use crate::wire::Have;
+
+/// Time between two exchanges with a peer when there is no news.
+const BEAT: Duration = Duration::from_millis(500);
+
+/// The running exchange of one process.
+#[derive(Debug)]
+pub struct Gossip {
+    task: JoinHandle<()>,
+}
+
+impl Gossip {
+    /// Starts to exchange facts; `seeds` are asked while no peer is known or the platform is away.
+    pub fn spawn(facts: Facts, links: Links, seeds: Vec<SocketAddr>) -> Self {
+        Self { task: tokio::spawn(run(facts, links, seeds)) }
+    }
+
+    /// Stops.
+    pub fn close(self) {
+        self.task.abort();
+    }
+}
+
+/// What each peer held when it was last heard.
+type Held = Arc<Mutex<HashMap<SocketAddr, Have>>>;
+
+async fn run(facts: Facts, links: Links, seeds: Vec<SocketAddr>) {
+    let held = Held::default();
+    loop {
+        for address in targets(&facts, &seeds) {
+            tokio::spawn(exchange(facts.clone(), links.clone(), held.clone(), address));
+        }
+        tokio::select! {
+            () = tokio::time::sleep(BEAT) => {}
+            () = facts.pushed() => {}
+        }
+        facts.expire(Instant::now());
+    }
+}
+
+async fn exchange(facts: Facts, links: Links, held: Held, address: SocketAddr) {
+    let have = held.lock().unwrap_or_else(PoisonError::into_inner).get(&address).copied();
+    let answer = links.exchange(address, facts.news(have.unwrap_or_default())).await;
+    match answer {
+        Ok(news) => {
+            held.lock().unwrap_or_else(PoisonError::into_inner).insert(address, news.have);
+            facts.hear(news, Instant::now());
+        }
+        Err(error) => {
+            // The next process at this address may hold nothing.
+            held.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+            log::debug!("{error}");
+        }
+    }
+}
+
+/// Peers to exchange with: all of the data centre, and one elsewhere while the platform is away.
+fn targets(facts: &Facts, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    let state = facts.lock();
+    let members = || state.members.values().map(|known| &known.member);
+    let centre = &state.me.centre;
+    let mut targets: Vec<_> =
+        members().filter(|each| each.centre == *centre).map(|each| each.peer).collect();
+    if state.away {
+        let far = members().filter(|each| each.centre != *centre).map(|each| each.peer);
+        targets.extend(far.choose(&mut rand::rng()));
+    }
+    if state.away || targets.is_empty() {
+        targets.extend(seeds.iter().filter(|seed| **seed != state.me.peer));
+    }
+    targets.sort_unstable();
+    targets.dedup();
+    targets
+}
--- /dev/null
+++ b/crates/peer/src/member.rs
@@ -0,0 +1,60 @@
+//! Processes of the product, as they know one another.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use strum::{Display, EnumString};
+
+/// What a process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Decides on pools and maintenance.
+    Control,
+}
+
+/// One process.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Member {
+    /// Name, unique in the fleet.
+    pub name: String,
+    /// What it does.
+    pub role: Role,
+    /// Data centre it stands in.
+    pub centre: String,
+    /// Time of its start, which tells it from an earlier process of the name.
+    pub incarnation: u64,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address for other processes.
+    pub peer: SocketAddr,
+}
+
+/// A member and when it was last heard of.
+#[derive(Debug, Clone)]
+pub struct Known {
+    /// The member.
+    pub member: Member,
+    /// Last message from it.
+    pub heard: Option<Instant>,
+    /// Whether the platform does not answer it, as it last said.
+    pub away: bool,
+}
+
+/// Weight of a member for a subject; ordering by it spreads subjects over members.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(peer::member::weight("stcn", "c1"), peer::member::weight("stcn", "c1"));
+/// ```
+pub fn weight(subject: &str, member: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (subject, member).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/peer/src/versions.rs
@@ -0,0 +1,73 @@
+//! A map whose entries only ever get newer.
+
+use indexmap::IndexMap;
+
+/// Values by name, each with the stamp it was written under; a removed one leaves a tombstone.
+#[derive(Debug, Clone)]
+pub struct Versions<T> {
+    entries: IndexMap<String, (u64, Option<T>)>,
+    top: u64,
+}
+
+impl<T> Default for Versions<T> {
+    fn default() -> Self {
+        Self { entries: IndexMap::new(), top: 0 }
+    }
+}
+
+impl<T> Versions<T> {
+    /// Takes a value in when its stamp is higher than the one held; true when it was.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut versions = peer::Versions::default();
+    /// assert!(versions.apply("stcn", 2, None));
+    /// assert!(!versions.apply("stcn", 1, Some("late")), "a tombstone stays");
+    /// assert!(versions.live().next().is_none());
+    /// ```
+    pub fn apply(&mut self, name: &str, stamp: u64, value: Option<T>) -> bool {
+        self.top = self.top.max(stamp);
+        match self.entries.get_mut(name) {
+            Some((held, _)) if *held >= stamp => false,
+            Some(entry) => {
+                *entry = (stamp, value);
+                true
+            }
+            None => {
+                self.entries.insert(name.to_owned(), (stamp, value));
+                true
+            }
+        }
+    }
+
+    /// Highest stamp that was seen.
+    pub fn top(&self) -> u64 {
+        self.top
+    }
+
+    /// Looks a value up that was not removed.
+    pub fn find(&self, name: &str) -> Option<&T> {
+        self.entries.get(name).and_then(|(_, value)| value.as_ref())
+    }
+
+    /// Stamp of a value or of its tombstone; 0 when there is neither.
+    pub fn stamp(&self, name: &str) -> u64 {
+        self.entries.get(name).map_or(0, |(stamp, _)| *stamp)
+    }
+
+    /// Values that were not removed.
+    pub fn live(&self) -> impl Iterator<Item = (&str, u64, &T)> {
+        self.entries.iter().filter_map(|(name, (stamp, value))| {
+            value.as_ref().map(|value| (name.as_str(), *stamp, value))
+        })
+    }
+
+    /// Entries with a stamp above `stamp`, tombstones included.
+    pub fn since(&self, stamp: u64) -> impl Iterator<Item = (&str, u64, Option<&T>)> {
+        self.entries
+            .iter()
+            .filter(move |(_, (held, _))| *held > stamp)
+            .map(|(name, (held, value))| (name.as_str(), *held, value.as_ref()))
+    }
+}
--- /dev/null
+++ b/crates/peer/src/wire.rs
@@ -0,0 +1,233 @@
+//! Wire types of the messages between processes.
+
+use std::net::SocketAddr;
+
+use fleet::{Executor, Instance, ListState, Listed};
+use route::{Evidence, Standing};
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::member::Member;
+
+/// A field holds a word that this version does not know.
+#[derive(Debug, Snafu)]
+#[snafu(display("unknown word '{word}': {source}"))]
+pub struct WordError {
+    word: String,
+    source: strum::ParseError,
+}
+
+/// What one process tells another, and gets back.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct News {
+    /// Sender.
+    pub from: WireMember,
+    /// Sender's logical clock.
+    pub clock: u64,
+    /// Whether the platform does not answer the sender.
+    pub away: bool,
+    /// What the sender holds.
+    pub have: Have,
+    /// Contracts that the receiver lacks.
+    pub contracts: Vec<WireContract>,
+    /// Instance rows that the receiver lacks.
+    pub instances: Vec<WireInstance>,
+    /// Lines of the platform's list that the receiver lacks.
+    pub list: Vec<WireLine>,
+    /// Sightings of leaving servers.
+    pub evidence: Vec<WireEvidence>,
+    /// Members that the sender knows, when the receiver's set differs.
+    pub members: Vec<WireMember>,
+}
+
+/// Highest stamps that a process holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Have {
+    /// Of contracts.
+    pub contracts: u64,
+    /// Of instance rows.
+    pub instances: u64,
+    /// Of the platform's list.
+    pub list: u64,
+    /// Digest of the set of members.
+    pub members: u64,
+}
+
+/// A contract or its tombstone.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireContract {
+    /// Customer.
+    pub customer: String,
+    /// Revision of the change.
+    pub revision: u64,
+    /// YAML text; absent for a deleted contract.
+    pub text: Option<String>,
+}
+
+/// An instance row.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireInstance {
+    /// Name of the instance.
+    pub id: String,
+    /// Version of the row.
+    pub stamp: u64,
+    /// Pool.
+    pub pool: String,
+    /// Phase by name.
+    pub phase: String,
+    /// Pool it moves to.
+    pub target: Option<String>,
+    /// Reason of the last step.
+    pub reason: String,
+}
+
+/// A line of the platform's list, or its removal.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireLine {
+    /// Name of the instance.
+    pub id: String,
+    /// When the line changed.
+    pub stamp: u64,
+    /// The line; absent when it went off the list.
+    pub line: Option<WireListed>,
+}
+
+/// What the platform's list says of an instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireListed {
+    address: SocketAddr,
+    centre: String,
+    rack: String,
+    pool: String,
+    incarnation: u64,
+    leaving: bool,
+    executors: Vec<(u32, u32)>,
+}
+
+/// A sighting of a server.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireEvidence {
+    /// Name of the instance.
+    pub id: String,
+    /// Incarnation that was seen.
+    pub incarnation: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A member.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireMember {
+    /// Name of the process.
+    pub name: String,
+    /// Role by name.
+    pub role: String,
+    /// Data centre.
+    pub centre: String,
+    /// Time of its start.
+    pub incarnation: u64,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address for processes.
+    pub peer: SocketAddr,
+}
+
+impl From<&Member> for WireMember {
+    fn from(member: &Member) -> Self {
+        Self {
+            name: member.name.clone(),
+            role: member.role.to_string(),
+            centre: member.centre.clone(),
+            incarnation: member.incarnation,
+            listen: member.listen,
+            admin: member.admin,
+            peer: member.peer,
+        }
+    }
+}
+
+impl TryFrom<WireMember> for Member {
+    type Error = WordError;
+
+    fn try_from(member: WireMember) -> Result<Self, WordError> {
+        Ok(Self {
+            name: member.name,
+            role: member.role.parse().context(WordSnafu { word: member.role.as_str() })?,
+            centre: member.centre,
+            incarnation: member.incarnation,
+            listen: member.listen,
+            admin: member.admin,
+            peer: member.peer,
+        })
+    }
+}
+
+impl WireInstance {
+    /// Gives a row its wire form.
+    pub fn new(stamp: u64, row: &Instance) -> Self {
+        Self {
+            id: row.id.clone(),
+            stamp,
+            pool: row.pool.clone(),
+            phase: row.phase.to_string(),
+            target: row.target.clone(),
+            reason: row.reason.clone(),
+        }
+    }
+}
+
+impl TryFrom<WireInstance> for Instance {
+    type Error = WordError;
+
+    fn try_from(row: WireInstance) -> Result<Self, WordError> {
+        Ok(Self {
+            id: row.id,
+            pool: row.pool,
+            phase: row.phase.parse().context(WordSnafu { word: row.phase.as_str() })?,
+            target: row.target,
+            reason: row.reason,
+        })
+    }
+}
+
+impl From<&Listed> for WireListed {
+    fn from(line: &Listed) -> Self {
+        Self {
+            address: line.address,
+            centre: line.centre.clone(),
+            rack: line.rack.clone(),
+            pool: line.pool.clone(),
+            incarnation: line.incarnation,
+            leaving: line.state == ListState::Leaving,
+            executors: line.executors.iter().map(|each| (each.slots, each.connections)).collect(),
+        }
+    }
+}
+
+impl WireListed {
+    /// Gives the line its domain form under the name of its instance.
+    pub fn named(self, id: &str) -> Listed {
+        let executors = (0..).zip(self.executors);
+        Listed {
+            id: id.to_owned(),
+            address: self.address,
+            centre: self.centre,
+            rack: self.rack,
+            pool: self.pool,
+            incarnation: self.incarnation,
+            state: if self.leaving { ListState::Leaving } else { ListState::Live },
+            executors: executors
+                .map(|(index, (slots, connections))| Executor { index, slots, connections })
+                .collect(),
+        }
+    }
+}
+
+impl From<&WireEvidence> for Evidence {
+    fn from(seen: &WireEvidence) -> Self {
+        let standing = if seen.leaving { Standing::Leaving } else { Standing::Serving };
+        Self { incarnation: seen.incarnation, standing }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,61 @@
+//! Errors of the platform's services, as callers have to act on them.
+
+use snafu::Snafu;
+
+use crate::table::Row;
+
+/// A read or an order that the platform did not answer as asked.
+#[derive(Debug, Snafu)]
+#[snafu(module, visibility(pub(crate)))]
+pub enum Error {
+    /// No answer came in time, or none that can be trusted.
+    #[snafu(display("platform is away: {what}"))]
+    Away {
+        /// What was seen.
+        what: String,
+    },
+    /// The platform refused.
+    #[snafu(display("platform refused with {status}: {what}"))]
+    Refused {
+        /// HTTP status of the refusal.
+        status: u16,
+        /// Text of the refusal.
+        what: String,
+    },
+}
+
+/// A transaction that is not known to have been committed.
+#[derive(Debug, Snafu)]
+#[snafu(module, visibility(pub(crate)))]
+pub enum CommitError {
+    /// A condition did not hold; nothing was written.
+    #[snafu(display("a row was changed by another writer"))]
+    Conflict {
+        /// The rows whose conditions failed, as they are now.
+        rows: Vec<Row>,
+    },
+    /// The transaction never reached the table; nothing was written.
+    #[snafu(display("platform is away, nothing was written: {what}"))]
+    Away {
+        /// What was seen.
+        what: String,
+    },
+    /// The transaction may or may not have been committed.
+    #[snafu(display("the write's answer was lost and could not be settled in time: {what}"))]
+    Unsettled {
+        /// What was seen.
+        what: String,
+    },
+}
+
+impl CommitError {
+    /// Whether another writer won.
+    pub fn is_conflict(&self) -> bool {
+        matches!(self, Self::Conflict { .. })
+    }
+
+    /// Whether the write may have been committed.
+    pub fn is_unsettled(&self) -> bool {
+        matches!(self, Self::Unsettled { .. })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,217 @@
+//! The platform's services over HTTP.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use actix_web::http::{Method, StatusCode};
+use awc::Client;
+use awc::error::SendRequestError;
+use fleet::Listed;
+use futures_util::future::LocalBoxFuture;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::{CommitError, Error};
+use crate::table::{Instances, Objects, Row, Table, Txn};
+use crate::wire::{CommitAnswer, CommitAsk, ReadAsk, RebootAsk, Rows, WireListed};
+
+/// Time that one try may take.
+const TRY_TIMEOUT: Duration = Duration::from_millis(800);
+/// First pause between two tries of a commit; it doubles up to the last.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause between two tries of a commit.
+const LAST_PAUSE: Duration = Duration::from_millis(500);
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 64 << 20;
+
+/// Client of one platform address; it belongs to the thread that opened it.
+#[derive(Clone)]
+pub struct Http {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl fmt::Debug for Http {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Http").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+/// Answer of the platform before it is judged.
+struct Answer {
+    status: StatusCode,
+    body: Vec<u8>,
+}
+
+/// A try without an answer.
+struct Miss {
+    /// Whether the request may have reached the platform.
+    left: bool,
+    what: String,
+}
+
+impl Http {
+    /// Opens a client; connections are made as they are needed.
+    pub fn open(address: SocketAddr) -> Self {
+        let client = Client::builder().timeout(TRY_TIMEOUT).disable_redirects().finish();
+        Self { address, client }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: String) -> Result<Answer, Miss> {
+        let url = format!("http://{}{path}", self.address);
+        let request = self.client.request(method, url).content_type("application/json");
+        let mut response = request.send_body(body).await.map_err(|error| {
+            let left = !matches!(error, SendRequestError::Connect(_) | SendRequestError::Url(_));
+            Miss { left, what: error.to_string() }
+        })?;
+        let status = response.status();
+        let body = response.body().limit(ANSWER_LIMIT).await;
+        let body = body.map_err(|error| Miss { left: true, what: error.to_string() })?;
+        Ok(Answer { status, body: body.to_vec() })
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, Error> {
+        let text = serde_json::to_string(body).unwrap_or_default();
+        let answer = self.success(method, path, text).await?;
+        serde_json::from_slice(&answer.body)
+            .map_err(|error| Error::Away { what: error.to_string() })
+    }
+
+    async fn success(&self, method: Method, path: &str, body: String) -> Result<Answer, Error> {
+        let answer = self.call(method, path, body).await;
+        let answer = answer.map_err(|miss| Error::Away { what: miss.what })?;
+        let status = answer.status;
+        if status.is_success() {
+            return Ok(answer);
+        }
+        let what = String::from_utf8_lossy(&answer.body).into_owned();
+        if status.is_server_error() {
+            return Err(Error::Away { what });
+        }
+        Err(Error::Refused { status: status.as_u16(), what })
+    }
+
+    async fn settle(&self, txn: &Txn, limit: Duration) -> Result<u64, CommitError> {
+        let body = serde_json::to_string(&CommitAsk::from(txn)).unwrap_or_default();
+        let start = Instant::now();
+        let mut pause = FIRST_PAUSE;
+        let mut left = false;
+        loop {
+            let what = match self.call(Method::POST, "/table/commit", body.clone()).await {
+                Ok(answer) if answer.status.is_success() => return committed(&answer.body),
+                Ok(answer) if answer.status == StatusCode::CONFLICT => {
+                    return Err(conflict(&answer.body));
+                }
+                // A server error may come after the write took effect.
+                Ok(answer) => {
+                    left = true;
+                    answer.status.to_string()
+                }
+                Err(miss) => {
+                    left |= miss.left;
+                    miss.what
+                }
+            };
+            if start.elapsed() + pause >= limit {
+                return Err(if left {
+                    CommitError::Unsettled { what }
+                } else {
+                    CommitError::Away { what }
+                });
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LAST_PAUSE);
+        }
+    }
+}
+
+fn committed(body: &[u8]) -> Result<u64, CommitError> {
+    let answer: Result<CommitAnswer, _> = serde_json::from_slice(body);
+    answer
+        .map(|answer| answer.version)
+        .map_err(|error| CommitError::Unsettled { what: error.to_string() })
+}
+
+fn conflict(body: &[u8]) -> CommitError {
+    let rows: Rows = serde_json::from_slice(body).unwrap_or_default();
+    CommitError::Conflict { rows: rows.rows.into_iter().map(Row::from).collect() }
+}
+
+impl Table for Http {
+    fn read<'a>(&'a self, keys: &'a [String]) -> LocalBoxFuture<'a, Result<Vec<Row>, Error>> {
+        Box::pin(async move {
+            let ask = ReadAsk { keys: keys.to_vec(), prefix: None };
+            let rows: Rows = self.ask(Method::POST, "/table/read", &ask).await?;
+            Ok(rows.rows.into_iter().map(Row::from).collect())
+        })
+    }
+
+    fn scan<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Vec<Row>, Error>> {
+        Box::pin(async move {
+            let ask = ReadAsk { keys: Vec::new(), prefix: Some(prefix.to_owned()) };
+            let rows: Rows = self.ask(Method::POST, "/table/read", &ask).await?;
+            Ok(rows.rows.into_iter().map(Row::from).collect())
+        })
+    }
+
+    fn commit<'a>(
+        &'a self,
+        txn: &'a Txn,
+        limit: Duration,
+    ) -> LocalBoxFuture<'a, Result<u64, CommitError>> {
+        Box::pin(self.settle(txn, limit))
+    }
+}
+
+impl Instances for Http {
+    fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Listed>, Error>> {
+        Box::pin(async move {
+            let lines: Vec<WireListed> = self.ask(Method::GET, "/instances", &()).await?;
+            Ok(lines.into_iter().map(Listed::from).collect())
+        })
+    }
+
+    fn drain<'a>(&'a self, id: &'a str) -> LocalBoxFuture<'a, Result<(), Error>> {
+        Box::pin(async move {
+            let path = format!("/instances/{id}/drain");
+            self.success(Method::POST, &path, String::new()).await.map(drop)
+        })
+    }
+
+    fn reboot<'a>(&'a self, id: &'a str, pool: &'a str) -> LocalBoxFuture<'a, Result<(), Error>> {
+        Box::pin(async move {
+            let path = format!("/instances/{id}/reboot");
+            let ask = RebootAsk { pool: pool.to_owned() };
+            let text = serde_json::to_string(&ask).unwrap_or_default();
+            self.success(Method::POST, &path, text).await.map(drop)
+        })
+    }
+}
+
+impl Objects for Http {
+    fn store<'a>(&'a self, name: &'a str, body: String) -> LocalBoxFuture<'a, Result<(), Error>> {
+        Box::pin(async move {
+            self.success(Method::PUT, &format!("/objects/{name}"), body).await.map(drop)
+        })
+    }
+
+    fn names<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Vec<String>, Error>> {
+        Box::pin(
+            async move { self.ask(Method::GET, &format!("/objects?prefix={prefix}"), &()).await },
+        )
+    }
+
+    fn fetch<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<String, Error>> {
+        Box::pin(async move {
+            let path = format!("/objects/{name}");
+            let answer = self.success(Method::GET, &path, String::new()).await?;
+            Ok(String::from_utf8_lossy(&answer.body).into_owned())
+        })
+    }
+}
--- /dev/null
+++ b/crates/proof/tests/path.rs
@@ -0,0 +1,162 @@
+//! The whole path through separate processes, and what bad input gets.
+
+use proof::cluster::jtally;
+use proof::{Cluster, Layout, until};
+use standin::backend;
+
+/// Contract of one customer with a repeatable and an unrepeatable service.
+const CONTRACT: &str = "customer: acme
+down: 1
+services:
+  - name: boards
+    pool: boards
+    held: 1
+    down: 1
+    urgency: urgent
+    repeat: allowed
+    deadline_ms: 5000
+    body_kib: 4
+  - name: loads
+    pool: loads
+    held: 1
+    down: 1
+    repeat: never
+    deadline_ms: 5000
+";
+
+/// Path, headers, body, expected status and expected words.
+type BadRequest<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a str, u16, &'a str);
+
+async fn cluster() -> Cluster {
+    let cluster = Cluster::open(&Layout::small(&[("boards", 2), ("loads", 1)]));
+    cluster.apply("acme", CONTRACT, 0).await;
+    cluster.serving("/acme/boards").await;
+    cluster.serving("/acme/loads").await;
+    cluster
+}
+
+#[actix::test]
+async fn a_request_is_answered_whole_with_its_outcome() {
+    let cluster = cluster().await;
+    for path in ["/acme/boards/refresh?stop=7", "/acme/loads/line-2"] {
+        let reply = cluster.client.post(cluster.callers(0), path, &[], "hello").await.unwrap();
+        assert_eq!((reply.status, reply.outcome.as_str()), (200, "done"), "{reply:?}");
+        assert_eq!(reply.body, "hello");
+        let record = cluster.record().await;
+        assert_eq!(record.iter().filter(|run| run.id == reply.id).count(), 1);
+    }
+}
+
+#[actix::test]
+async fn bad_requests_get_a_clear_error_and_run_nowhere() {
+    let cluster = cluster().await;
+    let large = "x".repeat(5_000);
+    let cases: [BadRequest<'_>; 7] = [
+        ("/nobody/boards", &[], "", 404, "no contract of customer 'nobody'"),
+        ("/acme/nothing", &[], "", 404, "customer 'acme' has no service 'nothing'"),
+        ("/acme", &[], "", 404, "the path is not /customer/service"),
+        ("/acme/boards", &[], &large, 413, "the body is larger than 4096 bytes"),
+        ("/acme/boards", &[("X-Deadline-Ms", "soon")], "", 400, "X-Deadline-Ms is 'soon'"),
+        ("/acme/boards", &[("X-Repeat", "maybe")], "", 400, "X-Repeat is 'maybe'"),
+        ("/acme/loads", &[("Idempotency-Key", "jt1.x")], "", 400, "the ticket is damaged"),
+    ];
+    let before = cluster.record().await.len();
+    for (path, headers, body, status, error) in cases {
+        let reply = cluster.client.post(cluster.callers(0), path, headers, body).await.unwrap();
+        assert_eq!((reply.status, reply.outcome.as_str()), (status, "not-run"), "{path} {reply:?}");
+        assert!(reply.body.contains(error), "{path}: {}", reply.body);
+    }
+    assert_eq!(cluster.record().await.len(), before);
+}
+
+#[actix::test]
+async fn a_drain_cuts_off_nothing_and_is_explained() {
+    let cluster = cluster().await;
+    let slow = [("X-Work-Ms", "1500")];
+    let call = cluster.client.post(cluster.callers(0), "/acme/boards", &slow, "long");
+    let drain = async {
+        let busy = || async {
+            let runs = cluster.record().await;
+            runs.into_iter().find(|run| run.end_ms.is_none()).map(|run| run.id)
+        };
+        until("the long request to run", busy).await;
+        for id in ["boards-dc1-0", "boards-dc1-1"] {
+            assert_eq!(cluster.jtally(&["drain", id, "--reason", "test"]).0, 0);
+        }
+    };
+    let (reply, ()) = futures_util::join!(call, drain);
+    assert_eq!(reply.unwrap().outcome, "done");
+    for id in ["boards-dc1-0", "boards-dc1-1"] {
+        until("the instance to come back", || async {
+            let (_, why) = cluster.jtally(&["--json", "why", id]);
+            let why: serde_json::Value = serde_json::from_str(&why).ok()?;
+            (why["decision"] == "serves" && why["order"].is_null()).then_some(())
+        })
+        .await;
+    }
+    assert!(cluster.record().await.iter().all(|run| !run.cut));
+    let (_, text) = cluster.jtally(&["timeline", "--filter", "boards-dc1-0"]);
+    for event in ["drain-started", "instance-idle", "reboot-ordered", "instance-serving"] {
+        assert!(text.contains(event), "{event} is missing:\n{text}");
+    }
+}
+
+#[actix::test]
+async fn racing_operators_get_one_winner_and_the_newer_revision() {
+    let cluster = cluster().await;
+    let file = cluster.folder.join("race.yaml").display().to_string();
+    std::fs::write(&file, CONTRACT).unwrap();
+    assert_eq!(cluster.jtally(&["contract", "apply", &file, "--base", "1"]).0, 0);
+    let (code, text) = cluster.jtally(&["contract", "apply", &file, "--base", "1"]);
+    assert_eq!(code, 4, "{text}");
+    assert!(text.contains("the newest is 2"), "{text}");
+    let (code, text) = cluster.jtally(&["contract", "history", "acme"]);
+    assert_eq!((code, text.lines().count()), (0, 3), "{text}");
+}
+
+#[actix::test]
+async fn a_failing_server_is_set_aside_and_comes_back() {
+    let cluster = cluster().await;
+    let fail = backend::Faults { fail: true, ..backend::Faults::default() };
+    cluster.server_faults("boards-dc1-0", &fail).await;
+    for _ in 0..60 {
+        let reply = cluster.client.post(cluster.callers(0), "/acme/boards", &[], "x").await;
+        assert_eq!(reply.unwrap().status, 200);
+    }
+    let failed = cluster.record().await.into_iter().filter(|run| run.path == "/acme/boards");
+    assert!(failed.count() < 60 + 20, "a server that fails everything attracts no work");
+    cluster.server_faults("boards-dc1-0", &backend::Faults::default()).await;
+    until("the server to come back", || async {
+        cluster.client.post(cluster.callers(0), "/acme/boards", &[], "x").await?;
+        let (_, text) = cluster.jtally(&["timeline", "--filter", "server-back"]);
+        text.contains("boards-dc1-0").then_some(())
+    })
+    .await;
+}
+
+#[test]
+fn the_command_line_says_what_is_wrong() {
+    let (code, text) = jtally(&["--at", "127.0.0.1:1", "fleet"]);
+    assert_eq!(code, 6, "{text}");
+    assert!(text.contains("127.0.0.1:1 does not answer"), "{text}");
+    let (code, text) = jtally(&["--at", "localhost", "fleet"]);
+    assert_eq!(code, 2, "{text}");
+    assert!(text.contains("allowed is an IP number and a port"), "{text}");
+}
+
+#[test]
+fn wrong_settings_are_listed_at_once() {
+    let file = std::env::temp_dir().join(format!("jtally-wrong-{}.yaml", std::process::id()));
+    let text = "name: E 1\ncentre: dc1\nplatform: nowhere\nworkers: 0\nlog: {format: xml}\n";
+    std::fs::write(&file, text).unwrap();
+    for program in ["jtally-entry", "jtally-control"] {
+        let output =
+            std::process::Command::new(proof::process::path(program)).arg(&file).output().unwrap();
+        assert_eq!(output.status.code(), Some(2));
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        for problem in [":1: name:", ":3: platform:", ":4: workers:", ":5: log.format:"] {
+            assert!(text.contains(problem), "{problem} is missing:\n{text}");
+        }
+    }
+    std::fs::remove_file(&file).unwrap();
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions about requests: which server, in which order, how often, and by whom.
+//!
+//! Everything here is plain state; the clock comes in as an argument.
+
+pub mod budget;
+pub mod evidence;
+pub mod health;
+pub mod queue;
+pub mod servers;
+pub mod ticket;
+
+pub use budget::RetryBudget;
+pub use evidence::{Evidence, Standing};
+pub use queue::{Queue, Waiter};
+pub use servers::{Ended, Pick, Servers};
+pub use ticket::Ticket;
--- /dev/null
+++ b/crates/route/src/servers.rs
@@ -0,0 +1,216 @@
+//! The backend servers that an entry process knows, and the choice among them.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use fleet::{Instance, ListState, Listed, Phase};
+use indexmap::IndexMap;
+
+use crate::evidence::{Evidence, Standing};
+use crate::health::Health;
+
+/// Part of a pool that may be aside; beyond it, failing servers are used again.
+const ASIDE_SHARE: usize = 2;
+
+/// Backend servers and the work this process has on them.
+#[derive(Debug)]
+pub struct Servers {
+    centre: String,
+    sharers: u32,
+    servers: IndexMap<String, Server>,
+    turn: usize,
+}
+
+#[derive(Debug)]
+struct Server {
+    listed: Listed,
+    pool: String,
+    phase: Phase,
+    evidence: Evidence,
+    health: Health,
+    load: Vec<u32>,
+}
+
+/// A place on an executor, taken until it is given back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pick {
+    /// Instance that was picked.
+    pub id: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Executor on it.
+    pub executor: u32,
+    /// Incarnation that was picked.
+    pub incarnation: u64,
+}
+
+/// How a try on a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// A whole answer that shows a working server.
+    Good,
+    /// A server error, a reset or a time-out.
+    Failed,
+    /// The server had no slot.
+    Busy,
+    /// The server said that it is leaving.
+    Leaving,
+    /// The caller gave up, which says nothing of the server.
+    Dropped,
+}
+
+/// A change in how a server is used, worth an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// It was set aside.
+    Aside,
+    /// It takes work again.
+    Back,
+    /// It is leaving.
+    Leaving,
+}
+
+impl Servers {
+    /// Starts with no servers, for an entry process of one data centre.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut servers = route::Servers::open("dc1");
+    /// assert!(servers.pick("boards", &[], std::time::Instant::now()).is_none());
+    /// ```
+    pub fn open(centre: &str) -> Self {
+        Self { centre: centre.to_owned(), sharers: 1, servers: IndexMap::new(), turn: 0 }
+    }
+
+    /// Notes how many entry processes of the data centre share the connections.
+    pub fn share(&mut self, sharers: usize) {
+        self.sharers = u32::try_from(sharers.max(1)).unwrap_or(u32::MAX);
+    }
+
+    /// Takes in the platform's list and the table's rows.
+    pub fn update<'a>(
+        &mut self,
+        list: impl Iterator<Item = &'a Listed>,
+        row: impl Fn(&str) -> Option<&'a Instance>,
+    ) {
+        let mut kept = IndexMap::with_capacity(self.servers.len());
+        for listed in list {
+            let old = self.servers.swap_remove(&listed.id);
+            let server = Server::merge(old, listed, row(&listed.id));
+            kept.insert(listed.id.clone(), server);
+        }
+        // A server that left the list may still have requests in progress; their picks find nothing.
+        self.servers = kept;
+    }
+
+    /// Takes in a sighting; true when it changes the server's standing.
+    pub fn evidence(&mut self, id: &str, evidence: Evidence) -> bool {
+        let Some(server) = self.servers.get_mut(id) else { return false };
+        let changed = evidence.replaces(server.evidence);
+        if changed {
+            server.evidence = evidence;
+        }
+        changed
+    }
+
+    /// Incarnation of a server, as far as known.
+    pub fn incarnation(&self, id: &str) -> Option<u64> {
+        self.servers.get(id).map(|server| server.evidence.incarnation)
+    }
+
+    /// Whether any server of the pool could take work, now or once a slot is free.
+    pub fn reachable(&self, pool: &str) -> bool {
+        self.servers.values().any(|server| server.takes(pool))
+    }
+
+    /// Picks the least loaded executor of a pool, this data centre's first.
+    ///
+    /// `tried` names instances that this request was on before.
+    pub fn pick(&mut self, pool: &str, tried: &[String], now: Instant) -> Option<Pick> {
+        self.turn = self.turn.wrapping_add(1);
+        let all: Vec<usize> = (0..self.servers.len())
+            .filter(|at| {
+                self.servers[*at].takes(pool) && !tried.contains(&self.servers[*at].listed.id)
+            })
+            .collect();
+        let usable = all.iter().filter(|at| self.servers[**at].health.usable(now)).count();
+        let panic = usable * ASIDE_SHARE < all.len();
+        let candidates = all.iter().filter_map(|at| {
+            let server = &self.servers[*at];
+            let (executor, load, limit) = server.least(self.sharers)?;
+            let aside = !panic && !server.health.usable(now);
+            let probed = server.health.probing(now) && server.load.iter().sum::<u32>() > 0;
+            if load >= limit || aside || (probed && !panic) {
+                return None;
+            }
+            let far = server.listed.centre != self.centre;
+            let turn = (at + self.turn) % self.servers.len();
+            Some(((far, load * 1_000 / limit, turn), *at, executor))
+        });
+        let (_, at, executor) = candidates.min()?;
+        let server = &mut self.servers[at];
+        server.load[executor] += 1;
+        Some(Pick {
+            id: server.listed.id.clone(),
+            address: server.listed.address,
+            executor: server.listed.executors[executor].index,
+            incarnation: server.evidence.incarnation,
+        })
+    }
+
+    /// Gives a place back and learns from how the try ended.
+    pub fn release(&mut self, pick: &Pick, ended: Ended, now: Instant) -> Option<Change> {
+        let server = self.servers.get_mut(&pick.id)?;
+        if let Some(load) = server.load.get_mut(pick.executor as usize) {
+            *load = load.saturating_sub(1);
+        }
+        match ended {
+            Ended::Good => server.health.good().then_some(Change::Back),
+            Ended::Failed => server.health.bad(now).then_some(Change::Aside),
+            Ended::Busy | Ended::Dropped => None,
+            Ended::Leaving => {
+                let (incarnation, standing) = (pick.incarnation, Standing::Leaving);
+                let evidence = Evidence { incarnation, standing };
+                let new = evidence.replaces(server.evidence);
+                server.evidence = server.evidence.max(evidence);
+                new.then_some(Change::Leaving)
+            }
+        }
+    }
+}
+
+impl Server {
+    fn merge(old: Option<Self>, listed: &Listed, row: Option<&Instance>) -> Self {
+        let leaving = listed.state == ListState::Leaving;
+        let standing = if leaving { Standing::Leaving } else { Standing::Serving };
+        let evidence = Evidence { incarnation: listed.incarnation, standing };
+        let pool = row.map_or(&listed.pool, |row| &row.pool).clone();
+        let phase = row.map_or(Phase::Serving, |row| row.phase);
+        let load = vec![0; listed.executors.len()];
+        let Some(old) = old else {
+            let health = Health::default();
+            return Self { listed: listed.clone(), pool, phase, evidence, health, load };
+        };
+        let evidence = evidence.max(old.evidence);
+        let restarted = evidence.incarnation > old.evidence.incarnation;
+        let health = if restarted { Health::default() } else { old.health };
+        let load = if old.load.len() == load.len() { old.load } else { load };
+        Self { listed: listed.clone(), pool, phase, evidence, health, load }
+    }
+
+    fn takes(&self, pool: &str) -> bool {
+        let serving = self.evidence.standing == Standing::Serving;
+        self.pool == pool && self.phase == Phase::Serving && serving
+    }
+
+    /// Least loaded executor with its load and its limit.
+    fn least(&self, sharers: u32) -> Option<(usize, u32, u32)> {
+        let loads = self.load.iter().zip(&self.listed.executors).enumerate();
+        let limits = loads.map(|(at, (load, executor))| {
+            let connections = (executor.connections / sharers).max(1);
+            (at, *load, executor.slots.min(connections).max(1))
+        });
+        limits.min_by_key(|(_, load, limit)| load * 1_000 / limit)
+    }
+}
