--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -60,7 +60,7 @@
         let peers = peers.context(BindSnafu { what: "peer address" })?;
         let admin = std::net::TcpListener::bind(settings.admin);
         let admin = admin.context(BindSnafu { what: "admin address" })?;
-        let me = me(&settings, &admin, &peers)?;
+        let me = me(settings, &admin, &peers)?;
         let facts = Facts::open(me.clone(), timeline.clone());
         let platform = Rc::new(Http::open(settings.platform));
         let peers = peer::Server::spawn(peers, facts.clone(), None);
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -100,7 +100,7 @@
         let peers = peers.context(BindSnafu { what: "peer address" })?;
         let callers = listener(settings.listen, "caller address")?;
         let admin = listener(settings.admin, "admin address")?;
-        let me = me(&settings, &callers, &admin, &peers)?;
+        let me = me(settings, &callers, &admin, &peers)?;
         let facts = Facts::open(me.clone(), timeline.clone());
         let platform = Rc::new(Http::open(settings.platform));
         let slots = Slots::open(&settings.centre, settings.flight, facts.clone(), metrics.clone());
