--- a/crates/proof/src/cluster.rs
+++ b/crates/proof/src/cluster.rs
@@ -164,19 +164,28 @@
         jtally(&[&["--at", at.as_str()], args].concat())
     }
 
-    /// Applies a contract text and waits until every process has it in force.
+    /// Applies a contract text and gives its revision.
     ///
     /// # Panics
     ///
     /// When it is refused.
-    pub async fn apply(&self, name: &str, text: &str, base: u64) -> u64 {
+    pub fn accept(&self, name: &str, text: &str, base: u64) -> u64 {
         let file = self.folder.join(format!("{name}.yaml"));
         std::fs::write(&file, text).unwrap_or_else(|error| panic!("no contract: {error}"));
         let (file, base) = (file.display().to_string(), base.to_string());
         let (code, output) = self.jtally(&["--json", "contract", "apply", &file, "--base", &base]);
         assert_eq!(code, 0, "{output}");
         let accepted: serde_json::Value = serde_json::from_str(&output).unwrap_or_default();
-        let revision = accepted["revision"].as_u64().unwrap_or_default();
+        accepted["revision"].as_u64().unwrap_or_default()
+    }
+
+    /// Applies a contract text and waits until every process has it in force.
+    ///
+    /// # Panics
+    ///
+    /// When it is refused.
+    pub async fn apply(&self, name: &str, text: &str, base: u64) -> u64 {
+        let revision = self.accept(name, text, base);
         self.in_force(name, revision).await;
         revision
     }
--- a/crates/standin/src/bin/standin-platform.rs
+++ b/crates/standin/src/bin/standin-platform.rs
@@ -79,6 +79,7 @@
         .route("/objects/{name:.*}", web::put().to(store))
         .route("/instances", web::get().to(list))
         .route("/instances", web::post().to(enter))
+        .route("/instances/many", web::post().to(enter_many))
         .route("/instances/{id}", web::delete().to(remove))
         .route("/instances/{id}/drain", web::post().to(drain))
         .route("/instances/{id}/reboot", web::post().to(reboot));
@@ -165,6 +166,12 @@
     HttpResponse::Ok().finish()
 }
 
+async fn enter_many(state: Shared, lines: Json<Vec<WireListed>>) -> HttpResponse {
+    let (mut state, now) = (lock(&state), Instant::now());
+    lines.into_inner().into_iter().for_each(|line| state.instances.enter(now, line));
+    HttpResponse::Ok().finish()
+}
+
 async fn remove(state: Shared, id: Path<String>) -> HttpResponse {
     if lock(&state).instances.remove(Instant::now(), &id) {
         return HttpResponse::Ok().finish();
--- a/crates/standin/src/instances.rs
+++ b/crates/standin/src/instances.rs
@@ -1,37 +1,39 @@
 //! The instance list, which lags behind the fleet.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use platform::wire::WireListed;
 
-/// Age after which a state of the list is forgotten.
+/// Age after which an earlier state of a line is forgotten.
 const HISTORY: Duration = Duration::from_secs(120);
 
+/// States of one line, oldest first; an absent one stands for an instance off the list.
+type States = Vec<(Instant, Option<WireListed>)>;
+
 /// The fleet now and as it was.
 #[derive(Debug, Default)]
 pub struct Instances {
-    now: IndexMap<String, WireListed>,
-    past: VecDeque<(Instant, Vec<WireListed>)>,
+    lines: IndexMap<String, States>,
 }
 
 impl Instances {
     /// Enters an instance or its new state.
     pub fn enter(&mut self, at: Instant, line: WireListed) {
-        self.now.insert(line.id.clone(), line);
-        self.keep(at);
+        self.add(at, line.id.clone(), Some(line));
     }
 
     /// Looks an instance up as it is now.
     pub fn find(&self, id: &str) -> Option<&WireListed> {
-        self.now.get(id)
+        self.lines.get(id).and_then(|states| states.last()?.1.as_ref())
     }
 
     /// Takes an instance off the list.
     pub fn remove(&mut self, at: Instant, id: &str) -> bool {
-        let known = self.now.shift_remove(id).is_some();
-        self.keep(at);
+        let known = self.find(id).is_some();
+        if known {
+            self.add(at, id.to_owned(), None);
+        }
         known
     }
 
@@ -45,14 +47,18 @@
     /// assert!(instances.list(Instant::now(), Duration::ZERO).is_empty());
     /// ```
     pub fn list(&self, at: Instant, lag: Duration) -> Vec<WireListed> {
-        let seen = self.past.iter().rev().find(|(when, _)| *when + lag <= at);
-        seen.map(|(_, list)| list.clone()).unwrap_or_default()
+        let seen = |states: &States| {
+            let state = states.iter().rev().find(|(when, _)| *when + lag <= at)?;
+            state.1.clone()
+        };
+        self.lines.values().filter_map(seen).collect()
     }
 
-    fn keep(&mut self, at: Instant) {
-        self.past.push_back((at, self.now.values().cloned().collect()));
-        while self.past.len() > 1 && self.past[1].0 + HISTORY < at {
-            self.past.pop_front();
+    fn add(&mut self, at: Instant, id: String, line: Option<WireListed>) {
+        let states = self.lines.entry(id).or_default();
+        states.push((at, line));
+        while states.len() > 1 && states[1].0 + HISTORY < at {
+            states.remove(0);
         }
     }
 }
