--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -37,8 +37,6 @@
     LeaseTaken = 1401,
     /// A lease lapsed or was taken by another process.
     LeaseLost = 1402,
-    /// An instance was entered in the table.
-    InstanceEntered = 1501,
     /// A permit was taken and an instance drains.
     DrainStarted = 1502,
     /// A drain was not permitted.
--- a/crates/control/src/api/contracts.rs
+++ b/crates/control/src/api/contracts.rs
@@ -10,10 +10,7 @@
 use platform::{CommitError, Http, Row, Table, keys};
 use serde::{Deserialize, Serialize};
 
-use crate::api::writes::{LIMIT, txn, unread, unwritten};
-
-/// Tries of a change while other customers' changes go first.
-const TRIES: usize = 20;
+use crate::api::writes::{LIMIT, TRIES, txn, unread, unwritten};
 
 /// Query of a change.
 #[derive(Debug, Deserialize)]
--- a/crates/control/src/api/instances.rs
+++ b/crates/control/src/api/instances.rs
@@ -8,10 +8,10 @@
 use peer::Facts;
 use peer::reader::decode;
 use peer::row::{BudgetRow, DecisionRow, InstanceRow, OrderRow};
-use platform::{Http, Table, keys};
+use platform::{CommitError, Http, Table, keys};
 use serde::{Deserialize, Serialize};
 
-use crate::api::writes::{LIMIT, txn, unread, unwritten};
+use crate::api::writes::{LIMIT, TRIES, txn, unread, unwritten};
 
 /// One instance as operators see it.
 #[derive(Debug, Serialize, Deserialize)]
@@ -54,21 +54,17 @@
 /// Shows all instances as this process knows them.
 pub async fn fleet(facts: Data<Facts>) -> HttpResponse {
     let state = facts.lock();
-    let owner = |pool: &str| {
-        let mut contracts = state.contracts.live();
-        contracts.find(|(_, _, agreed)| agreed.contract.served_by(pool).is_some())
-    };
     let mut shown: Vec<Shown> = Vec::new();
-    for (id, _, line) in state.list.live() {
-        let row = state.instances.find(id);
+    for line in state.listed() {
+        let row = state.instances.find(&line.id);
         let pool = row.map_or(&line.pool, |row| &row.pool).clone();
         shown.push(Shown {
-            id: id.to_owned(),
+            id: line.id.clone(),
             centre: line.centre.clone(),
             rack: line.rack.clone(),
-            customer: owner(&pool).map_or("", |(customer, _, _)| customer).to_owned(),
+            customer: state.owner(&pool).unwrap_or_default().to_owned(),
             pool,
-            phase: row.map_or("not entered".to_owned(), |row| row.phase.to_string()),
+            phase: row.map_or(Phase::Serving, |row| row.phase).to_string(),
             listed: if line.state == ListState::Live { "live" } else { "leaving" }.to_owned(),
             reason: row.map_or(String::new(), |row| row.reason.clone()),
         });
@@ -78,13 +74,8 @@
 
 /// Explains the state of an instance.
 pub async fn why(facts: Data<Facts>, platform: Data<Http>, id: Path<String>) -> HttpResponse {
-    if facts.lock().list.find(&id).is_none() {
-        return missing(&id);
-    }
-    let pool = facts.lock().instances.find(&id).map(|row| row.pool.clone()).unwrap_or_default();
-    let customer = customer(&facts, &pool).unwrap_or_default();
-    let asked =
-        [keys::instance(&id), keys::decision(&id), keys::order(&id), keys::budget(&customer)];
+    let Some((pool, customer)) = place(&facts, &id) else { return missing(&id) };
+    let asked = [keys::instance(&id), keys::decision(&id), keys::budget(&customer)];
     let rows = match platform.read(&asked).await {
         Ok(rows) => rows,
         Err(error) => return unread(&error),
@@ -96,16 +87,20 @@
         by: String::new(),
         at_ms: 0,
     });
-    let budget = decode::<BudgetRow>(&rows[3]).unwrap_or_default();
+    let budget = decode::<BudgetRow>(&rows[2]).unwrap_or_default();
+    let (pool, phase) = instance.map_or_else(
+        || (pool, Phase::Serving.to_string()),
+        |instance| (instance.pool, instance.phase),
+    );
     HttpResponse::Ok().json(Why {
+        order: budget.orders.get(id.as_str()).cloned(),
         id: id.into_inner(),
-        pool: instance.as_ref().map(|row| row.pool.clone()).unwrap_or_default(),
-        phase: instance.map_or("not entered".to_owned(), |row| row.phase),
+        pool,
+        phase,
         decision: decision.decision,
         reason: decision.reason,
         by: decision.by,
         at_ms: decision.at_ms,
-        order: decode(&rows[2]),
         permits: budget.permits.into_keys().collect(),
     })
 }
@@ -118,51 +113,70 @@
     order: Json<Order>,
 ) -> HttpResponse {
     let Order { target, reason } = order.into_inner();
-    if let Some(refusal) = refuse(&facts, &id, target.as_deref()) {
-        return refusal;
+    let Some((_, customer)) = place(&facts, &id) else { return missing(&id) };
+    if customer.is_empty() {
+        return refused(format!("the pool of instance '{id}' belongs to no contract"));
     }
-    let asked = [keys::instance(&id), keys::order(&id)];
-    let rows = match platform.read(&asked).await {
-        Ok(rows) => rows,
-        Err(error) => return unread(&error),
-    };
-    let row = decode::<InstanceRow>(&rows[0]);
-    let busy = row.is_some_and(|row| row.phase != Phase::Serving.to_string());
-    if busy || rows[1].version != 0 {
-        let error = format!("instance '{id}' already has an order; jtally why {id} tells it");
-        return HttpResponse::Conflict().json(Refusal::new(error));
+    if let Some(pool) = target.as_deref().filter(|pool| facts.lock().owner(pool).is_none()) {
+        return refused(format!("pool '{pool}' belongs to no contract"));
     }
     let row = OrderRow { target, reason };
-    let txn = txn(&facts, "order").expect(keys::order(&id), 0).put(keys::order(&id), json(&row));
-    match platform.commit(&txn, LIMIT).await {
-        Ok(_) => {
-            let fields: [(&str, &dyn std::fmt::Display); 2] =
-                [("instance", &id), ("reason", &row.reason)];
-            facts.timeline().record(Event::OrderTaken, &fields);
-            HttpResponse::Ok().json(row)
+    for _ in 0..TRIES {
+        match enter(&facts, &platform, &customer, &id, &row).await {
+            Ok(true) => return taken(&facts, &id, &row),
+            Ok(false) => {
+                let error =
+                    format!("instance '{id}' already has an order; jtally why {id} tells it");
+                return HttpResponse::Conflict().json(Refusal::new(error));
+            }
+            // Another order or a step of the control process went first.
+            Err(CommitError::Conflict { .. }) => {}
+            Err(error) => return unwritten(&error),
         }
-        Err(error) => unwritten(&error),
     }
+    HttpResponse::ServiceUnavailable().json(Refusal::new("too many changes at once, try again"))
 }
 
-fn refuse(facts: &Facts, id: &str, target: Option<&str>) -> Option<HttpResponse> {
-    if facts.lock().list.find(id).is_none() {
-        return Some(missing(id));
+/// Writes an order into the customer's budget row; false when there is one already.
+async fn enter(
+    facts: &Facts,
+    platform: &Http,
+    customer: &str,
+    id: &str,
+    row: &OrderRow,
+) -> Result<bool, CommitError> {
+    let key = keys::budget(customer);
+    let rows = platform.read(std::slice::from_ref(&key)).await;
+    let rows = rows.map_err(|error| CommitError::Away { what: error.to_string() })?;
+    let version = rows.first().map_or(0, |row| row.version);
+    let mut budget: BudgetRow = rows.first().and_then(decode).unwrap_or_default();
+    if budget.orders.contains_key(id) {
+        return Ok(false);
     }
-    let pool = target?;
-    if customer(facts, pool).is_some() {
-        return None;
-    }
-    let error = format!("pool '{pool}' belongs to no contract");
-    Some(HttpResponse::UnprocessableEntity().json(Refusal::new(error)))
+    budget.orders.insert(id.to_owned(), row.clone());
+    let txn = txn(facts, "order");
+    let marker = json(&txn.id);
+    let txn = txn.expect(key.as_str(), version).put(key, json(&budget)).put(keys::FLEET, marker);
+    platform.commit(&txn, LIMIT).await.map(|_| true)
+}
+
+fn taken(facts: &Facts, id: &str, row: &OrderRow) -> HttpResponse {
+    let fields: [(&str, &dyn std::fmt::Display); 2] = [("instance", &id), ("reason", &row.reason)];
+    facts.timeline().record(Event::OrderTaken, &fields);
+    HttpResponse::Ok().json(row)
 }
 
-/// Customer that a pool belongs to.
-fn customer(facts: &Facts, pool: &str) -> Option<String> {
+/// Pool and customer of a listed instance; the customer is empty when no contract names the pool.
+fn place(facts: &Facts, id: &str) -> Option<(String, String)> {
     let state = facts.lock();
-    let mut contracts = state.contracts.live();
-    let found = contracts.find(|(_, _, agreed)| agreed.contract.served_by(pool).is_some());
-    found.map(|(customer, _, _)| customer.to_owned())
+    let row = state.instances.find(id).map(|row| row.pool.clone());
+    let pool = row.or_else(|| state.line(id).map(|line| line.pool.clone()))?;
+    let customer = state.owner(&pool).unwrap_or_default().to_owned();
+    Some((pool, customer))
+}
+
+fn refused(error: String) -> HttpResponse {
+    HttpResponse::UnprocessableEntity().json(Refusal::new(error))
 }
 
 fn missing(id: &str) -> HttpResponse {
--- a/crates/control/src/api/writes.rs
+++ b/crates/control/src/api/writes.rs
@@ -10,6 +10,9 @@
 /// Time that an operator's write may take, lost answers included.
 pub const LIMIT: Duration = Duration::from_secs(5);
 
+/// Tries of a write while others' writes to the same rows go first.
+pub const TRIES: usize = 20;
+
 /// Begins a transaction under an id of its own.
 pub fn txn(facts: &Facts, what: &str) -> Txn {
     let state = facts.lock();
--- a/crates/control/src/customer/step.rs
+++ b/crates/control/src/customer/step.rs
@@ -40,9 +40,10 @@
     },
 }
 
-/// Steps of one customer's instances under one lease.
+/// Steps of the instances of one shard's customers under one lease.
 pub struct Stepper {
     holding: Holding,
+    customer: String,
     facts: Facts,
     platform: Rc<Http>,
     metrics: Metrics,
@@ -55,20 +56,15 @@
     /// Opens the steps under a lease.
     pub fn open(holding: Holding, facts: Facts, platform: Rc<Http>, metrics: Metrics) -> Self {
         let (client, refused) = (awc::Client::default(), indexmap::IndexMap::new());
-        Self { holding, facts, platform, metrics, client, refused, count: 0 }
+        let customer = String::new();
+        Self { holding, customer, facts, platform, metrics, client, refused, count: 0 }
     }
 
-    /// Whether the lease still holds by this process's clock.
-    pub fn holds(&self) -> bool {
-        self.holding.valid()
-    }
-
-    /// Moves every instance of the customer on by one step, where it can.
-    pub async fn round(&mut self) -> Result<(), StepError> {
-        let customer = self.holding.customer.clone();
-        let view = View::read(&self.facts, &self.platform, &self.client, &customer).await;
-        let Some(mut view) = view.context(PlatformSnafu)? else { return Ok(()) };
-        self.enter(&view).await?;
+    /// Moves every instance of a customer on by one step, where it can.
+    pub async fn round(&mut self, customer: &str) -> Result<(), StepError> {
+        customer.clone_into(&mut self.customer);
+        let view = View::read(&self.facts, &self.platform, &self.client, customer).await;
+        let mut view = view.context(PlatformSnafu)?;
         for at in 0..view.known.len() {
             self.advance(&mut view, at).await?;
         }
@@ -78,23 +74,6 @@
         Ok(())
     }
 
-    /// Enters instances that the list names and the table does not know.
-    async fn enter(&mut self, view: &View) -> Result<(), StepError> {
-        for (id, known) in view.known.iter().filter(|(_, known)| known.row.is_none()) {
-            let row = InstanceRow {
-                pool: known.listed.pool.clone(),
-                phase: Phase::Serving.to_string(),
-                target: None,
-                reason: "listed by the platform".to_owned(),
-                incarnation: known.listed.incarnation,
-            };
-            let txn = self.txn("enter").expect(keys::instance(id), 0);
-            self.commit(txn.put(keys::instance(id), json(&row))).await?;
-            self.record(Event::InstanceEntered, id, &row.pool);
-        }
-        Ok(())
-    }
-
     async fn advance(&mut self, view: &mut View, at: usize) -> Result<(), StepError> {
         let Some((id, known)) = view.known.get_index(at) else { return Ok(()) };
         let id = id.clone();
@@ -116,8 +95,7 @@
             return Ok(());
         }
         let row = self.decision("waits", &reason);
-        let txn =
-            self.txn("refuse").expect(keys::epoch(&self.holding.customer), self.holding.fence);
+        let txn = self.txn("refuse").expect(keys::epoch(self.holding.shard), self.holding.fence);
         self.commit(txn.put(keys::decision(id), json(&row))).await?;
         self.record(Event::DrainRefused, id, &reason);
         self.refused.insert(id.to_owned(), reason);
@@ -127,10 +105,10 @@
     /// Takes a permit and writes the intent to drain, together.
     async fn drain(&mut self, view: &mut View, id: &str) -> Result<(), StepError> {
         let Some(known) = view.known.get(id) else { return Ok(()) };
-        let order = known.order.as_ref();
+        let mut budget = view.budget.clone();
+        let order = budget.orders.get(id);
         let target = order.and_then(|order| order.target.clone());
         let reason = order.map(|order| order.reason.clone()).unwrap_or_default();
-        let mut budget = view.budget.clone();
         budget.permits.insert(id.to_owned(), known.pool().to_owned());
         let row = InstanceRow {
             pool: known.pool().to_owned(),
@@ -140,7 +118,7 @@
             incarnation: known.status.as_ref().map_or(known.listed.incarnation, |s| s.incarnation),
         };
         let decision = self.decision("drains", &reason);
-        let txn = self.step("drain", view, known, id, &row, &budget);
+        let txn = self.step("drain", view, known, id, &row, &mut budget);
         let version = self.commit(txn.put(keys::decision(id), json(&decision))).await?;
         self.refused.shift_remove(id);
         self.record(Event::DrainStarted, id, &reason);
@@ -162,8 +140,8 @@
             return Ok(());
         }
         let row = InstanceRow { phase: Phase::Rebooting.to_string(), ..row };
-        let budget = view.budget.clone();
-        let txn = self.step("idle", view, known, id, &row, &budget);
+        let mut budget = view.budget.clone();
+        let txn = self.step("idle", view, known, id, &row, &mut budget);
         let version = self.commit(txn).await?;
         self.record(Event::InstanceIdle, id, &row.pool);
         written(view, id, row.clone(), version, budget);
@@ -195,16 +173,14 @@
         let row = InstanceRow { pool, phase, target: None, incarnation, ..row };
         let mut budget = view.budget.clone();
         budget.permits.shift_remove(id);
+        budget.orders.shift_remove(id);
         let decision = self.decision("serves", "seen serving after its stop");
-        let txn = self.step("serving", view, known, id, &row, &budget);
-        let txn = txn.put(keys::decision(id), json(&decision)).remove(keys::order(id));
+        let txn = self.step("serving", view, known, id, &row, &mut budget);
+        let txn = txn.put(keys::decision(id), json(&decision));
         let version = self.commit(txn).await?;
         self.record(Event::InstanceServing, id, &row.pool);
         self.sight(id, incarnation, Standing::Serving);
         written(view, id, row, version, budget);
-        if let Some(known) = view.known.get_mut(id) {
-            known.order = None;
-        }
         Ok(())
     }
 
@@ -216,16 +192,18 @@
         known: &Known,
         id: &str,
         row: &InstanceRow,
-        budget: &BudgetRow,
+        budget: &mut BudgetRow,
     ) -> Txn {
-        let (customer, fence) = (self.holding.customer.clone(), self.holding.fence);
-        self.txn(what)
-            .expect(keys::epoch(&customer), fence)
+        budget.step(id);
+        let (customer, shard) = (self.customer.clone(), self.holding.shard);
+        let txn = self.txn(what);
+        let marker = json(&txn.id);
+        txn.expect(keys::epoch(shard), self.holding.fence)
             .expect(keys::budget(&customer), view.budget_version)
             .expect(keys::instance(id), known.version)
-            .expect(keys::order(id), known.ordered)
             .put(keys::instance(id), json(row))
             .put(keys::budget(&customer), json(budget))
+            .put(keys::FLEET, marker)
     }
 
     fn txn(&mut self, what: &str) -> Txn {
@@ -234,8 +212,8 @@
             let state = self.facts.lock();
             (state.me.name.clone(), state.me.incarnation)
         };
-        let Holding { customer, epoch, .. } = &self.holding;
-        Txn::new(format!("{what}-{customer}-{epoch}-{name}-{incarnation}-{}", self.count))
+        let Holding { shard, epoch, .. } = &self.holding;
+        Txn::new(format!("{what}-{shard}-{epoch}-{name}-{incarnation}-{}", self.count))
     }
 
     async fn commit(&self, txn: Txn) -> Result<u64, StepError> {
@@ -265,7 +243,7 @@
 
     fn record(&self, event: Event, id: &str, reason: &str) {
         self.metrics.steps.with_label_values(&[&event.to_string()]).inc();
-        let (customer, epoch) = (&self.holding.customer, self.holding.epoch);
+        let (customer, epoch) = (&self.customer, self.holding.epoch);
         let fields: [(&str, &dyn Display); 4] =
             [("instance", &id), ("customer", customer), ("reason", &reason), ("epoch", &epoch)];
         self.facts.timeline().record(event, &fields);
--- a/crates/control/src/customer/view.rs
+++ b/crates/control/src/customer/view.rs
@@ -5,9 +5,9 @@
 use indexmap::IndexMap;
 use peer::Facts;
 use peer::reader::decode;
-use peer::row::{BudgetRow, InstanceRow, OrderRow};
+use peer::row::{BudgetRow, InstanceRow};
 use plan::{Fleet, Need, Unit, Up};
-use platform::{Error, Http, Row, Table, keys};
+use platform::{Error, Http, Table, keys};
 
 use crate::customer::probe::{self, Status};
 
@@ -20,10 +20,6 @@
     pub row: Option<InstanceRow>,
     /// Version of the row; 0 when there is none.
     pub version: u64,
-    /// Order of an operator.
-    pub order: Option<OrderRow>,
-    /// Version of the order's row.
-    pub ordered: u64,
     /// What it says of itself.
     pub status: Option<Status>,
 }
@@ -31,8 +27,8 @@
 /// A customer's instances, budget and contract, read together.
 #[derive(Debug)]
 pub struct View {
-    /// The contract.
-    pub contract: Contract,
+    /// The contract; none once it was deleted.
+    pub contract: Option<Contract>,
     /// The budget.
     pub budget: BudgetRow,
     /// Version of the budget's row.
@@ -64,40 +60,28 @@
 }
 
 impl View {
-    /// Reads the rows of a customer and asks its instances; none without a contract.
+    /// Reads the rows of a customer and asks its instances.
     pub async fn read(
         facts: &Facts,
         platform: &Http,
         client: &awc::Client,
         customer: &str,
-    ) -> Result<Option<Self>, Error> {
-        let Some(contract) = contract(facts, customer) else { return Ok(None) };
-        let listed = listed(facts);
-        let rows = rows(platform, customer, &listed).await?;
-        let (budget, rows) = match rows.split_first() {
-            Some((budget, rows)) => (budget, rows),
-            None => return Ok(None),
-        };
+    ) -> Result<Self, Error> {
+        let contract = contract(facts, customer);
+        let listed = listed(facts, customer, contract.as_ref());
+        let mut asked = vec![keys::budget(customer)];
+        asked.extend(listed.iter().map(|line| keys::instance(&line.id)));
+        let rows = platform.read(&asked).await?;
+        let statuses = listed.iter().map(|line| probe::status(client, line.address));
+        let statuses = join_all(statuses).await;
+        let budget = rows.first().and_then(decode::<BudgetRow>).unwrap_or_default();
+        let budget_version = rows.first().map_or(0, |row| row.version);
         let mut known = IndexMap::new();
-        for (listed, rows) in listed.into_iter().zip(rows.chunks(2)) {
-            let (row, order) = (decode::<InstanceRow>(&rows[0]), decode::<OrderRow>(&rows[1]));
-            let (version, ordered) = (rows[0].version, rows[1].version);
-            let id = listed.id.clone();
-            let found = Known { listed, row, version, order, ordered, status: None };
-            let target = found.row.as_ref().and_then(|row| row.target.as_deref());
-            let mine = |pool: &str| contract.served_by(pool).is_some();
-            if mine(found.pool()) || target.is_some_and(mine) {
-                known.insert(id, found);
-            }
+        for ((listed, row), status) in listed.into_iter().zip(rows.iter().skip(1)).zip(statuses) {
+            let (id, version) = (listed.id.clone(), row.version);
+            known.insert(id, Known { listed, row: decode(row), version, status });
         }
-        let asked = known.values().map(|found| probe::status(client, found.listed.address));
-        let statuses = join_all(asked).await;
-        for (found, status) in known.values_mut().zip(statuses) {
-            found.status = status;
-        }
-        let budget_version = budget.version;
-        let budget = decode(budget).unwrap_or_default();
-        Ok(Some(Self { contract, budget, budget_version, known }))
+        Ok(Self { contract, budget, budget_version, known })
     }
 
     /// Units for the decisions.
@@ -108,7 +92,7 @@
             centre: known.listed.centre.clone(),
             rack: known.listed.rack.clone(),
             up: known.up(),
-            need: known.order.as_ref().map(|order| match &order.target {
+            need: self.budget.orders.get(id).map(|order| match &order.target {
                 Some(pool) if pool != known.pool() => Need::Move(pool.clone()),
                 _ => Need::Maintain,
             }),
@@ -116,10 +100,10 @@
         units.collect()
     }
 
-    /// Decides for every waiting instance.
+    /// Decides for every waiting instance; nothing is begun without a contract.
     pub fn choices(&self) -> Vec<plan::Choice> {
-        let units = self.units();
-        plan::next(Fleet { contract: &self.contract, units: &units })
+        let Some(contract) = &self.contract else { return Vec::new() };
+        plan::next(Fleet { contract, units: &self.units() })
     }
 }
 
@@ -128,17 +112,18 @@
     state.contracts.find(customer).map(|agreed| agreed.contract.clone())
 }
 
-fn listed(facts: &Facts) -> Vec<Listed> {
+/// Listed instances of the customer's pools, and those that its budget names.
+fn listed(facts: &Facts, customer: &str, contract: Option<&Contract>) -> Vec<Listed> {
     let state = facts.lock();
-    state.list.live().map(|(_, _, line)| line.clone()).collect()
-}
-
-/// Reads the budget's row and two rows of each listed instance.
-async fn rows(platform: &Http, customer: &str, listed: &[Listed]) -> Result<Vec<Row>, Error> {
-    let mut asked = vec![keys::budget(customer)];
-    for line in listed {
-        asked.push(keys::instance(&line.id));
-        asked.push(keys::order(&line.id));
-    }
-    platform.read(&asked).await
+    let budget = state.budgets.find(customer);
+    let mine = |line: &&Listed| {
+        let row = state.instances.find(&line.id);
+        let pool = row.map_or(&line.pool, |row| &row.pool);
+        let named = |budget: &BudgetRow| {
+            budget.orders.contains_key(&line.id) || budget.permits.contains_key(&line.id)
+        };
+        contract.is_some_and(|contract| contract.served_by(pool).is_some())
+            || budget.is_some_and(named)
+    };
+    state.listed().filter(mine).cloned().collect()
 }
--- a/crates/control/src/process/leases.rs
+++ b/crates/control/src/process/leases.rs
@@ -1,4 +1,4 @@
-//! Leases on customers: one process at a time controls a customer's pools.
+//! Leases on shards of the customers: one process at a time controls a customer's pools.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -8,19 +8,21 @@
 use peer::reader::decode;
 use peer::row::{EpochRow, LeaseRow};
 use peer::{Facts, member::Role};
-use platform::{CommitError, Error, Http, Table, Txn, keys};
+use platform::{Error, Http, Table, Txn, keys};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::customer;
 use crate::process::metrics::Metrics;
 
+/// Shards that the customers are spread over; all processes have to agree on it.
+pub const SHARDS: u64 = 16;
 /// Time after which a lease that was not renewed may be taken.
-pub const TTL: Duration = Duration::from_millis(6_000);
+pub const TTL: Duration = Duration::from_millis(8_000);
 /// Part of the time before expiry in which the holder already stops.
-const MARGIN: Duration = Duration::from_millis(1_500);
+const MARGIN: Duration = Duration::from_millis(2_000);
 /// Time between two rounds of renewing and taking.
-const ROUND: Duration = Duration::from_millis(1_500);
+const ROUND: Duration = Duration::from_millis(2_000);
 /// Time that a renewal may take.
 const LIMIT: Duration = Duration::from_millis(1_200);
 
@@ -31,11 +33,11 @@
     stop: watch::Sender<bool>,
 }
 
-/// Proof of holding a customer's lease, to be checked before each step.
+/// Proof of holding a shard's lease, to be checked before each step.
 #[derive(Debug, Clone)]
 pub struct Holding {
-    /// Customer.
-    pub customer: String,
+    /// Shard.
+    pub shard: u64,
     /// Epoch of the lease.
     pub epoch: u64,
     /// Version of the epoch's row; every control write expects it.
@@ -67,13 +69,13 @@
     facts: Facts,
     platform: Rc<Http>,
     metrics: Metrics,
-    held: HashMap<String, Held>,
-    seen: HashMap<String, Seen>,
+    held: HashMap<u64, Held>,
+    seen: HashMap<u64, Seen>,
     count: u64,
 }
 
 impl Leases {
-    /// Starts to renew and take leases, and to control the customers that they are for.
+    /// Starts to renew and take leases, and to control the customers of their shards.
     pub fn spawn(facts: Facts, platform: Rc<Http>, metrics: Metrics) -> Self {
         let (stop, stopped) = watch::channel(false);
         let work =
@@ -107,158 +109,160 @@
 
     async fn round(&mut self) -> Result<(), Error> {
         self.renew_all().await;
-        let customers: Vec<String> = {
-            let state = self.facts.lock();
-            state.contracts.live().map(|(customer, _, _)| customer.to_owned()).collect()
-        };
-        let open: Vec<&String> =
-            customers.iter().filter(|customer| !self.held.contains_key(*customer)).collect();
+        let open: Vec<u64> = (0..SHARDS).filter(|shard| !self.held.contains_key(shard)).collect();
         if open.is_empty() {
             return Ok(());
         }
-        let asked: Vec<String> = open
-            .iter()
-            .flat_map(|customer| [keys::lease(customer), keys::epoch(customer)])
-            .collect();
+        let asked: Vec<String> = open.iter().map(|shard| keys::lease(*shard)).collect();
         let rows = self.platform.read(&asked).await?;
-        for (customer, rows) in open.into_iter().zip(rows.chunks(2)) {
-            let lease: LeaseRow = decode(&rows[0]).unwrap_or_default();
-            if self.lapsed(customer, &lease) {
-                self.take(customer, &lease, rows[0].version, rows[1].version).await;
+        for (shard, row) in open.into_iter().zip(rows) {
+            let lease: LeaseRow = decode(&row).unwrap_or_default();
+            if self.lapsed(shard, &lease) {
+                self.take(shard, &lease, row.version).await?;
             }
         }
         Ok(())
     }
 
     /// Whether a lease is free, or has not changed for its whole time on this process's clock.
-    fn lapsed(&mut self, customer: &str, lease: &LeaseRow) -> bool {
+    fn lapsed(&mut self, shard: u64, lease: &LeaseRow) -> bool {
         let now = Instant::now();
-        let seen = self.seen.get(customer).filter(|seen| seen.row == *lease);
+        let seen = self.seen.get(&shard).filter(|seen| seen.row == *lease);
         let since = seen.map_or(now, |seen| seen.since);
-        let rank = u32::try_from(self.rank(customer)).unwrap_or(u32::MAX);
-        self.seen.insert(customer.to_owned(), Seen { row: lease.clone(), since });
+        let rank = u32::try_from(self.rank(shard)).unwrap_or(u32::MAX);
+        self.seen.insert(shard, Seen { row: lease.clone(), since });
         let age = now.saturating_duration_since(since);
-        // Each customer has an order of takers of its own, which spreads the customers.
+        // Each shard has an order of takers of its own, which spreads the shards.
         let turn = ROUND * rank.min(8);
         if lease.holder.is_empty() { age >= turn } else { age >= TTL + turn }
     }
 
-    /// Place of this process in the customer's order of takers.
-    fn rank(&self, customer: &str) -> usize {
+    /// Place of this process in the shard's order of takers.
+    fn rank(&self, shard: u64) -> usize {
         let state = self.facts.lock();
-        let weight = |name: &str| peer::member::weight(customer, name);
+        let weight = |name: &str| peer::member::weight(&shard.to_string(), name);
         let mine = weight(&state.me.name);
         let others = state.members.values().filter(|known| known.heard.is_some());
         let others = others.filter(|known| known.member.role == Role::Control);
         others.filter(|known| weight(&known.member.name) < mine).count()
     }
 
-    async fn take(&mut self, customer: &str, lease: &LeaseRow, version: u64, fence: u64) {
+    async fn take(&mut self, shard: u64, lease: &LeaseRow, version: u64) -> Result<(), Error> {
+        let rows = self.platform.read(&[keys::epoch(shard)]).await?;
+        let Some(fence) = rows.first().map(|row| row.version) else { return Ok(()) };
         let me = self.facts.lock().me.name.clone();
         let epoch = lease.epoch + 1;
         let row = LeaseRow { holder: me.clone(), epoch, beat: 0 };
         let start = Instant::now();
         let txn = self
-            .txn("take", customer)
-            .expect(keys::lease(customer), version)
-            .expect(keys::epoch(customer), fence)
-            .put(keys::lease(customer), json(&row))
-            .put(keys::epoch(customer), json(&EpochRow { epoch, holder: me }));
+            .txn("take")
+            .expect(keys::lease(shard), version)
+            .expect(keys::epoch(shard), fence)
+            .put(keys::lease(shard), json(&row))
+            .put(keys::epoch(shard), json(&EpochRow { epoch, holder: me }));
         match self.platform.commit(&txn, LIMIT).await {
-            Ok(version) => self.hold(customer, row, version, start),
-            Err(error) => log::debug!("lease of {customer}: {error}"),
+            Ok(version) => self.hold(shard, row, version, start),
+            Err(error) => log::debug!("lease of shard {shard}: {error}"),
         }
+        Ok(())
     }
 
-    fn hold(&mut self, customer: &str, row: LeaseRow, version: u64, start: Instant) {
+    fn hold(&mut self, shard: u64, row: LeaseRow, version: u64, start: Instant) {
         let fields: [(&str, &dyn std::fmt::Display); 2] =
-            [("customer", &customer), ("epoch", &row.epoch)];
+            [("shard", &shard), ("epoch", &row.epoch)];
         self.facts.timeline().record(Event::LeaseTaken, &fields);
         let (until, watch) = watch::channel(start + TTL - MARGIN);
-        let (customer, epoch) = (customer.to_owned(), row.epoch);
-        let holding = Holding { customer: customer.clone(), epoch, fence: version, until: watch };
+        let holding = Holding { shard, epoch: row.epoch, fence: version, until: watch };
         let (facts, platform) = (self.facts.clone(), self.platform.clone());
         let task = actix::spawn(customer::run(holding, facts, platform, self.metrics.clone()));
-        self.seen.remove(&customer);
-        self.held.insert(customer, Held { row, version, until, task });
+        self.seen.remove(&shard);
+        self.held.insert(shard, Held { row, version, until, task });
     }
 
+    /// Renews all leases in one transaction, or each by itself when that fails.
     async fn renew_all(&mut self) {
-        let customers: Vec<String> = self.held.keys().cloned().collect();
-        for customer in customers {
-            if let Some(held) = self.held.remove(&customer) {
-                self.renew(customer, held).await;
-            }
+        if self.held.is_empty() {
+            return;
         }
-    }
-
-    async fn renew(&mut self, customer: String, mut held: Held) {
         let start = Instant::now();
-        let wanted = self.facts.lock().contracts.find(&customer).is_some();
-        let row = LeaseRow { beat: held.row.beat + 1, ..held.row.clone() };
-        let key = keys::lease(&customer);
-        let txn = self.txn("renew", &customer).expect(key.as_str(), held.version);
-        let txn = txn.put(key, json(&row));
-        let renewed = match wanted {
-            true => self.platform.commit(&txn, LIMIT).await,
-            false => Err(CommitError::Conflict { rows: Vec::new() }),
-        };
-        match renewed {
+        let mut txn = self.txn("renew");
+        for (shard, held) in &self.held {
+            let key = keys::lease(*shard);
+            txn = txn.expect(key.as_str(), held.version).put(key, json(&held.row.next()));
+        }
+        match self.platform.commit(&txn, LIMIT).await {
             Ok(version) => {
-                held.until.send_replace(start + TTL - MARGIN);
-                (held.row, held.version) = (row, version);
-                self.held.insert(customer, held);
-            }
-            // A write whose answer was lost may have changed the version: read it back.
-            Err(error) if !error.is_conflict() && Instant::now() < *held.until.borrow() => {
-                log::debug!("lease of {customer}: {error}");
-                self.reread(&customer, &mut held).await;
-                self.held.insert(customer, held);
+                for held in self.held.values_mut() {
+                    held.until.send_replace(start + TTL - MARGIN);
+                    (held.row, held.version) = (held.row.next(), version);
+                }
             }
             Err(error) => {
-                log::debug!("lease of {customer}: {error}");
-                self.lose(&customer, &held);
+                log::debug!("leases: {error}");
+                self.review().await;
             }
         }
     }
 
-    async fn reread(&self, customer: &str, held: &mut Held) {
-        let Ok(rows) = self.platform.read(&[keys::lease(customer)]).await else { return };
-        let Some(row) = rows.first() else { return };
-        let found: LeaseRow = decode(row).unwrap_or_default();
-        if found.epoch == held.row.epoch && found.holder == held.row.holder {
-            (held.row, held.version) = (found, row.version);
+    /// Finds out which leases are still this process's own after a renewal that failed.
+    async fn review(&mut self) {
+        let asked: Vec<u64> = self.held.keys().copied().collect();
+        let keys: Vec<String> = asked.iter().map(|shard| keys::lease(*shard)).collect();
+        let rows = self.platform.read(&keys).await.unwrap_or_default();
+        let mut rows = rows.iter();
+        for shard in asked {
+            let Some(mut held) = self.held.remove(&shard) else { continue };
+            let found = rows.next().map(|row| (decode::<LeaseRow>(row), row.version));
+            let lapsed = Instant::now() >= *held.until.borrow();
+            match found {
+                Some((Some(row), version)) if row.same(&held.row) && !lapsed => {
+                    // A write whose answer was lost has changed the version.
+                    (held.row, held.version) = (row, version);
+                    self.held.insert(shard, held);
+                }
+                None if !lapsed => drop(self.held.insert(shard, held)),
+                _ => self.lose(shard, &held),
+            }
         }
     }
 
-    fn lose(&self, customer: &str, held: &Held) {
+    fn lose(&self, shard: u64, held: &Held) {
         held.task.abort();
         let fields: [(&str, &dyn std::fmt::Display); 2] =
-            [("customer", &customer), ("epoch", &held.row.epoch)];
+            [("shard", &shard), ("epoch", &held.row.epoch)];
         self.facts.timeline().record(Event::LeaseLost, &fields);
     }
 
     /// Empties the holders, so that others need not wait for the leases to lapse.
     async fn give_back(&mut self) {
-        for (customer, held) in std::mem::take(&mut self.held) {
+        if self.held.is_empty() {
+            return;
+        }
+        let mut txn = self.txn("give");
+        for (shard, held) in std::mem::take(&mut self.held) {
             held.task.abort();
             let row = LeaseRow { holder: String::new(), ..held.row.clone() };
-            let key = keys::lease(&customer);
-            let txn = self.txn("give", &customer).expect(key.as_str(), held.version);
-            if let Err(error) = self.platform.commit(&txn.put(key, json(&row)), LIMIT).await {
-                log::debug!("lease of {customer}: {error}");
-            }
+            let key = keys::lease(shard);
+            txn = txn.expect(key.as_str(), held.version).put(key, json(&row));
+        }
+        if let Err(error) = self.platform.commit(&txn, LIMIT).await {
+            log::debug!("leases: {error}");
         }
     }
 
-    fn txn(&mut self, what: &str, customer: &str) -> Txn {
+    fn txn(&mut self, what: &str) -> Txn {
         self.count += 1;
         let state = self.facts.lock();
         let (name, incarnation) = (&state.me.name, state.me.incarnation);
-        Txn::new(format!("{what}-{customer}-{name}-{incarnation}-{}", self.count))
+        Txn::new(format!("{what}-{name}-{incarnation}-{}", self.count))
     }
 }
 
+/// Shard that a customer belongs to.
+pub fn shard(customer: &str) -> u64 {
+    peer::member::weight("customer", customer) % SHARDS
+}
+
 fn json(row: &impl serde::Serialize) -> String {
     serde_json::to_string(row).unwrap_or_default()
 }
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -172,13 +172,19 @@
 /// Keeps what the request path uses in step with the facts.
 async fn follow(shared: Shared) {
     let mut watch = shared.facts.watch();
+    let mut held = 0;
     loop {
         {
             let state = shared.facts.lock();
-            let rules = Arc::new(Rules::build(&state));
-            *shared.rules.write().unwrap_or_else(PoisonError::into_inner) = rules;
+            let changes = state.contracts.changes();
+            if changes != held {
+                let rules = Arc::new(Rules::build(&state));
+                *shared.rules.write().unwrap_or_else(PoisonError::into_inner) = rules;
+                let newest = i64::try_from(state.contracts.highest()).unwrap_or(i64::MAX);
+                shared.metrics.revision.set(newest);
+                held = changes;
+            }
             shared.slots.update(&state);
-            shared.metrics.revision.set(i64::try_from(state.contracts.top()).unwrap_or(i64::MAX));
         }
         if watch.changed().await.is_err() {
             return;
--- a/crates/entry/src/process/slots.rs
+++ b/crates/entry/src/process/slots.rs
@@ -103,8 +103,7 @@
     /// Takes in what the process now knows of the servers.
     pub fn update(&self, facts: &FactState) {
         let mut state = self.lock();
-        let list = facts.list.live().map(|(_, _, listed)| listed);
-        state.servers.update(list, |id| facts.instances.find(id));
+        state.servers.update(facts.listed(), |id| facts.instances.find(id));
         for (id, seen) in &facts.evidence {
             state.servers.evidence(id, *seen);
         }
--- a/crates/peer/src/facts.rs
+++ b/crates/peer/src/facts.rs
@@ -12,9 +12,11 @@
 use tokio::sync::{Notify, watch};
 
 use crate::member::{Known, Member, Role};
+use crate::row::BudgetRow;
 use crate::versions::Versions;
 use crate::wire::{
-    Have, News, WireContract, WireEvidence, WireInstance, WireLine, WireListed, WireMember,
+    Have, News, WireBudget, WireContract, WireEvidence, WireInstance, WireLine, WireListed,
+    WireMember,
 };
 
 /// Silence after which a member counts as lost.
@@ -49,8 +51,10 @@
     pub contracts: Versions<Agreed>,
     /// Instance rows by instance.
     pub instances: Versions<Instance>,
-    /// The platform's list by instance.
-    pub list: Versions<Listed>,
+    /// Budgets and open orders by customer.
+    pub budgets: Versions<BudgetRow>,
+    /// The platform's lists by data centre, each by instance.
+    pub lists: IndexMap<String, Versions<Listed>>,
     /// Newest sightings by instance.
     pub evidence: IndexMap<String, Evidence>,
     /// Other members by name.
@@ -66,7 +70,8 @@
             me,
             contracts: Versions::default(),
             instances: Versions::default(),
-            list: Versions::default(),
+            budgets: Versions::default(),
+            lists: IndexMap::new(),
             evidence: IndexMap::new(),
             members: IndexMap::new(),
             away: false,
@@ -210,40 +215,23 @@
         }
     }
 
-    /// What to tell a peer that holds `have`.
-    pub fn news(&self, have: Have) -> News {
+    /// What to tell a peer that holds `base`.
+    pub fn news(&self, base: &Have) -> News {
         let state = self.lock();
-        let mine = state.have();
-        let contracts = state.contracts.since(have.contracts);
-        let contracts = contracts.map(|(customer, revision, agreed)| WireContract {
-            customer: customer.to_owned(),
-            revision,
-            text: agreed.map(|agreed| agreed.text.clone()),
-        });
-        let instances = state.instances.since(have.instances);
-        let instances =
-            instances.filter_map(|(_, stamp, row)| row.map(|row| WireInstance::new(stamp, row)));
-        let list = state.list.since(have.list).map(|(id, stamp, line)| WireLine {
-            id: id.to_owned(),
-            stamp,
-            line: line.map(WireListed::from),
-        });
-        let evidence = state.fresh_evidence().map(|(id, seen)| WireEvidence {
-            id: id.clone(),
-            incarnation: seen.incarnation,
-            leaving: seen.standing == Standing::Leaving,
-        });
+        let have = state.have();
         let members = state.members.values().map(|known| WireMember::from(&known.member));
-        let members = if mine.members == have.members { Vec::new() } else { members.collect() };
+        let members = if have.members == base.members { Vec::new() } else { members.collect() };
         News {
             from: WireMember::from(&state.me),
             clock: self.timeline.clock(),
             away: state.away,
-            have: mine,
-            contracts: contracts.collect(),
-            instances: instances.collect(),
-            list: list.collect(),
-            evidence: evidence.collect(),
+            have,
+            base: base.clone(),
+            contracts: state.contract_news(base.contracts),
+            instances: state.instance_news(base.work),
+            budgets: state.budget_news(base.work),
+            lines: state.line_news(base),
+            evidence: state.evidence_news(),
             members,
         }
     }
@@ -257,10 +245,12 @@
                 self.contract(&contract.customer, contract.revision, contract.text.as_deref());
         }
         changed |= self.rows(news.instances);
-        changed |= self.lines(news.list);
+        changed |= self.budgets(news.budgets);
+        changed |= self.lines(news.lines);
         for seen in &news.evidence {
             changed |= self.sighting(&seen.id, seen.into());
         }
+        self.lock().advance(&news.base, &news.have);
         for member in news.members {
             self.known(member, None);
         }
@@ -294,28 +284,122 @@
         changed
     }
 
+    fn budgets(&self, rows: Vec<WireBudget>) -> bool {
+        let mut state = self.lock();
+        let mut changed = false;
+        for row in rows {
+            match serde_json::from_str(&row.text) {
+                Ok(budget) => {
+                    changed |= state.budgets.apply(&row.customer, row.stamp, Some(budget));
+                }
+                Err(error) => log::warn!("a peer sent a budget of {}: {error}", row.customer),
+            }
+        }
+        changed
+    }
+
     fn lines(&self, lines: Vec<WireLine>) -> bool {
         let mut state = self.lock();
         let mut changed = false;
         for line in lines {
             let listed = line.line.map(|listed| listed.named(&line.id));
-            changed |= state.list.apply(&line.id, line.stamp, listed);
+            let list = state.lists.entry(line.centre).or_default();
+            changed |= list.apply(&line.id, line.stamp, listed);
         }
         changed
     }
 }
 
 impl State {
-    /// Highest stamps held.
+    /// Stamps up to which everything is held.
     pub fn have(&self) -> Have {
+        let lists = self.lists.iter().map(|(centre, list)| (centre.clone(), list.mark()));
         Have {
-            contracts: self.contracts.top(),
-            instances: self.instances.top(),
-            list: self.list.top(),
+            contracts: self.contracts.mark(),
+            work: self.instances.mark(),
+            lists: lists.collect(),
             members: self.digest(),
         }
     }
 
+    /// Takes over a sender's stamps where its news left no gap.
+    fn advance(&mut self, base: &Have, have: &Have) {
+        if base.contracts <= self.contracts.mark() {
+            self.contracts.advance(have.contracts);
+        }
+        if base.work <= self.instances.mark() {
+            self.instances.advance(have.work);
+            self.budgets.advance(have.work);
+        }
+        for (centre, mark) in &have.lists {
+            let list = self.lists.entry(centre.clone()).or_default();
+            if base.list(centre) <= list.mark() {
+                list.advance(*mark);
+            }
+        }
+    }
+
+    /// All lines of all lists.
+    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
+        self.lists.values().flat_map(|list| list.live().map(|(_, _, line)| line))
+    }
+
+    /// Looks a listed instance up.
+    pub fn line(&self, id: &str) -> Option<&Listed> {
+        self.lists.values().find_map(|list| list.find(id))
+    }
+
+    /// Customer whose contract names a pool.
+    pub fn owner(&self, pool: &str) -> Option<&str> {
+        let mut contracts = self.contracts.live();
+        let found = contracts.find(|(_, _, agreed)| agreed.contract.served_by(pool).is_some());
+        found.map(|(customer, _, _)| customer)
+    }
+
+    fn contract_news(&self, base: u64) -> Vec<WireContract> {
+        let news = self.contracts.since(base).map(|(customer, revision, agreed)| WireContract {
+            customer: customer.to_owned(),
+            revision,
+            text: agreed.map(|agreed| agreed.text.clone()),
+        });
+        news.collect()
+    }
+
+    fn instance_news(&self, base: u64) -> Vec<WireInstance> {
+        let news = self.instances.since(base);
+        news.filter_map(|(_, stamp, row)| row.map(|row| WireInstance::new(stamp, row))).collect()
+    }
+
+    fn budget_news(&self, base: u64) -> Vec<WireBudget> {
+        let news = self.budgets.since(base).filter_map(|(customer, stamp, row)| {
+            let text = serde_json::to_string(row?).ok()?;
+            Some(WireBudget { customer: customer.to_owned(), stamp, text })
+        });
+        news.collect()
+    }
+
+    fn line_news(&self, base: &Have) -> Vec<WireLine> {
+        let mut news = Vec::new();
+        for (centre, list) in &self.lists {
+            news.extend(list.since(base.list(centre)).map(|(id, stamp, line)| WireLine {
+                centre: centre.clone(),
+                id: id.to_owned(),
+                stamp,
+                line: line.map(WireListed::from),
+            }));
+        }
+        news
+    }
+
+    fn evidence_news(&self) -> Vec<WireEvidence> {
+        let news = self.fresh_evidence().map(|(id, seen)| WireEvidence {
+            id: id.clone(),
+            incarnation: seen.incarnation,
+            leaving: seen.standing == Standing::Leaving,
+        });
+        news.collect()
+    }
+
     /// Other members of the data centre that were heard of lately.
     pub fn local(&self) -> impl Iterator<Item = &Member> {
         let live = self.members.values().filter(|known| known.heard.is_some());
@@ -342,7 +426,7 @@
     /// Sightings that the platform's list does not tell yet.
     fn fresh_evidence(&self) -> impl Iterator<Item = (&String, &Evidence)> {
         self.evidence.iter().filter(|(id, seen)| {
-            self.list.find(id).is_none_or(|line| {
+            self.line(id).is_none_or(|line| {
                 let leaving = line.state == fleet::ListState::Leaving;
                 let told = line.incarnation == seen.incarnation
                     && leaving == (seen.standing == Standing::Leaving);
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -51,11 +51,11 @@
 }
 
 async fn exchange(facts: Facts, links: Links, held: Held, address: SocketAddr) {
-    let have = held.lock().unwrap_or_else(PoisonError::into_inner).get(&address).copied();
-    let answer = links.exchange(address, facts.news(have.unwrap_or_default())).await;
+    let have = held.lock().unwrap_or_else(PoisonError::into_inner).get(&address).cloned();
+    let answer = links.exchange(address, facts.news(&have.unwrap_or_default())).await;
     match answer {
         Ok(news) => {
-            held.lock().unwrap_or_else(PoisonError::into_inner).insert(address, news.have);
+            held.lock().unwrap_or_else(PoisonError::into_inner).insert(address, news.have.clone());
             facts.hear(news, Instant::now());
         }
         Err(error) => {
@@ -73,7 +73,8 @@
     let centre = &state.me.centre;
     let mut targets: Vec<_> =
         members().filter(|each| each.centre == *centre).map(|each| each.peer).collect();
-    if state.away {
+    // One process of a data centre keeps it in step with the others, one at a time.
+    if state.away || state.reads() {
         let far = members().filter(|each| each.centre != *centre).map(|each| each.peer);
         targets.extend(far.choose(&mut rand::rng()));
     }
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -1,11 +1,15 @@
 //! Processes of the product, as they know one another.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use strum::{Display, EnumString};
 
+/// Start value of the 64-bit FNV-1a hash.
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+/// Factor of the 64-bit FNV-1a hash.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -48,13 +52,14 @@
 
 /// Weight of a member for a subject; ordering by it spreads subjects over members.
 ///
+/// The same in every version of the product, as processes have to agree on it.
+///
 /// # Examples
 ///
 /// ```
-/// assert_eq!(peer::member::weight("stcn", "c1"), peer::member::weight("stcn", "c1"));
+/// assert_eq!(peer::member::weight("a", "b"), 0xe620_c319_0468_cf61);
 /// ```
 pub fn weight(subject: &str, member: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (subject, member).hash(&mut hasher);
-    hasher.finish()
+    let bytes = subject.bytes().chain([b'/']).chain(member.bytes());
+    bytes.fold(FNV_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
 }
--- a/crates/peer/src/reader.rs
+++ b/crates/peer/src/reader.rs
@@ -1,5 +1,6 @@
 //! Reads the platform for a data centre; the first live member by name does, the others wait.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,13 +11,13 @@
 
 use crate::facts::Facts;
 use crate::member::Member;
-use crate::row::{ContractRow, HeadRow, InstanceRow, MemberRow};
+use crate::row::{BudgetRow, ContractRow, HeadRow, InstanceRow, MemberRow};
 use crate::wire::WireMember;
 
 /// Time between two reads of the head row.
 const HEAD_EVERY: Duration = Duration::from_millis(250);
-/// Time between two reads of the instance list and rows.
-const FLEET_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between two reads of the instance list, which lags by more.
+const LIST_EVERY: Duration = Duration::from_millis(2_000);
 /// Time between two reads of the members' rows.
 const MEMBERS_EVERY: Duration = Duration::from_millis(5_000);
 /// Time between two tries while the platform does not answer.
@@ -34,14 +35,22 @@
     facts: Facts,
     platform: Rc<P>,
     reading: bool,
-    fleet: Option<Instant>,
+    listed: Option<Instant>,
+    tag: String,
     members: Option<Instant>,
 }
 
 impl Reader {
     /// Enters this process in the table and starts to read when it is its turn.
     pub fn spawn<P: Table + Instances + 'static>(facts: Facts, platform: Rc<P>) -> Self {
-        let work = Work { facts, platform, reading: false, fleet: None, members: None };
+        let work = Work {
+            facts,
+            platform,
+            reading: false,
+            listed: None,
+            tag: String::new(),
+            members: None,
+        };
         Self { task: actix::spawn(work.run()) }
     }
 
@@ -88,12 +97,15 @@
     }
 
     async fn read(&mut self) -> Result<(), Error> {
-        let mut changed = self.contracts().await?;
+        let rows = self.platform.read(&[keys::HEAD.to_owned(), keys::FLEET.to_owned()]).await?;
+        let [head, fleet] = rows.as_slice() else { return Ok(()) };
+        let head: HeadRow = decode(head).unwrap_or_default();
+        let mut changed = self.contracts(head.revision).await?;
+        changed |= self.work(fleet.version).await?;
         let now = Instant::now();
-        if due(self.fleet, now, FLEET_EVERY) {
-            changed |= self.instances().await?;
+        if due(self.listed, now, LIST_EVERY) {
             changed |= self.list().await?;
-            self.fleet = Some(now);
+            self.listed = Some(now);
         }
         if due(self.members, now, MEMBERS_EVERY) {
             self.read_members().await?;
@@ -105,24 +117,36 @@
         Ok(())
     }
 
-    async fn contracts(&self) -> Result<bool, Error> {
-        let rows = self.platform.read(&[keys::HEAD.to_owned()]).await?;
-        let head: HeadRow = rows.first().map(decode).unwrap_or_default().unwrap_or_default();
-        if head.revision <= self.facts.lock().contracts.top() {
+    /// Reads the contracts when a change has been committed since the last one held.
+    async fn contracts(&self, head: u64) -> Result<bool, Error> {
+        if head <= self.facts.lock().contracts.mark() {
             return Ok(false);
         }
         let mut changed = false;
+        let mut newest = head;
         for row in self.platform.scan(keys::CONTRACTS).await? {
             let customer = row.key.trim_start_matches(keys::CONTRACTS);
             if let Some(found) = decode::<ContractRow>(&row) {
                 changed |= self.facts.contract(customer, found.revision, found.text.as_deref());
+                newest = newest.max(found.revision);
             }
         }
+        self.facts.lock().contracts.advance(newest);
         Ok(changed)
     }
 
-    async fn instances(&self) -> Result<bool, Error> {
-        let rows = self.platform.scan(keys::INSTANCES).await?;
+    /// Reads budgets and changed instance rows when a step was written since the last one held.
+    async fn work(&self, marker: u64) -> Result<bool, Error> {
+        if marker <= self.facts.lock().instances.mark() {
+            return Ok(false);
+        }
+        let budgets = self.platform.scan(keys::BUDGETS).await?;
+        let rows = match self.stepped(&budgets) {
+            Some(asked) if asked.is_empty() => Vec::new(),
+            Some(asked) => self.platform.read(&asked).await?,
+            None => self.platform.scan(keys::INSTANCES).await?,
+        };
+        // The budgets say which rows are new, so they are taken in with the rows or not at all.
         let mut state = self.facts.lock();
         let mut changed = false;
         for row in rows {
@@ -133,28 +157,55 @@
                 Err(error) => log::warn!("row {}: {error}", row.key),
             }
         }
+        for row in &budgets {
+            let customer = row.key.trim_start_matches(keys::BUDGETS);
+            changed |= state.budgets.apply(customer, row.version, decode(row));
+        }
+        state.instances.advance(marker);
+        state.budgets.advance(marker);
         Ok(changed)
     }
 
-    async fn list(&self) -> Result<bool, Error> {
-        let lines = self.platform.list().await?;
+    /// Keys of the instance rows that changed; none when all have to be read.
+    fn stepped(&self, budgets: &[Row]) -> Option<Vec<String>> {
+        let state = self.facts.lock();
+        if state.instances.mark() == 0 {
+            return None;
+        }
+        let mut asked = Vec::new();
+        for row in budgets {
+            let customer = row.key.trim_start_matches(keys::BUDGETS);
+            if row.version <= state.budgets.stamp(customer) {
+                continue;
+            }
+            let held = state.budgets.find(customer).map_or(0, |held| held.steps);
+            let found: BudgetRow = decode(row)?;
+            asked.extend(found.since(held)?.iter().map(|id| keys::instance(id)));
+        }
+        Some(asked)
+    }
+
+    /// Reads the data centre's list when it has changed.
+    async fn list(&mut self) -> Result<bool, Error> {
+        let centre = self.facts.lock().me.centre.clone();
+        let Some(list) = self.platform.list(&centre, &self.tag).await? else { return Ok(false) };
+        self.tag = list.tag;
         let mut state = self.facts.lock();
-        let stamp = (state.list.top() + 1).max(base::timeline::wall_ms());
-        let gone: Vec<String> = state
-            .list
-            .live()
-            .filter(|(id, _, _)| !lines.iter().any(|line| line.id == *id))
-            .map(|(id, _, _)| id.to_owned())
-            .collect();
-        let changed: Vec<Listed> =
-            lines.into_iter().filter(|line| state.list.find(&line.id) != Some(line)).collect();
+        let held = state.lists.entry(centre).or_default();
+        let stamp = (held.mark() + 1).max(base::timeline::wall_ms());
+        let listed: HashSet<&str> = list.lines.iter().map(|line| line.id.as_str()).collect();
+        let gone = held.live().map(|(id, _, _)| id).filter(|id| !listed.contains(id));
+        let gone: Vec<String> = gone.map(str::to_owned).collect();
+        let changed = list.lines.iter().filter(|line| held.find(&line.id) != Some(line));
+        let changed: Vec<Listed> = changed.cloned().collect();
+        let any = !gone.is_empty() || !changed.is_empty();
         for id in &gone {
-            state.list.apply(id, stamp, None);
+            held.apply(id, stamp, None);
         }
-        let any = !gone.is_empty() || !changed.is_empty();
         for line in changed {
-            state.list.apply(&line.id.clone(), stamp, Some(line));
+            held.apply(&line.id.clone(), stamp, Some(line));
         }
+        held.advance(stamp);
         Ok(any)
     }
 
--- a/crates/peer/src/row.rs
+++ b/crates/peer/src/row.rs
@@ -8,6 +8,9 @@
 
 use crate::wire::{WireInstance, WireMember, WordError};
 
+/// Steps whose instances a budget's row names.
+const RECENT: usize = 32;
+
 /// Row of the newest contract change.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeadRow {
@@ -43,11 +46,49 @@
     pub incarnation: u64,
 }
 
-/// Row of a customer's availability budget.
+/// Row of a customer's availability budget and open orders.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetRow {
     /// Pools of the instances that hold a permit, by instance.
     pub permits: IndexMap<String, String>,
+    /// Operators' open orders, by instance.
+    pub orders: IndexMap<String, OrderRow>,
+    /// Count of the steps that changed instance rows.
+    pub steps: u64,
+    /// Instances of the last steps, oldest first.
+    pub recent: Vec<String>,
+}
+
+impl BudgetRow {
+    /// Notes a step that changes an instance's row.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut row = peer::row::BudgetRow::default();
+    /// row.step("a");
+    /// assert_eq!(row.since(0), Some(&["a".to_owned()][..]));
+    /// assert_eq!(row.since(1), Some(&[][..]));
+    /// ```
+    pub fn step(&mut self, id: &str) {
+        self.steps += 1;
+        self.recent.push(id.to_owned());
+        if self.recent.len() > RECENT {
+            self.recent.remove(0);
+        }
+    }
+
+    /// Instances changed after so many steps; none when they are no longer all noted.
+    pub fn since(&self, steps: u64) -> Option<&[String]> {
+        let new = usize::try_from(self.steps.saturating_sub(steps)).ok()?;
+        let from = self.recent.len().checked_sub(new)?;
+        Some(&self.recent[from..])
+    }
+
+    /// Whether nothing is ordered and nothing is down under a permit.
+    pub fn quiet(&self) -> bool {
+        self.permits.is_empty() && self.orders.is_empty()
+    }
 }
 
 /// Row of a lease.
@@ -61,6 +102,18 @@
     pub beat: u64,
 }
 
+impl LeaseRow {
+    /// The row after a renewal.
+    pub fn next(&self) -> Self {
+        Self { beat: self.beat + 1, ..self.clone() }
+    }
+
+    /// Whether two rows are of one holder in one epoch.
+    pub fn same(&self, other: &Self) -> bool {
+        self.holder == other.holder && self.epoch == other.epoch
+    }
+}
+
 /// Row of the epoch, which changes only when the lease changes hands.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EpochRow {
--- a/crates/peer/src/versions.rs
+++ b/crates/peer/src/versions.rs
@@ -6,12 +6,13 @@
 #[derive(Debug, Clone)]
 pub struct Versions<T> {
     entries: IndexMap<String, (u64, Option<T>)>,
-    top: u64,
+    mark: u64,
+    changes: u64,
 }
 
 impl<T> Default for Versions<T> {
     fn default() -> Self {
-        Self { entries: IndexMap::new(), top: 0 }
+        Self { entries: IndexMap::new(), mark: 0, changes: 0 }
     }
 }
 
@@ -27,23 +28,42 @@
     /// assert!(versions.live().next().is_none());
     /// ```
     pub fn apply(&mut self, name: &str, stamp: u64, value: Option<T>) -> bool {
-        self.top = self.top.max(stamp);
         match self.entries.get_mut(name) {
-            Some((held, _)) if *held >= stamp => false,
-            Some(entry) => {
-                *entry = (stamp, value);
-                true
-            }
-            None => {
-                self.entries.insert(name.to_owned(), (stamp, value));
-                true
-            }
+            Some((held, _)) if *held >= stamp => return false,
+            Some(entry) => *entry = (stamp, value),
+            None => drop(self.entries.insert(name.to_owned(), (stamp, value))),
         }
+        self.changes += 1;
+        true
     }
 
-    /// Highest stamp that was seen.
-    pub fn top(&self) -> u64 {
-        self.top
+    /// Stamp up to which every entry is held.
+    pub fn mark(&self) -> u64 {
+        self.mark
+    }
+
+    /// Notes that every entry with a stamp up to `mark` is held.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut versions = peer::Versions::<u8>::default();
+    /// versions.advance(7);
+    /// versions.advance(3);
+    /// assert_eq!(versions.mark(), 7);
+    /// ```
+    pub fn advance(&mut self, mark: u64) {
+        self.mark = self.mark.max(mark);
+    }
+
+    /// Highest stamp among the entries.
+    pub fn highest(&self) -> u64 {
+        self.entries.values().map(|(stamp, _)| *stamp).max().unwrap_or_default()
+    }
+
+    /// Count of the values that were taken in, which tells whether anything changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
 
     /// Looks a value up that was not removed.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -28,27 +28,31 @@
     pub away: bool,
     /// What the sender holds.
     pub have: Have,
+    /// What the receiver held when this was put together.
+    pub base: Have,
     /// Contracts that the receiver lacks.
     pub contracts: Vec<WireContract>,
     /// Instance rows that the receiver lacks.
     pub instances: Vec<WireInstance>,
-    /// Lines of the platform's list that the receiver lacks.
-    pub list: Vec<WireLine>,
+    /// Budget rows that the receiver lacks.
+    pub budgets: Vec<WireBudget>,
+    /// Lines of the platform's lists that the receiver lacks.
+    pub lines: Vec<WireLine>,
     /// Sightings of leaving servers.
     pub evidence: Vec<WireEvidence>,
     /// Members that the sender knows, when the receiver's set differs.
     pub members: Vec<WireMember>,
 }
 
-/// Highest stamps that a process holds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Stamps up to which a process holds everything.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Have {
     /// Of contracts.
     pub contracts: u64,
-    /// Of instance rows.
-    pub instances: u64,
-    /// Of the platform's list.
-    pub list: u64,
+    /// Of instance rows and budgets.
+    pub work: u64,
+    /// Of the platform's lists, by data centre.
+    pub lists: Vec<(String, u64)>,
     /// Digest of the set of members.
     pub members: u64,
 }
@@ -64,6 +68,17 @@
     pub text: Option<String>,
 }
 
+/// A budget's row.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireBudget {
+    /// Customer.
+    pub customer: String,
+    /// Version of the row.
+    pub stamp: u64,
+    /// JSON text of the row.
+    pub text: String,
+}
+
 /// An instance row.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireInstance {
@@ -84,6 +99,8 @@
 /// A line of the platform's list, or its removal.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireLine {
+    /// Data centre of the list.
+    pub centre: String,
     /// Name of the instance.
     pub id: String,
     /// When the line changed.
@@ -134,6 +151,13 @@
     pub peer: SocketAddr,
 }
 
+impl Have {
+    /// Stamp of a data centre's list.
+    pub fn list(&self, centre: &str) -> u64 {
+        self.lists.iter().find(|(name, _)| name == centre).map_or(0, |(_, mark)| *mark)
+    }
+}
+
 impl From<&Member> for WireMember {
     fn from(member: &Member) -> Self {
         Self {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,16 +4,18 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use actix_web::http::header::{ETAG, IF_NONE_MATCH};
 use actix_web::http::{Method, StatusCode};
 use awc::Client;
 use awc::error::SendRequestError;
+use bytes::Bytes;
 use fleet::Listed;
 use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::error::{CommitError, Error};
-use crate::table::{Instances, Objects, Row, Table, Txn};
+use crate::table::{Instances, Objects, Row, Table, Tagged, Txn};
 use crate::wire::{CommitAnswer, CommitAsk, ReadAsk, RebootAsk, Rows, WireListed};
 
 /// Time that one try may take.
@@ -41,7 +43,8 @@
 /// Answer of the platform before it is judged.
 struct Answer {
     status: StatusCode,
-    body: Vec<u8>,
+    tag: String,
+    body: Bytes,
 }
 
 /// A try without an answer.
@@ -59,16 +62,31 @@
     }
 
     async fn call(&self, method: Method, path: &str, body: String) -> Result<Answer, Miss> {
+        self.call_unless(method, path, body, "").await
+    }
+
+    async fn call_unless(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        known: &str,
+    ) -> Result<Answer, Miss> {
         let url = format!("http://{}{path}", self.address);
-        let request = self.client.request(method, url).content_type("application/json");
+        let mut request = self.client.request(method, url).content_type("application/json");
+        if !known.is_empty() {
+            request = request.insert_header((IF_NONE_MATCH, known));
+        }
         let mut response = request.send_body(body).await.map_err(|error| {
             let left = !matches!(error, SendRequestError::Connect(_) | SendRequestError::Url(_));
             Miss { left, what: error.to_string() }
         })?;
         let status = response.status();
+        let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+        let tag = tag.unwrap_or_default().to_owned();
         let body = response.body().limit(ANSWER_LIMIT).await;
         let body = body.map_err(|error| Miss { left: true, what: error.to_string() })?;
-        Ok(Answer { status, body: body.to_vec() })
+        Ok(Answer { status, tag, body })
     }
 
     async fn ask<T: DeserializeOwned>(
@@ -84,17 +102,7 @@
     }
 
     async fn success(&self, method: Method, path: &str, body: String) -> Result<Answer, Error> {
-        let answer = self.call(method, path, body).await;
-        let answer = answer.map_err(|miss| Error::Away { what: miss.what })?;
-        let status = answer.status;
-        if status.is_success() {
-            return Ok(answer);
-        }
-        let what = String::from_utf8_lossy(&answer.body).into_owned();
-        if status.is_server_error() {
-            return Err(Error::Away { what });
-        }
-        Err(Error::Refused { status: status.as_u16(), what })
+        judge(self.call(method, path, body).await)
     }
 
     async fn settle(&self, txn: &Txn, limit: Duration) -> Result<u64, CommitError> {
@@ -131,6 +139,20 @@
     }
 }
 
+/// Turns a try that was not a success into an error.
+fn judge(answer: Result<Answer, Miss>) -> Result<Answer, Error> {
+    let answer = answer.map_err(|miss| Error::Away { what: miss.what })?;
+    let status = answer.status;
+    if status.is_success() {
+        return Ok(answer);
+    }
+    let what = String::from_utf8_lossy(&answer.body).into_owned();
+    if status.is_server_error() {
+        return Err(Error::Away { what });
+    }
+    Err(Error::Refused { status: status.as_u16(), what })
+}
+
 fn committed(body: &[u8]) -> Result<u64, CommitError> {
     let answer: Result<CommitAnswer, _> = serde_json::from_slice(body);
     answer
@@ -170,10 +192,22 @@
 }
 
 impl Instances for Http {
-    fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Listed>, Error>> {
+    fn list<'a>(
+        &'a self,
+        centre: &'a str,
+        known: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Option<Tagged>, Error>> {
         Box::pin(async move {
-            let lines: Vec<WireListed> = self.ask(Method::GET, "/instances", &()).await?;
-            Ok(lines.into_iter().map(Listed::from).collect())
+            let path = format!("/instances?centre={centre}");
+            let answer = self.call_unless(Method::GET, &path, String::new(), known).await;
+            if answer.as_ref().is_ok_and(|answer| answer.status == StatusCode::NOT_MODIFIED) {
+                return Ok(None);
+            }
+            let answer = judge(answer)?;
+            let lines: Vec<WireListed> = serde_json::from_slice(&answer.body)
+                .map_err(|error| Error::Away { what: error.to_string() })?;
+            let lines = lines.into_iter().map(Listed::from).collect();
+            Ok(Some(Tagged { tag: answer.tag, lines }))
         })
     }
 
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -8,8 +8,10 @@
 pub const HISTORY: &str = "history/";
 /// Prefix of instance rows.
 pub const INSTANCES: &str = "instance/";
-/// Prefix of operators' drain orders.
-pub const ORDERS: &str = "order/";
+/// Prefix of customers' budgets.
+pub const BUDGETS: &str = "budget/";
+/// Row that every step of an instance writes, so that readers see that something changed.
+pub const FLEET: &str = "fleet";
 /// Prefix of the last decision about each instance.
 pub const DECISIONS: &str = "decision/";
 /// Prefix of members' rows.
@@ -32,22 +34,17 @@
 
 /// Key of a customer's availability budget.
 pub fn budget(customer: &str) -> String {
-    format!("budget/{customer}")
+    format!("{BUDGETS}{customer}")
 }
 
-/// Key of the lease on a customer's pools.
-pub fn lease(customer: &str) -> String {
-    format!("lease/{customer}")
+/// Key of the lease on a shard of the customers.
+pub fn lease(shard: u64) -> String {
+    format!("lease/{shard:02}")
 }
 
-/// Key of the epoch that fences the lease's holders.
-pub fn epoch(customer: &str) -> String {
-    format!("epoch/{customer}")
-}
-
-/// Key of an operator's order about an instance.
-pub fn order(id: &str) -> String {
-    format!("{ORDERS}{id}")
+/// Key of the epoch that fences the holders of a shard's lease.
+pub fn epoch(shard: u64) -> String {
+    format!("epoch/{shard:02}")
 }
 
 /// Key of the last decision about an instance.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use error::{CommitError, Error};
 pub use http::Http;
-pub use table::{Instances, Objects, Row, Table, Txn};
+pub use table::{Instances, Objects, Row, Table, Tagged, Txn};
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -84,10 +84,23 @@
     ) -> LocalBoxFuture<'a, Result<u64, CommitError>>;
 }
 
+/// A list and the tag that tells it from other versions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tagged {
+    /// Tag of this version.
+    pub tag: String,
+    /// Lines of the list.
+    pub lines: Vec<Listed>,
+}
+
 /// The instance list and the orders that instances take.
 pub trait Instances {
-    /// Reads the lagging list.
-    fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Listed>, Error>>;
+    /// Reads the lagging list of a data centre; none when it is still the one tagged `known`.
+    fn list<'a>(
+        &'a self,
+        centre: &'a str,
+        known: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Option<Tagged>, Error>>;
 
     /// Tells an instance to take no new work.
     fn drain<'a>(&'a self, id: &'a str) -> LocalBoxFuture<'a, Result<(), Error>>;
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -29,6 +29,7 @@
 #[derive(Deserialize)]
 struct Counts {
     reads: u64,
+    rows: u64,
     writes: u64,
 }
 
@@ -45,7 +46,7 @@
         Size { instances: 8_100, contracts: 130, daemons: 4 },
     ];
     println!(
-        "{:>9}{:>10}{:>8}  {:<8}{:>8}{:>9}{:>11}{:>9}{:>10}{:>12}{:>11}",
+        "{:>9}{:>10}{:>8}  {:<8}{:>8}{:>9}{:>11}{:>9}{:>9}{:>10}{:>12}{:>11}",
         "instances",
         "contracts",
         "daemons",
@@ -54,6 +55,7 @@
         "RSS MB",
         "KB/s each",
         "reads/s",
+        "rows/s",
         "writes/s",
         "change ms",
         "worst ms"
@@ -93,11 +95,12 @@
     ];
     for (role, cpu, memory) in rows {
         println!(
-            "{:>9}{:>10}{:>8}  {role:<8}{cpu:>8.2}{memory:>9.1}{traffic:>11.1}{:>9.1}{:>10.1}{:>12}{:>11}",
+            "{:>9}{:>10}{:>8}  {role:<8}{cpu:>8.2}{memory:>9.1}{traffic:>11.1}{:>9.1}{:>9.1}{:>10.1}{:>12}{:>11}",
             size.instances,
             size.contracts,
             2 * size.daemons,
             rate(later.reads, counts.reads),
+            rate(later.rows, counts.rows),
             rate(later.writes, counts.writes),
             middle.as_millis(),
             worst.as_millis(),
--- a/crates/route/src/servers.rs
+++ b/crates/route/src/servers.rs
@@ -207,7 +207,8 @@
         let restarted = evidence.incarnation > old.evidence.incarnation;
         let health = if restarted { Health::default() } else { old.health };
         let load = if old.load.len() == load.len() { old.load } else { load };
-        Self { listed: listed.clone(), pool, phase, evidence, health, load }
+        let listed = if old.listed == *listed { old.listed } else { listed.clone() };
+        Self { listed, pool, phase, evidence, health, load }
     }
 
     fn takes(&self, pool: &str) -> bool {
--- a/crates/standin/src/bin/standin-platform.rs
+++ b/crates/standin/src/bin/standin-platform.rs
@@ -1,14 +1,16 @@
 //! Stand-in of the platform: table, object store, instance list and pools, with fault switches.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use actix_web::body::{BoxBody, MessageBody};
 use actix_web::dev::{ServiceRequest, ServiceResponse};
+use actix_web::http::header::{ETAG, IF_NONE_MATCH};
 use actix_web::middleware::{Next, from_fn};
 use actix_web::web::{Data, Json, Path, Query};
-use actix_web::{App, Error, HttpResponse, HttpServer, web};
+use actix_web::{App, Error, HttpRequest, HttpResponse, HttpServer, web};
 use platform::wire::{CommitAnswer, CommitAsk, ReadAsk, RebootAsk, WireListed};
 use serde::{Deserialize, Serialize};
 use standin::faults::Faults;
@@ -38,9 +40,16 @@
     prefix: String,
 }
 
+#[derive(Deserialize)]
+struct Centre {
+    #[serde(default)]
+    centre: String,
+}
+
 #[derive(Serialize)]
 struct Counts {
     reads: u64,
+    rows: u64,
     writes: u64,
 }
 
@@ -125,7 +134,11 @@
 
 async fn counts(state: Shared) -> HttpResponse {
     let state = lock(&state);
-    HttpResponse::Ok().json(Counts { reads: state.table.reads, writes: state.table.writes })
+    HttpResponse::Ok().json(Counts {
+        reads: state.table.reads,
+        rows: state.table.rows_read,
+        writes: state.table.writes,
+    })
 }
 
 async fn read(state: Shared, ask: Json<ReadAsk>) -> HttpResponse {
@@ -155,10 +168,19 @@
     HttpResponse::Ok().finish()
 }
 
-async fn list(state: Shared) -> HttpResponse {
+async fn list(state: Shared, request: HttpRequest, query: Query<Centre>) -> HttpResponse {
     let state = lock(&state);
     let lag = Duration::from_millis(state.faults.lag_ms);
-    HttpResponse::Ok().json(state.instances.list(Instant::now(), lag))
+    let list = state.instances.list(Instant::now(), lag, &query.centre);
+    let body = serde_json::to_string(&list).unwrap_or_default();
+    let mut hasher = DefaultHasher::new();
+    body.hash(&mut hasher);
+    let tag = format!("\"{:x}\"", hasher.finish());
+    if request.headers().get(IF_NONE_MATCH).is_some_and(|known| known.as_bytes() == tag.as_bytes())
+    {
+        return HttpResponse::NotModified().insert_header((ETAG, tag)).finish();
+    }
+    HttpResponse::Ok().insert_header((ETAG, tag)).content_type("application/json").body(body)
 }
 
 async fn enter(state: Shared, line: Json<WireListed>) -> HttpResponse {
--- a/crates/standin/src/instances.rs
+++ b/crates/standin/src/instances.rs
@@ -37,19 +37,20 @@
         known
     }
 
-    /// The list as it was `lag` ago.
+    /// The list of a data centre as it was `lag` ago; an empty `centre` stands for all.
     ///
     /// # Examples
     ///
     /// ```
     /// use std::time::{Duration, Instant};
     /// let instances = standin::instances::Instances::default();
-    /// assert!(instances.list(Instant::now(), Duration::ZERO).is_empty());
+    /// assert!(instances.list(Instant::now(), Duration::ZERO, "").is_empty());
     /// ```
-    pub fn list(&self, at: Instant, lag: Duration) -> Vec<WireListed> {
+    pub fn list(&self, at: Instant, lag: Duration, centre: &str) -> Vec<WireListed> {
         let seen = |states: &States| {
             let state = states.iter().rev().find(|(when, _)| *when + lag <= at)?;
-            state.1.clone()
+            let line = state.1.as_ref()?;
+            (centre.is_empty() || line.centre == centre).then(|| line.clone())
         };
         self.lines.values().filter_map(seen).collect()
     }
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -12,6 +12,8 @@
     settled: HashMap<String, u64>,
     /// Reads answered so far.
     pub reads: u64,
+    /// Rows given in these reads.
+    pub rows_read: u64,
     /// Commits taken so far.
     pub writes: u64,
 }
@@ -30,6 +32,7 @@
                 value: value.clone(),
             }));
         }
+        self.rows_read += rows.len() as u64;
         Rows { rows }
     }
 
