Peers ask one at a time for everything they lack

Cause: at 8100 instances both daemons held 35 MB while idle. Each process told each peer everything that it lacked, so a new process got a copy of the fleet from every peer at once; the peak stayed resident.

Change: only the reader brings news unasked, and only to peers whose stamps it knows; every process asks one peer a beat for everything it lacks.

--- a/crates/peer/src/facts.rs
+++ b/crates/peer/src/facts.rs
@@ -215,17 +215,22 @@
         }
     }
 
-    /// What to tell a peer that holds `base`.
-    pub fn news(&self, base: &Have) -> News {
+    /// What to tell a peer that holds `base`; everything it lacks when `whole`.
+    pub fn news(&self, base: &Have, whole: bool, want: bool) -> News {
         let state = self.lock();
         let have = state.have();
+        // A peer that lacks nothing is told nothing.
+        let base = if whole { base } else { &have };
         let members = state.members.values().map(|known| WireMember::from(&known.member));
-        let members = if have.members == base.members { Vec::new() } else { members.collect() };
+        let same = !whole || have.members == base.members;
+        let members = if same { Vec::new() } else { members.collect() };
         News {
             from: WireMember::from(&state.me),
             clock: self.timeline.clock(),
             away: state.away,
-            have,
+            have: have.clone(),
+            whole,
+            want,
             base: base.clone(),
             contracts: state.contract_news(base.contracts),
             instances: state.instance_news(base.work),
@@ -250,7 +255,9 @@
         for seen in &news.evidence {
             changed |= self.sighting(&seen.id, seen.into());
         }
-        self.lock().advance(&news.base, &news.have);
+        if news.whole {
+            self.lock().advance(&news.base, &news.have);
+        }
         for member in news.members {
             self.known(member, None);
         }
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -39,8 +39,12 @@
 async fn run(facts: Facts, links: Links, seeds: Vec<SocketAddr>) {
     let held = Held::default();
     loop {
-        for address in targets(&facts, &seeds) {
-            tokio::spawn(exchange(facts.clone(), links.clone(), held.clone(), address));
+        let targets = targets(&facts, &seeds);
+        // One peer at a time is asked for everything, so that copies do not arrive in floods.
+        let asked = targets.iter().choose(&mut rand::rng()).copied();
+        for address in targets {
+            let want = asked == Some(address);
+            tokio::spawn(exchange(facts.clone(), links.clone(), held.clone(), address, want));
         }
         tokio::select! {
             () = tokio::time::sleep(BEAT) => {}
@@ -50,10 +54,12 @@
     }
 }
 
-async fn exchange(facts: Facts, links: Links, held: Held, address: SocketAddr) {
+async fn exchange(facts: Facts, links: Links, held: Held, address: SocketAddr, want: bool) {
     let have = held.lock().unwrap_or_else(PoisonError::into_inner).get(&address).cloned();
-    let answer = links.exchange(address, facts.news(&have.unwrap_or_default())).await;
-    match answer {
+    // The reader brings news; before it knows what a peer holds, it only asks.
+    let whole = have.is_some() && facts.lock().reads();
+    let news = facts.news(&have.unwrap_or_default(), whole, want);
+    match links.exchange(address, news).await {
         Ok(news) => {
             held.lock().unwrap_or_else(PoisonError::into_inner).insert(address, news.have.clone());
             facts.hear(news, Instant::now());
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -92,9 +92,9 @@
 
 impl Peer for Handler {
     async fn exchange(self, _: Context, news: News) -> News {
-        let have = news.have.clone();
+        let (have, want) = (news.have.clone(), news.want);
         self.facts.hear(news, Instant::now());
-        self.facts.news(&have)
+        self.facts.news(&have, want, false)
     }
 
     async fn submit(self, _: Context, submit: Submit) -> Option<Answer> {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -26,6 +26,10 @@
     pub clock: u64,
     /// Whether the platform does not answer the sender.
     pub away: bool,
+    /// Whether this tells everything that the receiver lacks, or only the sender's own sightings.
+    pub whole: bool,
+    /// Whether the receiver should tell everything in return.
+    pub want: bool,
     /// What the sender holds.
     pub have: Have,
     /// What the receiver held when this was put together.
