--- a/crates/entry/src/process/claims.rs
+++ b/crates/entry/src/process/claims.rs
@@ -1,9 +1,11 @@
 //! Claims callers' own idempotency keys in the table, many in one transaction.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexSet;
+use peer::Facts;
+use peer::member::Role;
 use peer::reader::decode;
 use peer::row::ClaimRow;
 use platform::{CommitError, Http, Row, Table, Txn, keys};
@@ -12,7 +14,10 @@
 use crate::process::journal::Journal;
 
 /// Claims in one transaction at most.
-const BATCH: usize = 64;
+const BATCH: usize = 256;
+/// Time between two transactions for each entry process of the fleet; it keeps the claims of all
+/// of them below 200 writes a second.
+const GAP: Duration = Duration::from_millis(5);
 /// Claims that wait at most.
 const WAITING: usize = 1_024;
 /// Time that a transaction may take.
@@ -43,10 +48,10 @@
 }
 
 impl Claims {
-    /// Starts to take claims for one incarnation of a process.
-    pub fn spawn(platform: Rc<Http>, journal: Journal, owner: String, incarnation: u64) -> Self {
+    /// Starts to take claims for this process.
+    pub fn spawn(platform: Rc<Http>, journal: Journal, facts: Facts) -> Self {
         let (sender, receiver) = mpsc::channel(WAITING);
-        actix::spawn(run(platform, journal, receiver, ClaimRow { owner, incarnation }));
+        actix::spawn(run(platform, journal, receiver, facts));
         Self { sender }
     }
 
@@ -65,23 +70,36 @@
     platform: Rc<Http>,
     journal: Journal,
     mut receiver: mpsc::Receiver<Ask>,
-    me: ClaimRow,
+    facts: Facts,
 ) {
+    let me = {
+        let state = facts.lock();
+        ClaimRow { owner: state.me.name.clone(), incarnation: state.me.incarnation }
+    };
     let mut asks = Vec::with_capacity(BATCH);
     let mut number = 0_u64;
-    // While one transaction is on its way the next claims gather.
+    // While one transaction is on its way, or too soon after it, the next claims gather.
     while receiver.recv_many(&mut asks, BATCH).await > 0 {
         for ask in &asks {
             journal.vacate(&ask.name);
         }
         while !asks.is_empty() {
+            let next = Instant::now() + gap(&facts);
             number += 1;
             let id = format!("claim-{}-{}-{number}", me.owner, me.incarnation);
             asks = commit(&platform, &journal, &me, id, asks).await;
+            tokio::time::sleep_until(next.into()).await;
         }
     }
 }
 
+/// Time between two transactions of this process.
+fn gap(facts: &Facts) -> Duration {
+    let state = facts.lock();
+    let others = state.members.values().filter(|known| known.member.role == Role::Entry).count();
+    GAP * u32::try_from(others + 1).unwrap_or(u32::MAX)
+}
+
 /// Commits a batch and gives back those that have to be tried again without the taken ones.
 async fn commit(
     platform: &Http,
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -107,8 +107,7 @@
         actix::spawn(slots.clone().watch());
         let links = Links::default();
         let journal = Journal::open(me.name.clone(), me.incarnation);
-        let claims =
-            Claims::spawn(platform.clone(), journal.clone(), me.name.clone(), me.incarnation);
+        let claims = Claims::spawn(platform.clone(), journal.clone(), facts.clone());
         let clerk = Clerk::spawn(slots.clone(), journal.clone(), metrics.clone(), facts.clone());
         let owners = Owners::open(facts.clone(), links.clone(), journal.clone(), claims, clerk);
         let shared = Shared {
