Contracts that can't be met are refused; plans are shown

Cause: plan::buffer and plan::moves decided and nothing asked them; a contract that the instances can't meet was accepted.

Conclusion: the decisions act. Placement of jobs does not yet.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod event;
 pub mod logging;
+pub mod plans;
 pub mod settings;
 pub mod timeline;
 
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -27,6 +27,8 @@
                 required file: PathBuf
                 /// Revision that the file was made from; not needed for a new contract.
                 optional --base base: u64
+                /// Applies it ahead of the instances that it needs.
+                optional --ahead
             }
             /// Shows a contract and its revision.
             cmd show { required customer: String }
@@ -39,6 +41,8 @@
                 required --base base: u64
             }
         }
+        /// Shows what a contract needs beside what is there: buffer, moves, steps of a wave.
+        cmd plan { required customer: String }
         /// Lists all instances.
         cmd fleet { }
         /// Explains an instance: its state, the last decision and its reason.
--- a/crates/cli/src/contract.rs
+++ b/crates/cli/src/contract.rs
@@ -32,12 +32,13 @@
     control: &Control,
     file: &Path,
     base: Option<u64>,
+    ahead: bool,
     json: bool,
 ) -> Result<(), Error> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).context(ReadSnafu { file: name.as_str() })?;
     let path = format!(
-        "/contracts/{}?base={}&file={}",
+        "/contracts/{}?base={}&ahead={ahead}&file={}",
         encode(&customer(&text)),
         base.unwrap_or(0),
         encode(&name)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod contract;
 mod error;
 mod instance;
+mod plan;
 mod print;
 mod timeline;
 
@@ -31,13 +32,16 @@
     let json = flags.json;
     match flags.subcommand {
         JtallyCmd::Contract(contract) => match contract.subcommand {
-            ContractCmd::Apply(ask) => contract::apply(&control, &ask.file, ask.base, json).await,
+            ContractCmd::Apply(ask) => {
+                contract::apply(&control, &ask.file, ask.base, ask.ahead, json).await
+            }
             ContractCmd::Show(ask) => contract::show(&control, &ask.customer, json).await,
             ContractCmd::History(ask) => contract::history(&control, &ask.customer, json).await,
             ContractCmd::Delete(ask) => {
                 contract::delete(&control, &ask.customer, ask.base, json).await
             }
         },
+        JtallyCmd::Plan(ask) => plan::show(&control, &ask.customer, json).await,
         JtallyCmd::Fleet(_) => instance::fleet(&control, json).await,
         JtallyCmd::Why(ask) => instance::why(&control, &ask.instance, json).await,
         JtallyCmd::Drain(ask) => {
--- a/crates/control/src/api/contracts.rs
+++ b/crates/control/src/api/contracts.rs
@@ -10,6 +10,7 @@
 use platform::{CommitError, Http, Row, Table, keys};
 use serde::{Deserialize, Serialize};
 
+use crate::api::plans;
 use crate::api::writes::{LIMIT, TRIES, txn, unread, unwritten};
 
 /// Query of a change.
@@ -18,6 +19,9 @@
     /// Revision that the change was made on; 0 for a new contract.
     #[serde(default)]
     base: u64,
+    /// Whether the contract may be applied ahead of the instances that it needs.
+    #[serde(default)]
+    ahead: bool,
     /// Name of the file, for the problems found in it.
     #[serde(default)]
     file: String,
@@ -88,12 +92,18 @@
 ) -> HttpResponse {
     let text = String::from_utf8_lossy(&body).into_owned();
     let file = if query.file.is_empty() { "contract" } else { &query.file };
+    if !query.ahead && !facts.lock().lists.values().any(|list| list.mark() > 0) {
+        let refusal = Refusal::new("the platform's instance list is not known here yet, try again");
+        return HttpResponse::ServiceUnavailable().json(refusal);
+    }
     let refusal = match fleet::file::parse(file, &text) {
         Err(problems) => Some(problems.to_string()),
         Ok(contract) if contract.customer != *customer => {
             Some(format!("{file}: customer: is '{}', not '{customer}'", contract.customer))
         }
-        Ok(contract) => overlap(&facts, &contract),
+        Ok(contract) => {
+            overlap(&facts, &contract).or_else(|| unmet(&facts, &contract, query.ahead))
+        }
     };
     if let Some(refusal) = refusal {
         facts.timeline().record(Event::ContractRefused, &[("customer", &customer.as_str())]);
@@ -112,6 +122,13 @@
     change(&facts, &platform, &customer, query.base, None).await
 }
 
+/// What the instances can't meet, unless the contract comes ahead of them.
+fn unmet(facts: &Facts, contract: &fleet::Contract, ahead: bool) -> Option<String> {
+    let short = if ahead { Vec::new() } else { plans::short(facts, contract) };
+    let hint = "apply it with --ahead when the instances are still to come";
+    (!short.is_empty()).then(|| format!("{}\n{hint}", short.join("\n")))
+}
+
 /// A pool belongs to one customer.
 fn overlap(facts: &Facts, contract: &fleet::Contract) -> Option<String> {
     let state = facts.lock();
--- a/crates/control/src/api/mod.rs
+++ b/crates/control/src/api/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod contracts;
 pub mod instances;
+pub mod plans;
 pub mod writes;
 
 use actix_web::{HttpResponse, web};
@@ -17,6 +18,7 @@
         .route("/contracts/{customer}", web::put().to(contracts::apply))
         .route("/contracts/{customer}", web::delete().to(contracts::delete))
         .route("/contracts/{customer}/history", web::get().to(contracts::history))
+        .route("/plan/{customer}", web::get().to(plans::show))
         .route("/fleet", web::get().to(instances::fleet))
         .route("/why/{instance}", web::get().to(instances::why))
         .route("/orders/{instance}", web::put().to(instances::order));
--- a/crates/plan/src/wave.rs
+++ b/crates/plan/src/wave.rs
@@ -92,3 +92,19 @@
         .filter(|line| line.last().is_some_and(|unit| check(fleet, tally, unit).is_ok()));
     permitted.max_by_key(|line| steps(line)).map(|line| (line, Ok(())))
 }
+
+/// Fewest steps in which every instance could have its stop, if none is lost.
+///
+/// No policy can do with less: each step stops at most the customer's `down` instances, and of each
+/// service at most its own `down` or what it has beyond those held.
+pub fn least_steps(fleet: Fleet<'_>) -> usize {
+    let tally = fleet.tally();
+    let steps = fleet.contract.services.iter().map(|service| {
+        let count = tally.pool(&service.pool);
+        let all = count.serving + count.down;
+        let spare = all.saturating_sub(service.held as usize);
+        all.div_ceil((service.down as usize).min(spare).max(1))
+    });
+    let together = fleet.units.len().div_ceil(fleet.contract.down.max(1) as usize);
+    steps.max().unwrap_or(0).max(together)
+}
--- a/crates/proof/src/bin/demo.rs
+++ b/crates/proof/src/bin/demo.rs
@@ -132,7 +132,7 @@
     let revision = cluster.apply("stcn", &text, 1).await;
     println!("stcn: revision {revision} is in force in every process");
     let file = cluster.folder.join("stcn.yaml").display().to_string();
-    let (code, output) = cluster.jtally(&["contract", "apply", &file, "--base", "1"]);
+    let (code, output) = cluster.jtally(&["contract", "apply", &file, "--base", "1", "--ahead"]);
     println!("exit {code}: {}", output.trim());
     if code != 4 {
         tally.wrong.push(format!("a stale change ended with {code}"));
--- a/crates/proof/src/cluster.rs
+++ b/crates/proof/src/cluster.rs
@@ -173,7 +173,9 @@
         let file = self.folder.join(format!("{name}.yaml"));
         std::fs::write(&file, text).unwrap_or_else(|error| panic!("no contract: {error}"));
         let (file, base) = (file.display().to_string(), base.to_string());
-        let (code, output) = self.jtally(&["--json", "contract", "apply", &file, "--base", &base]);
+        // Tests come with fewer instances than a contract should have.
+        let args = ["--json", "contract", "apply", &file, "--base", &base, "--ahead"];
+        let (code, output) = self.jtally(&args);
         assert_eq!(code, 0, "{output}");
         let accepted: serde_json::Value = serde_json::from_str(&output).unwrap_or_default();
         accepted["revision"].as_u64().unwrap_or_default()
