--- /dev/null
+++ b/crates/proof/tests/decisions.rs
@@ -0,0 +1,141 @@
+//! Decisions keep their promises on random fleets, and their counts keep their bounds.
+
+use fleet::Domain;
+use plan::buffer::{Place, places, spread};
+use plan::moves::{least, plan as moves};
+use plan::{Fleet, next};
+use proof::fleets::{Sample, bottler, plainest, planned, transit};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Seed of the random cases and of the fleets.
+const SEED: u64 = 11;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 120,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+#[test]
+fn roll_out_is_within_a_tenth_of_the_bound() {
+    let samples = [transit(SEED), bottler(SEED)].into_iter().chain(planned(SEED));
+    for sample in samples {
+        let rollout = sample.waiting().rollout(next, None, SEED);
+        assert_eq!(rollout.broken, 0);
+        assert!(rollout.steps * 10 <= rollout.bound * 11, "{rollout:?}");
+    }
+}
+
+#[test]
+fn roll_out_is_no_slower_than_the_plainest_policy() {
+    let samples: Vec<Sample> =
+        [transit(SEED), bottler(SEED)].into_iter().chain(planned(SEED)).collect();
+    let steps = |policy| -> usize {
+        let runs =
+            samples.iter().map(|sample| sample.clone().waiting().rollout(policy, None, SEED));
+        runs.map(|rollout| rollout.steps).sum()
+    };
+    assert!(steps(next) <= steps(plainest));
+}
+
+#[test]
+fn moves_are_within_a_twentieth_of_the_fewest() {
+    for sample in [transit(SEED), bottler(SEED)].into_iter().chain(planned(SEED)) {
+        let wants = sample.wants(SEED);
+        let (planned, fewest) = (moves(&sample.units, &wants).len(), least(&sample.units, &wants));
+        assert!(planned * 20 <= fewest * 21, "{planned} moves, {fewest} would do");
+    }
+}
+
+#[test]
+fn a_buffer_is_no_more_than_the_largest_domain() {
+    for sample in [transit(SEED), bottler(SEED)].into_iter().chain(planned(SEED)) {
+        let rooms = places(&sample.units, Domain::Rack);
+        let largest = rooms.iter().map(|place| place.room).max().unwrap();
+        for service in &sample.contract.services {
+            let spread = spread(&service.pool, service.held as usize, &rooms).unwrap();
+            assert!(spread.buffer <= largest, "{spread:?}");
+        }
+    }
+}
+
+#[test]
+fn weights_change_the_plan() {
+    let mut sample = bottler(SEED);
+    let rooms = places(&sample.units, Domain::Rack);
+    let shared = plan::buffer::plan(&sample.contract, &rooms).unwrap();
+    sample.contract.weights.buffer = 0;
+    let apart = plan::buffer::plan(&sample.contract, &rooms).unwrap();
+    assert!(shared.shared && !apart.shared, "{} / {}", shared.reason, apart.reason);
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_budget_is_broken_whatever_is_lost(seed in 0_u64..1_000, losses in 3_u32..60) {
+        for sample in [transit(seed), bottler(seed)] {
+            let rollout = sample.waiting().rollout(next, Some(losses), seed);
+            prop_assert_eq!(rollout.broken, 0);
+        }
+    }
+
+    #[test]
+    fn a_spread_survives_each_domain_and_no_smaller_one_does(
+        rooms in proptest::collection::vec(0_usize..9, 1..8),
+        held in 1_usize..30,
+    ) {
+        let places: Vec<Place> = rooms
+            .iter()
+            .enumerate()
+            .map(|(at, room)| Place { domain: format!("r{at}"), room: *room })
+            .collect();
+        let survives = |most: usize| {
+            let all: usize = rooms.iter().map(|room| (*room).min(most)).sum();
+            all >= held + most
+        };
+        match spread("p", held, &places) {
+            Ok(spread) => {
+                let all: usize = spread.counts.values().sum();
+                let largest = spread.counts.values().copied().max().unwrap_or(0);
+                prop_assert_eq!(all, held + spread.buffer);
+                prop_assert!(all - largest >= held);
+                for place in &places {
+                    prop_assert!(spread.counts[&place.domain] <= place.room);
+                }
+                prop_assert!((1..spread.buffer).all(|most| !survives(most)));
+            }
+            Err(short) => {
+                prop_assert!((1..9).all(|most| !survives(most)));
+                prop_assert!(short.nearest < held);
+            }
+        }
+    }
+
+    #[test]
+    fn moves_reach_what_can_be_reached_and_no_return_undoes_them(seed in 0_u64..1_000) {
+        for sample in [transit(seed), bottler(seed)] {
+            let wants = sample.wants(seed);
+            let planned = moves(&sample.units, &wants);
+            prop_assert_eq!(planned.len(), least(&sample.units, &wants));
+            let mut ids: Vec<&str> = planned.iter().map(|each| each.id.as_str()).collect();
+            ids.sort_unstable();
+            ids.dedup();
+            prop_assert_eq!(ids.len(), planned.len());
+        }
+    }
+
+    #[test]
+    fn every_waiting_instance_gets_one_verdict(seed in 0_u64..1_000) {
+        let sample = transit(seed).waiting();
+        let choices = next(Fleet { contract: &sample.contract, units: &sample.units });
+        let mut ids: Vec<&str> = choices.iter().map(|choice| choice.id.as_str()).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        prop_assert_eq!(ids.len(), sample.units.len());
+    }
+}
