One set of wire types for operators' answers; repeats removed

Cause: read as a newcomer: the control process and jtally each declared the answers they exchange, a member's row stood twice, two benches counted the platform's work each by themselves, a contract with mistakes was answered with 'list not known' when both were true, and a log line told nothing.

Change: base::shown holds the answers; a member's row is its wire type; the harness counts; mistakes in a contract are told first.

Conclusion: behaviour is as before but for the order of the two refusals.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,8 +3,8 @@
 pub mod admin;
 pub mod event;
 pub mod logging;
-pub mod plans;
 pub mod settings;
+pub mod shown;
 pub mod timeline;
 
 pub use event::Event;
--- a/crates/cli/src/contract.rs
+++ b/crates/cli/src/contract.rs
@@ -2,31 +2,13 @@
 
 use std::path::Path;
 
-use serde::{Deserialize, Serialize};
+use base::shown::{Accepted, ContractShown};
 use snafu::ResultExt;
 
 use crate::call::{Control, encode};
 use crate::error::{Error, ReadSnafu};
 use crate::print;
 
-/// A contract or one change of it.
-#[derive(Debug, Serialize, Deserialize)]
-struct Shown {
-    customer: String,
-    revision: u64,
-    #[serde(default)]
-    text: Option<String>,
-    by: String,
-    at_ms: u64,
-}
-
-/// A change that was committed.
-#[derive(Debug, Serialize, Deserialize)]
-struct Accepted {
-    customer: String,
-    revision: u64,
-}
-
 /// Applies a contract file.
 pub async fn apply(
     control: &Control,
@@ -61,7 +43,7 @@
 
 /// Shows a contract.
 pub async fn show(control: &Control, customer: &str, json: bool) -> Result<(), Error> {
-    let shown: Shown = control.get(&format!("/contracts/{}", encode(customer))).await?;
+    let shown: ContractShown = control.get(&format!("/contracts/{}", encode(customer))).await?;
     if json {
         print::json(&shown);
     } else {
@@ -74,7 +56,7 @@
 /// Shows all changes of a contract.
 pub async fn history(control: &Control, customer: &str, json: bool) -> Result<(), Error> {
     let path = format!("/contracts/{}/history", encode(customer));
-    let changes: Vec<Shown> = control.get(&path).await?;
+    let changes: Vec<ContractShown> = control.get(&path).await?;
     if json {
         print::json(&changes);
         return Ok(());
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -1,50 +1,15 @@
 //! Commands about instances and processes.
 
 use base::admin::Status;
-use serde::{Deserialize, Serialize};
+use base::shown::{InstanceShown, OrderShown, WhyShown};
 
 use crate::call::{Control, encode};
 use crate::error::Error;
 use crate::print;
 
-/// One instance.
-#[derive(Debug, Serialize, Deserialize)]
-struct Shown {
-    id: String,
-    centre: String,
-    rack: String,
-    pool: String,
-    customer: String,
-    phase: String,
-    listed: String,
-    reason: String,
-}
-
-/// What is known of an instance's last decision.
-#[derive(Debug, Serialize, Deserialize)]
-struct Why {
-    id: String,
-    pool: String,
-    phase: String,
-    decision: String,
-    reason: String,
-    by: String,
-    at_ms: u64,
-    order: Option<Order>,
-    permits: Vec<String>,
-}
-
-/// An order about an instance.
-#[derive(Debug, Serialize, Deserialize)]
-struct Order {
-    #[serde(skip_serializing_if = "Option::is_none")]
-    target: Option<String>,
-    reason: String,
-}
-
 /// Lists all instances.
 pub async fn fleet(control: &Control, json: bool) -> Result<(), Error> {
-    let shown: Vec<Shown> = control.get("/fleet").await?;
+    let shown: Vec<InstanceShown> = control.get("/fleet").await?;
     if json {
         print::json(&shown);
         return Ok(());
@@ -61,7 +26,7 @@
 
 /// Explains an instance.
 pub async fn why(control: &Control, id: &str, json: bool) -> Result<(), Error> {
-    let why: Why = control.get(&format!("/why/{}", encode(id))).await?;
+    let why: WhyShown = control.get(&format!("/why/{}", encode(id))).await?;
     if json {
         print::json(&why);
         return Ok(());
@@ -72,7 +37,7 @@
         println!("Decided by {} at {} ms since 1970.", why.by, why.at_ms);
     }
     match &why.order {
-        Some(Order { target: Some(pool), reason }) => {
+        Some(OrderShown { target: Some(pool), reason }) => {
             println!("Open order: move to {pool}, because: {reason}.");
         }
         Some(order) => println!("Open order: maintenance stop, because: {}.", order.reason),
@@ -95,9 +60,9 @@
     json: bool,
 ) -> Result<(), Error> {
     let order =
-        Order { target, reason: reason.unwrap_or_else(|| "an operator's order".to_owned()) };
+        OrderShown { target, reason: reason.unwrap_or_else(|| "an operator's order".to_owned()) };
     let body = serde_json::to_string(&order).unwrap_or_default();
-    let order: Order = control.put(&format!("/orders/{}", encode(id)), body).await?;
+    let order: OrderShown = control.put(&format!("/orders/{}", encode(id)), body).await?;
     if json {
         print::json(&order);
     } else {
--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -1,6 +1,6 @@
 //! Command about a customer's plan.
 
-use base::plans::PlanShown;
+use base::shown::PlanShown;
 
 use crate::call::{Control, encode};
 use crate::error::Error;
--- a/crates/control/src/api/contracts.rs
+++ b/crates/control/src/api/contracts.rs
@@ -4,6 +4,7 @@
 use actix_web::{HttpResponse, web};
 use base::Event;
 use base::admin::Refusal;
+use base::shown::{Accepted, ContractShown};
 use peer::Facts;
 use peer::reader::decode;
 use peer::row::{ContractRow, HeadRow};
@@ -27,24 +28,6 @@
     file: String,
 }
 
-/// A contract as operators see it.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Shown {
-    customer: String,
-    revision: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    text: Option<String>,
-    by: String,
-    at_ms: u64,
-}
-
-/// Answer to a change that was committed.
-#[derive(Debug, Serialize)]
-struct Accepted {
-    customer: String,
-    revision: u64,
-}
-
 /// Lists the contracts in force here.
 pub async fn list(facts: Data<Facts>) -> HttpResponse {
     HttpResponse::Ok().json(facts.status().contracts)
@@ -66,7 +49,7 @@
     let state = facts.lock();
     let Some(agreed) = state.contracts.find(&customer) else { return missing(&customer) };
     let (revision, text) = (agreed.revision, Some(agreed.text.clone()));
-    HttpResponse::Ok().json(Shown { customer, revision, text, by: String::new(), at_ms: 0 })
+    HttpResponse::Ok().json(ContractShown { customer, revision, text, by: String::new(), at_ms: 0 })
 }
 
 /// Shows the changes of a contract, newest first.
@@ -75,7 +58,7 @@
     match platform.scan(&prefix).await {
         Ok(rows) => {
             let rows = rows.iter().rev().filter_map(decode::<ContractRow>);
-            let rows: Vec<Shown> = rows.map(|row| shown(customer.clone(), row)).collect();
+            let rows: Vec<ContractShown> = rows.map(|row| shown(customer.clone(), row)).collect();
             HttpResponse::Ok().json(rows)
         }
         Err(error) => unread(&error),
@@ -92,15 +75,12 @@
 ) -> HttpResponse {
     let text = String::from_utf8_lossy(&body).into_owned();
     let file = if query.file.is_empty() { "contract" } else { &query.file };
-    if !query.ahead && !facts.lock().lists.values().any(|list| list.mark() > 0) {
-        let refusal = Refusal::new("the platform's instance list is not known here yet, try again");
-        return HttpResponse::ServiceUnavailable().json(refusal);
-    }
     let refusal = match fleet::file::parse(file, &text) {
         Err(problems) => Some(problems.to_string()),
         Ok(contract) if contract.customer != *customer => {
             Some(format!("{file}: customer: is '{}', not '{customer}'", contract.customer))
         }
+        Ok(_) if !query.ahead && !listed(&facts) => return unlisted(),
         Ok(contract) => {
             overlap(&facts, &contract).or_else(|| unmet(&facts, &contract, query.ahead))
         }
@@ -122,6 +102,16 @@
     change(&facts, &platform, &customer, query.base, None).await
 }
 
+/// Whether any of the platform's lists has been read.
+fn listed(facts: &Facts) -> bool {
+    facts.lock().lists.values().any(|list| list.mark() > 0)
+}
+
+fn unlisted() -> HttpResponse {
+    let refusal = Refusal::new("the platform's instance list is not known here yet, try again");
+    HttpResponse::ServiceUnavailable().json(refusal)
+}
+
 /// What the instances can't meet, unless the contract comes ahead of them.
 fn unmet(facts: &Facts, contract: &fleet::Contract, ahead: bool) -> Option<String> {
     let short = if ahead { Vec::new() } else { plans::short(facts, contract) };
@@ -164,7 +154,7 @@
             return stale(facts, customer, base, held.revision);
         }
         match commit(facts, platform, customer, &rows, text.clone()).await {
-            Ok(revision) => return accepted(facts, customer, revision, text.as_deref()),
+            Ok(revision) => return accepted(facts, customer, revision),
             // Another customer's change took the revision: read the head again.
             Err(CommitError::Conflict { .. }) => {}
             Err(error) => return unwritten(&error),
@@ -193,11 +183,10 @@
     platform.commit(&txn, LIMIT).await.map(|_| revision)
 }
 
-fn accepted(facts: &Facts, customer: &str, revision: u64, text: Option<&str>) -> HttpResponse {
+fn accepted(facts: &Facts, customer: &str, revision: u64) -> HttpResponse {
     let fields: [(&str, &dyn std::fmt::Display); 2] =
         [("customer", &customer), ("revision", &revision)];
     facts.timeline().record(Event::ContractCommitted, &fields);
-    log::debug!("{} bytes", text.map_or(0, str::len));
     HttpResponse::Ok().json(Accepted { customer: customer.to_owned(), revision })
 }
 
@@ -211,8 +200,8 @@
     HttpResponse::NotFound().json(Refusal::new(format!("no contract of customer '{customer}'")))
 }
 
-fn shown(customer: String, row: ContractRow) -> Shown {
-    Shown { customer, revision: row.revision, text: row.text, by: row.by, at_ms: row.at_ms }
+fn shown(customer: String, row: ContractRow) -> ContractShown {
+    ContractShown { customer, revision: row.revision, text: row.text, by: row.by, at_ms: row.at_ms }
 }
 
 fn json(row: &impl Serialize) -> String {
--- a/crates/control/src/api/instances.rs
+++ b/crates/control/src/api/instances.rs
@@ -4,61 +4,24 @@
 use actix_web::web::{Data, Json, Path};
 use base::Event;
 use base::admin::Refusal;
+use base::shown::{InstanceShown, OrderShown, WhyShown};
 use fleet::{ListState, Phase};
 use peer::Facts;
 use peer::reader::decode;
 use peer::row::{BudgetRow, DecisionRow, InstanceRow, OrderRow};
 use platform::{CommitError, Http, Table, keys};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::api::writes::{LIMIT, TRIES, txn, unread, unwritten};
 
-/// One instance as operators see it.
-#[derive(Debug, Serialize, Deserialize)]
-struct Shown {
-    id: String,
-    centre: String,
-    rack: String,
-    pool: String,
-    customer: String,
-    phase: String,
-    listed: String,
-    reason: String,
-}
-
-/// Answer to `GET /why/{instance}`.
-#[derive(Debug, Serialize, Deserialize)]
-struct Why {
-    id: String,
-    pool: String,
-    phase: String,
-    decision: String,
-    reason: String,
-    by: String,
-    at_ms: u64,
-    order: Option<OrderRow>,
-    /// Permits of the customer's budget, by instance.
-    permits: Vec<String>,
-}
-
-/// Body of `PUT /orders/{instance}`.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Order {
-    #[serde(default)]
-    target: Option<String>,
-    #[serde(default)]
-    reason: String,
-}
-
 /// Shows all instances as this process knows them.
 pub async fn fleet(facts: Data<Facts>) -> HttpResponse {
     let state = facts.lock();
-    let mut shown: Vec<Shown> = Vec::new();
+    let mut shown: Vec<InstanceShown> = Vec::new();
     for line in state.listed() {
         let row = state.instances.find(&line.id);
         let pool = row.map_or(&line.pool, |row| &row.pool).clone();
-        shown.push(Shown {
+        shown.push(InstanceShown {
             id: line.id.clone(),
             centre: line.centre.clone(),
             rack: line.rack.clone(),
@@ -92,8 +55,8 @@
         || (pool, Phase::Serving.to_string()),
         |instance| (instance.pool, instance.phase),
     );
-    HttpResponse::Ok().json(Why {
-        order: budget.orders.get(id.as_str()).cloned(),
+    HttpResponse::Ok().json(WhyShown {
+        order: budget.orders.get(id.as_str()).map(order_shown),
         id: id.into_inner(),
         pool,
         phase,
@@ -110,9 +73,9 @@
     facts: Data<Facts>,
     platform: Data<Http>,
     id: Path<String>,
-    order: Json<Order>,
+    order: Json<OrderShown>,
 ) -> HttpResponse {
-    let Order { target, reason } = order.into_inner();
+    let OrderShown { target, reason } = order.into_inner();
     let Some((_, customer)) = place(&facts, &id) else { return missing(&id) };
     if customer.is_empty() {
         return refused(format!("the pool of instance '{id}' belongs to no contract"));
@@ -163,7 +126,7 @@
 fn taken(facts: &Facts, id: &str, row: &OrderRow) -> HttpResponse {
     let fields: [(&str, &dyn std::fmt::Display); 2] = [("instance", &id), ("reason", &row.reason)];
     facts.timeline().record(Event::OrderTaken, &fields);
-    HttpResponse::Ok().json(row)
+    HttpResponse::Ok().json(order_shown(row))
 }
 
 /// Pool and customer of a listed instance; the customer is empty when no contract names the pool.
@@ -175,6 +138,10 @@
     Some((pool, customer))
 }
 
+fn order_shown(row: &OrderRow) -> OrderShown {
+    OrderShown { target: row.target.clone(), reason: row.reason.clone() }
+}
+
 fn refused(error: String) -> HttpResponse {
     HttpResponse::UnprocessableEntity().json(Refusal::new(error))
 }
--- a/crates/control/src/api/plans.rs
+++ b/crates/control/src/api/plans.rs
@@ -3,7 +3,7 @@
 use actix_web::HttpResponse;
 use actix_web::web::{Data, Path};
 use base::admin::Refusal;
-use base::plans::{MoveShown, PlanShown, ServiceShown};
+use base::shown::{MoveShown, PlanShown, ServiceShown};
 use fleet::{Contract, Phase};
 use peer::Facts;
 use peer::facts::State;
--- a/crates/peer/src/reader.rs
+++ b/crates/peer/src/reader.rs
@@ -11,7 +11,7 @@
 
 use crate::facts::Facts;
 use crate::member::Member;
-use crate::row::{BudgetRow, ContractRow, HeadRow, InstanceRow, MemberRow};
+use crate::row::{BudgetRow, ContractRow, HeadRow, InstanceRow};
 use crate::wire::WireMember;
 
 /// Time between two reads of the head row.
@@ -211,8 +211,8 @@
 
     async fn read_members(&self) -> Result<(), Error> {
         for row in self.platform.scan(keys::MEMBERS).await? {
-            let Some(found) = decode::<MemberRow>(&row) else { continue };
-            match Member::try_from(WireMember::from(found)) {
+            let Some(found) = decode::<WireMember>(&row) else { continue };
+            match Member::try_from(found) {
                 Ok(member) => self.facts.member(member, None),
                 Err(error) => log::warn!("row {}: {error}", row.key),
             }
@@ -224,8 +224,7 @@
 /// Writes this process's own row, again and again until the platform takes it.
 async fn enter<P: Table>(facts: Facts, platform: Rc<P>) {
     let me = facts.lock().me.clone();
-    let row = MemberRow::from(WireMember::from(&me));
-    let value = serde_json::to_string(&row).unwrap_or_default();
+    let value = serde_json::to_string(&WireMember::from(&me)).unwrap_or_default();
     let id = format!("member-{}-{}", me.name, me.incarnation);
     let txn = Txn::new(id).put(keys::member(&me.centre, &me.name), value);
     while let Err(error) = platform.commit(&txn, ENTER_LIMIT).await {
--- a/crates/peer/src/row.rs
+++ b/crates/peer/src/row.rs
@@ -1,12 +1,10 @@
 //! JSON forms of the rows that several processes read and write.
 
-use std::net::SocketAddr;
-
 use fleet::Instance;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::wire::{WireInstance, WireMember, WordError};
+use crate::wire::{WireInstance, WordError};
 
 /// Steps whose instances a budget's row names.
 const RECENT: usize = 32;
@@ -154,39 +152,6 @@
     pub incarnation: u64,
 }
 
-/// Row of a member.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct MemberRow {
-    /// Name of the process.
-    pub name: String,
-    /// Role by name.
-    pub role: String,
-    /// Data centre.
-    pub centre: String,
-    /// Time of its start.
-    pub incarnation: u64,
-    /// Address for callers.
-    pub listen: SocketAddr,
-    /// Address for operators.
-    pub admin: SocketAddr,
-    /// Address for processes.
-    pub peer: SocketAddr,
-}
-
-impl From<WireMember> for MemberRow {
-    fn from(member: WireMember) -> Self {
-        let WireMember { name, role, centre, incarnation, listen, admin, peer } = member;
-        Self { name, role, centre, incarnation, listen, admin, peer }
-    }
-}
-
-impl From<MemberRow> for WireMember {
-    fn from(row: MemberRow) -> Self {
-        let MemberRow { name, role, centre, incarnation, listen, admin, peer } = row;
-        Self { name, role, centre, incarnation, listen, admin, peer }
-    }
-}
-
 impl InstanceRow {
     /// Gives the row its domain form under the name of its instance.
     ///
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -136,7 +136,7 @@
     pub leaving: bool,
 }
 
-/// A member.
+/// A member, in messages and in its own row.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireMember {
     /// Name of the process.
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -6,8 +6,7 @@
 use std::time::{Duration, Instant};
 
 use platform::wire::WireListed;
-use proof::{Cluster, Layout, Process, until};
-use serde::Deserialize;
+use proof::{Cluster, Layout, Process};
 
 /// Time over which a size is measured.
 const SPAN: Duration = Duration::from_secs(10);
@@ -25,14 +24,6 @@
     daemons: usize,
 }
 
-/// The platform's own counts.
-#[derive(Deserialize)]
-struct Counts {
-    reads: u64,
-    rows: u64,
-    writes: u64,
-}
-
 #[actix::main]
 async fn main() {
     let sizes = [
@@ -79,13 +70,13 @@
     let last = format!("customer-{}", size.contracts - 1);
     cluster.in_force(&last, revision).await;
     tokio::time::sleep(SETTLE).await;
-    let (counts, lo, start) = (counts(&cluster).await, loopback(), Instant::now());
+    let (counts, lo, start) = (cluster.counts().await, loopback(), Instant::now());
     let before = (cpu(cluster.entries.values()), cpu(cluster.controls.values()));
     tokio::time::sleep(SPAN).await;
     let spent = start.elapsed().as_secs_f64();
     let after = (cpu(cluster.entries.values()), cpu(cluster.controls.values()));
     let traffic = (loopback() - lo) as f64 / spent / 1_000.0 / (2 * size.daemons) as f64;
-    let later = self::counts(&cluster).await;
+    let later = cluster.counts().await;
     let rate = |after: u64, before: u64| (after - before) as f64 / spent;
     let (middle, worst) = changes(&cluster, &last, revision).await;
     let share = |after: f64, before: f64| (after - before) / spent / size.daemons as f64 * 100.0;
@@ -149,11 +140,6 @@
     (times[times.len() / 2], times[times.len() - 1])
 }
 
-async fn counts(cluster: &Cluster) -> Counts {
-    let address = cluster.platform.address("");
-    until("the platform's counts", || cluster.client.get(address, "/counts")).await
-}
-
 /// Processor time of processes so far, in seconds.
 fn cpu<'a>(processes: impl Iterator<Item = &'a Process>) -> f64 {
     let ticks = processes.map(|process| {
--- a/crates/proof/benches/wave.rs
+++ b/crates/proof/benches/wave.rs
@@ -3,20 +3,11 @@
 use std::time::{Duration, Instant};
 
 use proof::{Cluster, Layout, until};
-use serde::Deserialize;
 use standin::record::Step;
 
 /// Time over which the quiet cluster is measured.
 const QUIET: Duration = Duration::from_secs(6);
 
-/// The platform's own counts.
-#[derive(Deserialize)]
-struct Counts {
-    reads: u64,
-    rows: u64,
-    writes: u64,
-}
-
 #[actix::main]
 async fn main() {
     println!(
@@ -36,9 +27,9 @@
     );
     cluster.apply("acme", &text, 0).await;
     cluster.serving("/acme/s").await;
-    let (before, start) = (counts(&cluster).await, Instant::now());
+    let (before, start) = (cluster.counts().await, Instant::now());
     tokio::time::sleep(QUIET).await;
-    let (after, span) = (counts(&cluster).await, start.elapsed().as_secs_f64());
+    let (after, span) = (cluster.counts().await, start.elapsed().as_secs_f64());
     let rate = |after: u64, before: u64| (after - before) as f64 / span;
     let quiet = [
         rate(after.reads, before.reads),
@@ -56,7 +47,7 @@
         (steps.iter().filter(|step| step.what == "back").count() == instances).then_some(())
     })
     .await;
-    let (after, span) = (counts(&cluster).await, start.elapsed().as_secs_f64());
+    let (after, span) = (cluster.counts().await, start.elapsed().as_secs_f64());
     let each = |after: u64, before: u64, quiet: f64| {
         ((after - before) as f64 - quiet * span) / instances as f64
     };
@@ -68,8 +59,3 @@
         span / instances as f64
     );
 }
-
-async fn counts(cluster: &Cluster) -> Counts {
-    let address = cluster.platform.address("");
-    until("the platform's counts", || cluster.client.get(address, "/counts")).await
-}
--- a/crates/proof/src/cluster.rs
+++ b/crates/proof/src/cluster.rs
@@ -7,6 +7,7 @@
 use base::admin::Status;
 use indexmap::IndexMap;
 use platform::wire::{ReadAsk, Rows};
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use standin::backend;
 use standin::faults::Faults;
@@ -32,6 +33,17 @@
     pub wires: bool,
 }
 
+/// What the platform stand-in has answered so far.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct Counts {
+    /// Reads.
+    pub reads: u64,
+    /// Rows given in these reads.
+    pub rows: u64,
+    /// Transactions committed.
+    pub writes: u64,
+}
+
 /// The running processes.
 #[derive(Debug)]
 pub struct Cluster {
@@ -228,6 +240,12 @@
         }
     }
 
+    /// What the platform has answered so far.
+    pub async fn counts(&self) -> Counts {
+        let address = self.platform.address("");
+        until("the platform's counts", || self.client.get(address, "/counts")).await
+    }
+
     /// Sets the platform's faults.
     pub async fn faults(&self, faults: &Faults) {
         self.client.set(self.platform.address(""), "/faults", faults).await;
