Daemons share how they start

Cause: both daemons declared the same start errors and bound their addresses in the same lines.

Change: base::start holds them.

Conclusion: behaviour is unchanged.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod logging;
 pub mod settings;
 pub mod shown;
+pub mod start;
 pub mod timeline;
 
 pub use event::Event;
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -9,36 +9,18 @@
 use actix_web::web::Data;
 use actix_web::{App, HttpServer, web};
 use base::settings::Settings;
+use base::start::{BindSnafu, Error, MetricSnafu, listener};
 use base::{Event, Timeline};
 use peer::member::{Member, Role};
 use peer::{Facts, Gossip, Links, Reader};
 use platform::Http;
 use prometheus::Registry;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 
 use crate::api;
 use leases::Leases;
 use metrics::Metrics;
 
-/// The process could not start.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// An address can't be used.
-    #[snafu(display("{what}: {source}"))]
-    Bind {
-        /// What the address is for.
-        what: String,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// A metric is there twice.
-    #[snafu(display("metrics: {source}"))]
-    Metric {
-        /// What the registry said.
-        source: prometheus::Error,
-    },
-}
-
 /// Handle on the running process.
 #[derive(Debug)]
 pub struct Process {
@@ -58,8 +40,7 @@
         let metrics = Metrics::open(&registry).context(MetricSnafu)?;
         let peers = peer::Server::bind(settings.peer);
         let peers = peers.context(BindSnafu { what: "peer address" })?;
-        let admin = std::net::TcpListener::bind(settings.admin);
-        let admin = admin.context(BindSnafu { what: "admin address" })?;
+        let admin = listener(settings.admin, "admin address")?;
         let me = me(settings, &admin, &peers)?;
         let facts = Facts::open(me.clone(), timeline.clone());
         let platform = Rc::new(Http::open(settings.platform));
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -15,12 +15,13 @@
 use actix_web::web::Data;
 use actix_web::{App, HttpServer, web};
 use base::settings::Settings;
+use base::start::{BindSnafu, Error, MetricSnafu, listener};
 use base::{Event, Timeline};
 use peer::member::{Member, Role};
 use peer::{Facts, Gossip, Links, Reader};
 use platform::Http;
 use prometheus::Registry;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 
 use crate::request;
 use crate::version::Rules;
@@ -36,25 +37,6 @@
 /// Connections that callers may hold open at once.
 const CALLER_CONNECTIONS: usize = 4_096;
 
-/// The process could not start.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// An address can't be used.
-    #[snafu(display("{what}: {source}"))]
-    Bind {
-        /// What the address is for.
-        what: String,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// A metric is there twice.
-    #[snafu(display("metrics: {source}"))]
-    Metric {
-        /// What the registry said.
-        source: prometheus::Error,
-    },
-}
-
 /// Handle on the running process.
 #[derive(Debug)]
 pub struct Process {
@@ -147,10 +129,6 @@
     }
 }
 
-fn listener(address: std::net::SocketAddr, what: &str) -> Result<std::net::TcpListener, Error> {
-    std::net::TcpListener::bind(address).context(BindSnafu { what })
-}
-
 fn me(
     settings: &Settings,
     callers: &std::net::TcpListener,
