One judgement of lost requests, one JSON form of rows, rules built once

Cause: read once more: what a client's error proves stood in two clients, where a fault had to be mended twice before; four modules of the control process each had the same function for a row's JSON; the owner of a forwarded request arranged all contracts anew for each, which the process holds arranged already.

--- a/crates/control/src/api/contracts.rs
+++ b/crates/control/src/api/contracts.rs
@@ -7,9 +7,9 @@
 use base::shown::{Accepted, ContractShown};
 use peer::Facts;
 use peer::reader::decode;
-use peer::row::{ContractRow, HeadRow};
+use peer::row::{ContractRow, HeadRow, json};
 use platform::{CommitError, Http, Row, Table, keys};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 
 use crate::api::plans;
 use crate::api::writes::{LIMIT, TRIES, txn, unread, unwritten};
@@ -203,7 +203,3 @@
 fn shown(customer: String, row: ContractRow) -> ContractShown {
     ContractShown { customer, revision: row.revision, text: row.text, by: row.by, at_ms: row.at_ms }
 }
-
-fn json(row: &impl Serialize) -> String {
-    serde_json::to_string(row).unwrap_or_default()
-}
--- a/crates/control/src/api/instances.rs
+++ b/crates/control/src/api/instances.rs
@@ -8,9 +8,8 @@
 use fleet::{ListState, Phase};
 use peer::Facts;
 use peer::reader::decode;
-use peer::row::{BudgetRow, DecisionRow, InstanceRow, OrderRow};
+use peer::row::{BudgetRow, DecisionRow, InstanceRow, OrderRow, json};
 use platform::{CommitError, Http, Table, keys};
-use serde::Serialize;
 
 use crate::api::writes::{LIMIT, TRIES, txn, unread, unwritten};
 
@@ -149,7 +148,3 @@
 fn missing(id: &str) -> HttpResponse {
     HttpResponse::NotFound().json(Refusal::new(format!("no instance '{id}' is listed")))
 }
-
-fn json(row: &impl Serialize) -> String {
-    serde_json::to_string(row).unwrap_or_default()
-}
--- a/crates/control/src/customer/step.rs
+++ b/crates/control/src/customer/step.rs
@@ -10,7 +10,7 @@
 use base::Event;
 use fleet::Phase;
 use peer::Facts;
-use peer::row::{BudgetRow, DecisionRow, InstanceRow};
+use peer::row::{BudgetRow, DecisionRow, InstanceRow, json};
 use plan::Choice;
 use platform::{CommitError, Error, Http, Instances, Table, Txn, keys};
 use route::{Evidence, Standing};
@@ -289,7 +289,3 @@
         (known.row, known.version) = (Some(row), version);
     }
 }
-
-fn json(row: &impl serde::Serialize) -> String {
-    serde_json::to_string(row).unwrap_or_default()
-}
--- a/crates/control/src/process/leases.rs
+++ b/crates/control/src/process/leases.rs
@@ -6,7 +6,7 @@
 
 use base::Event;
 use peer::reader::decode;
-use peer::row::{EpochRow, LeaseRow};
+use peer::row::{EpochRow, LeaseRow, json};
 use peer::{Facts, member::Role};
 use platform::{Error, Http, Table, Txn, keys};
 use tokio::sync::watch;
@@ -262,7 +262,3 @@
 pub fn shard(customer: &str) -> u64 {
     peer::member::weight("customer", customer) % SHARDS
 }
-
-fn json(row: &impl serde::Serialize) -> String {
-    serde_json::to_string(row).unwrap_or_default()
-}
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -91,10 +91,18 @@
         let journal = Journal::open(me.name.clone(), me.incarnation);
         let claims = Claims::spawn(platform.clone(), journal.clone(), facts.clone());
         let clerk = Clerk::spawn(slots.clone(), journal.clone(), metrics.clone(), facts.clone());
-        let owners = Owners::open(facts.clone(), links.clone(), journal.clone(), claims, clerk);
+        let rules: Arc<RwLock<Arc<Rules>>> = Arc::default();
+        let owners = Owners::open(
+            facts.clone(),
+            links.clone(),
+            journal.clone(),
+            claims,
+            clerk,
+            rules.clone(),
+        );
         let shared = Shared {
             facts: facts.clone(),
-            rules: Arc::default(),
+            rules,
             slots: slots.clone(),
             owners: owners.clone(),
             metrics: metrics.clone(),
--- a/crates/entry/src/process/owner.rs
+++ b/crates/entry/src/process/owner.rs
@@ -1,7 +1,7 @@
 //! Finds the one process that may run a request, and hands the request to it.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
@@ -32,6 +32,7 @@
     journal: Journal,
     claims: Claims,
     clerk: Clerk,
+    rules: Arc<RwLock<Arc<Rules>>>,
 }
 
 /// Who may run a request.
@@ -54,8 +55,9 @@
         journal: Journal,
         claims: Claims,
         clerk: Clerk,
+        rules: Arc<RwLock<Arc<Rules>>>,
     ) -> Self {
-        Self { facts, links, journal, claims, clerk }
+        Self { facts, links, journal, claims, clerk, rules }
     }
 
     /// Hands out a ticket that this process owns.
@@ -208,7 +210,7 @@
 impl Desk for Owners {
     fn submit(&self, submit: Submit) -> BoxFuture<'static, Answer> {
         let owners = self.clone();
-        let rules = Arc::new(Rules::build(&self.facts.lock()));
+        let rules = self.rules.read().unwrap_or_else(PoisonError::into_inner).clone();
         Box::pin(owners.handed(rules, submit))
     }
 }
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -4,11 +4,11 @@
 
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
-use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, Connector};
 use bytes::Bytes;
 use fleet::{Outcome, Service};
 use peer::{Answer, Submit};
+use platform::error::unsent;
 use route::{Ended, Pick};
 
 /// Time to connect to a backend server.
@@ -141,16 +141,6 @@
     }
 }
 
-/// Whether an error proves that nothing left the process.
-fn unsent(error: &SendRequestError) -> bool {
-    match error {
-        // The connection was there and broke off after the request had gone out.
-        SendRequestError::Connect(ConnectError::Disconnected) => false,
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => true,
-        _ => false,
-    }
-}
-
 fn refused(status: StatusCode, headers: &HeaderMap) -> Option<Ended> {
     let reason = headers.get(REFUSED).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)?;
     Some(match reason.as_bytes() {
--- a/crates/peer/src/row.rs
+++ b/crates/peer/src/row.rs
@@ -170,3 +170,15 @@
         wire.try_into()
     }
 }
+
+/// JSON text of a row.
+///
+/// # Examples
+///
+/// ```
+/// use peer::row::{HeadRow, json};
+/// assert_eq!(json(&HeadRow { revision: 7 }), "{\"revision\":7}");
+/// ```
+pub fn json(row: &impl Serialize) -> String {
+    serde_json::to_string(row).unwrap_or_default()
+}
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the platform's services, as callers have to act on them.
 
+use awc::error::{ConnectError, SendRequestError};
 use snafu::Snafu;
 
 use crate::table::Row;
@@ -66,3 +67,21 @@
         matches!(self, Self::Unsettled { .. })
     }
 }
+
+/// Whether a client's error proves that nothing of the request left the process.
+///
+/// # Examples
+///
+/// ```
+/// use awc::error::{ConnectError, SendRequestError};
+/// assert!(platform::error::unsent(&SendRequestError::Connect(ConnectError::Timeout)));
+/// assert!(!platform::error::unsent(&SendRequestError::Connect(ConnectError::Disconnected)));
+/// ```
+pub fn unsent(error: &SendRequestError) -> bool {
+    match error {
+        // The connection was there and broke off after the request had gone out.
+        SendRequestError::Connect(ConnectError::Disconnected) => false,
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => true,
+        _ => false,
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,14 +7,13 @@
 use actix_web::http::header::{ETAG, IF_NONE_MATCH};
 use actix_web::http::{Method, StatusCode};
 use awc::Client;
-use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
 use fleet::Listed;
 use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::error::{CommitError, Error};
+use crate::error::{CommitError, Error, unsent};
 use crate::table::{Instances, Objects, Row, Table, Tagged, Txn};
 use crate::wire::{CommitAnswer, CommitAsk, DrainAsk, ReadAsk, RebootAsk, Rows, WireListed};
 
@@ -77,15 +76,10 @@
         if !known.is_empty() {
             request = request.insert_header((IF_NONE_MATCH, known));
         }
-        let mut response = request.send_body(body).await.map_err(|error| {
-            let left = match error {
-                // The connection was there and broke off after the request had gone out.
-                SendRequestError::Connect(ConnectError::Disconnected) => true,
-                SendRequestError::Connect(_) | SendRequestError::Url(_) => false,
-                _ => true,
-            };
-            Miss { left, what: error.to_string() }
-        })?;
+        let mut response = request
+            .send_body(body)
+            .await
+            .map_err(|error| Miss { left: !unsent(&error), what: error.to_string() })?;
         let status = response.status();
         let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
         let tag = tag.unwrap_or_default().to_owned();
