--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -57,6 +57,50 @@
     ServerBack = 1603,
     /// A request's end is not known.
     RequestUnknown = 1701,
+    /// A configuration is in force in this process.
+    ConfigurationInForce = 2001,
+    /// The table has dropped history that was needed; the rows are read whole.
+    HistoryLost = 2002,
+    /// A row that another writer left can't be read.
+    RowUnreadable = 2003,
+    /// A job was stored and its client told so.
+    JobAccepted = 2101,
+    /// A job was refused.
+    JobRefused = 2102,
+    /// A job's end is durable.
+    JobEnded = 2103,
+    /// A client's cancel is durable.
+    CancelTaken = 2104,
+    /// A start was sent to an executor and answered, or not.
+    StartSent = 2201,
+    /// A stop was sent to an executor and answered, or not.
+    StopSent = 2202,
+    /// A change of pace was not taken.
+    PaceLost = 2203,
+    /// An executor answered a cell's holder for the first time.
+    ExecutorJoined = 2301,
+    /// An executor does not answer, or another incarnation does.
+    ExecutorSilent = 2302,
+    /// An executor that leaves runs nothing any more.
+    ExecutorEmptied = 2303,
+    /// This process took a cell.
+    CellTaken = 2401,
+    /// A cell's jobs were read back and its scheduler runs.
+    CellReady = 2402,
+    /// This process no longer holds a cell.
+    CellLost = 2403,
+    /// A cell was handed over.
+    CellReleased = 2404,
+    /// A maintenance wave was ordered by the operator.
+    WaveSeen = 2501,
+    /// A machine was ordered down for its maintenance.
+    UpkeepOrdered = 2502,
+    /// A machine is back from its maintenance.
+    MachineBack = 2503,
+    /// The operator was told how far a wave is.
+    WaveReported = 2504,
+    /// A round of the fleet's duties could not be finished.
+    DutyDelayed = 2505,
 }
 
 impl Event {
--- /dev/null
+++ b/crates/cells/src/claim.rs
@@ -0,0 +1,136 @@
+//! Which process takes which cell.
+//!
+//! Load pattern: processes stop, freeze and return at any time, and the table may be away for some
+//! of them. Nobody judges others by time in which the table could not be read; of the processes
+//! that are alive, the one with the fewest cells takes the next.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use indexmap::IndexMap;
+
+use crate::context;
+use crate::rows::{Beat, Lease};
+
+/// Silence after which a process counts as gone, in milliseconds; over three beats.
+pub const SUSPECT: u64 = 2_600;
+/// Gap between reads after which earlier observations say nothing, in milliseconds.
+const BLIND: u64 = 1_500;
+/// Head start of each candidate over the next, in milliseconds; a poll and a transaction.
+const RANK: u64 = 800;
+/// How long a new process only observes, in milliseconds; machines start within 0.3 s.
+const SETTLE: u64 = 1_200;
+
+/// What was read of the processes and the leases.
+#[derive(Debug, Default)]
+pub struct Observations {
+    beats: IndexMap<String, Seen>,
+    leases: IndexMap<String, (u64, Lease)>,
+    /// Since when a cell has no live holder.
+    vacant: IndexMap<String, u64>,
+    since: u64,
+    last: u64,
+}
+
+#[derive(Debug)]
+struct Seen {
+    beat: Beat,
+    version: u64,
+    changed: u64,
+}
+
+impl Observations {
+    /// Takes in what one read of the shared rows gave: versions and rows by name.
+    pub fn observe(
+        &mut self,
+        beats: IndexMap<String, (u64, Beat)>,
+        leases: IndexMap<String, (u64, Lease)>,
+        now: u64,
+    ) {
+        let blind = self.last == 0 || now > self.last + BLIND;
+        if blind {
+            self.since = now;
+            self.vacant.clear();
+        }
+        self.last = now;
+        self.leases = leases;
+        self.beats.retain(|name, _| beats.contains_key(name));
+        for (name, (version, beat)) in beats {
+            match self.beats.get_mut(&name) {
+                Some(seen) if seen.version == version && !blind => {}
+                Some(seen) => *seen = Seen { beat, version, changed: now },
+                None => {
+                    self.beats.insert(name, Seen { beat, version, changed: now });
+                }
+            }
+        }
+    }
+
+    /// The lease of a cell and its row's version; version 0 when nobody ever held it.
+    pub fn lease(&self, cell: &str) -> (u64, Lease) {
+        self.leases.get(cell).cloned().unwrap_or_default()
+    }
+
+    /// Incarnations that are alive and take cells.
+    fn candidates(&self, now: u64) -> Vec<String> {
+        self.beats
+            .iter()
+            .filter(|(_, seen)| seen.beat.open && now < seen.changed + SUSPECT)
+            .map(|(name, seen)| context::holder(name, seen.beat.start))
+            .collect()
+    }
+
+    /// Whether a holder may still be at work.
+    fn alive(&self, holder: &str, now: u64) -> bool {
+        self.beats.iter().any(|(name, seen)| {
+            context::holder(name, seen.beat.start) == holder && now < seen.changed + SUSPECT
+        })
+    }
+
+    /// Number of processes that are alive.
+    pub fn live(&self, now: u64) -> usize {
+        self.beats.values().filter(|seen| now < seen.changed + SUSPECT).count()
+    }
+
+    /// Cells that `me` should claim now.
+    pub fn claims(&mut self, cells: &[String], me: &str, now: u64) -> Vec<String> {
+        if now < self.since + SETTLE {
+            return Vec::new();
+        }
+        let candidates = self.candidates(now);
+        let mut held: IndexMap<String, usize> =
+            candidates.iter().map(|name| (name.clone(), 0)).collect();
+        for (_, lease) in self.leases.values() {
+            if let Some(count) = held.get_mut(&lease.holder) {
+                *count += 1;
+            }
+        }
+        let mut mine = Vec::new();
+        for cell in cells {
+            let holder = self.lease(cell).1.holder;
+            if !holder.is_empty() && self.alive(&holder, now) {
+                self.vacant.swap_remove(cell);
+                continue;
+            }
+            let since = *self.vacant.entry(cell.clone()).or_insert(now);
+            let mut order: Vec<&String> = held.keys().collect();
+            order.sort_by_key(|name| (held[*name], mix(cell, name)));
+            let place = order.iter().position(|name| *name == me);
+            let first = order.first().map(|name| (*name).clone());
+            if let Some(place) = place
+                && now >= since + RANK * place as u64
+            {
+                mine.push(cell.clone());
+            }
+            if let Some(first) = first {
+                held[&first] += 1;
+            }
+        }
+        mine
+    }
+}
+
+fn mix(cell: &str, name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (cell, name).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/cells/src/context.rs
@@ -0,0 +1,185 @@
+//! What the parts of a process share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Timeline;
+use indexmap::IndexMap;
+use jobs::wave::Wave;
+use jobs::{Configuration, Registration};
+use tokio::sync::Notify;
+
+use crate::clock;
+use crate::ports::{Dialect, Executors, Machines, Page, Store};
+use crate::rows::Load;
+
+/// Bounds that the platform states, all in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Longest lease of an executor.
+    pub lease: u64,
+    /// Time between the orders of two holders of the fleet's duties.
+    pub handover: u64,
+    /// How long before its due time an occurrence may start.
+    pub early: u64,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: u64,
+}
+
+/// Settings of a process.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the process's machine.
+    pub name: String,
+    /// Data centre.
+    pub centre: String,
+    /// Bounds of the platform.
+    pub bounds: Bounds,
+}
+
+/// The outside, as traits.
+#[expect(missing_debug_implementations, reason = "trait objects have no common form")]
+#[derive(Clone)]
+pub struct Ports {
+    /// The platform's table.
+    pub store: Rc<dyn Store>,
+    /// Orders to executors.
+    pub executors: Rc<dyn Executors>,
+    /// Orders for machines.
+    pub machines: Rc<dyn Machines>,
+    /// Forms of the operator's rows and the registry.
+    pub dialect: Rc<dyn Dialect>,
+}
+
+/// A wave that was seen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenWave {
+    /// The wave.
+    pub wave: Wave,
+    /// When it was first seen, in milliseconds.
+    pub since: u64,
+}
+
+/// State that lives as long as the process.
+pub(crate) struct Context {
+    pub settings: Settings,
+    pub ports: Ports,
+    pub timeline: Timeline,
+    /// Tells this start of the process from others of the same machine.
+    pub start: u64,
+    config: RefCell<Option<Rc<Configuration>>>,
+    pub changed: Notify,
+    pub waves: RefCell<IndexMap<u64, SeenWave>>,
+    pub registry: RefCell<IndexMap<String, Registration>>,
+    /// Whether the registry has been read since this process began to follow it.
+    pub listed: Cell<bool>,
+    pub loads: RefCell<IndexMap<String, Load>>,
+    /// The table's clock and when it was read.
+    table_clock: Cell<(u64, u64)>,
+    pub stopping: Cell<bool>,
+    /// Whether this process holds a cell and so needs the registry.
+    pub wants_registry: Cell<bool>,
+    away: Cell<bool>,
+}
+
+impl Context {
+    pub fn new(settings: Settings, ports: Ports, timeline: Timeline) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            ports,
+            timeline,
+            start: clock::wall(),
+            config: RefCell::default(),
+            changed: Notify::new(),
+            waves: RefCell::default(),
+            registry: RefCell::default(),
+            listed: Cell::new(false),
+            loads: RefCell::default(),
+            table_clock: Cell::new((0, 0)),
+            stopping: Cell::new(false),
+            wants_registry: Cell::new(false),
+            away: Cell::new(false),
+        })
+    }
+
+    /// Name of this incarnation among the holders of leases.
+    pub fn holder(&self) -> String {
+        holder(&self.settings.name, self.start)
+    }
+
+    /// Configuration in force.
+    pub fn config(&self) -> Option<Rc<Configuration>> {
+        self.config.borrow().clone()
+    }
+
+    /// Takes a configuration unless a newer one is in force.
+    pub fn set_config(&self, config: Configuration) {
+        let newer = self.config.borrow().as_ref().is_none_or(|c| c.version < config.version);
+        if !newer {
+            return;
+        }
+        self.timeline.record(
+            base::Event::ConfigurationInForce,
+            &[("version", &config.version), ("queues", &config.queues.len())],
+        );
+        *self.config.borrow_mut() = Some(Rc::new(config));
+        self.changed.notify_waiters();
+    }
+
+    /// Notes the table's clock.
+    pub fn saw_clock(&self, table: u64) {
+        self.table_clock.set((table, clock::now()));
+    }
+
+    /// The table's clock now; 0 before it was ever read.
+    pub fn table_now(&self) -> u64 {
+        match self.table_clock.get() {
+            (0, _) => 0,
+            (table, at) => table + clock::now().saturating_sub(at),
+        }
+    }
+
+    /// Milliseconds since the table was last heard.
+    pub fn table_age(&self) -> u64 {
+        clock::now().saturating_sub(self.table_clock.get().1)
+    }
+
+    /// Notes a page's clock.
+    pub fn saw(&self, page: &Page) {
+        self.saw_clock(page.clock);
+    }
+
+    /// Notes whether the table answers, with a line on each change.
+    pub fn set_away(&self, away: bool, what: &str) {
+        if self.away.replace(away) != away {
+            let event = if away { base::Event::PlatformAway } else { base::Event::PlatformBack };
+            self.timeline.record(event, &[("what", &what)]);
+        }
+    }
+
+    /// Whether the table did not answer the last time.
+    pub fn is_away(&self) -> bool {
+        self.away.get()
+    }
+
+    /// Lease that executors get, in milliseconds: what the platform allows, less what its
+    /// rounding and a slow clock may take.
+    pub fn lease(&self) -> u64 {
+        (self.settings.bounds.lease * 95 / 100).min(MAX_LEASE)
+    }
+}
+
+/// Longest lease given to executors, in milliseconds; covers the loss of a holder, which takes up
+/// to half of it, and keeps tasks of unreachable executors waiting no longer than needed.
+const MAX_LEASE: u64 = 6_000;
+
+/// Name of a process's incarnation.
+pub(crate) fn holder(name: &str, start: u64) -> String {
+    format!("{name}~{start}")
+}
+
+/// Sleeps.
+pub(crate) async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
--- /dev/null
+++ b/crates/cells/src/desk.rs
@@ -0,0 +1,290 @@
+//! Answers clients: submits, shows and cancels jobs.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use jobs::admit::{self, Verdict};
+use jobs::row::JobRow;
+use jobs::{Job, Queue, State};
+
+use crate::clock;
+use crate::context::{Context, pause};
+use crate::intake::{Intake, Stored};
+use crate::keys;
+use crate::ports::{Change, ChangeError};
+use crate::rows::{self, StateRow};
+
+/// How long a job may wait for the table before its client is told to come back, in milliseconds;
+/// a quarter of the shortest usual deadline.
+const STORE_PATIENCE: u64 = 700;
+/// When to come back after the table was away, in milliseconds; about as long as it takes to
+/// notice its return.
+const AWAY_RETRY: u64 = 1_000;
+/// Pause between tries of a read or a cancel, in milliseconds.
+const RETRY: u64 = 60;
+/// Share of a request's time, in percent, after which tries end, so that the answer arrives.
+const TRY_SHARE: u64 = 80;
+/// Ended jobs whose state is kept in memory; it can't change any more.
+const KEPT: usize = 20_000;
+/// Age up to which a cell's published load counts, in milliseconds.
+const LOAD_AGE: u64 = 3_000;
+
+/// Answer to a client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// The job is stored.
+    Accepted,
+    /// State of the job.
+    State(State),
+    /// The job is cancelled, or had ended.
+    Cancelled,
+    /// Number of the queue's jobs that have not begun.
+    Pending(u64),
+    /// No such queue.
+    NoQueue,
+    /// No such job.
+    NoJob,
+    /// The job breaks a rule.
+    Invalid(String),
+    /// Nothing was done and nothing will be; when to come back, in milliseconds.
+    Refused {
+        /// Whether load is the reason, not a part that is away.
+        busy: bool,
+        /// When to come back, in milliseconds.
+        after: u64,
+    },
+    /// It may have been done.
+    Unknown,
+}
+
+/// Takes requests for the life of the process.
+#[expect(missing_debug_implementations, reason = "holds trait objects")]
+pub struct Desk {
+    ctx: Rc<Context>,
+    intake: Rc<Intake>,
+    ended: RefCell<IndexMap<(String, String), State>>,
+}
+
+impl Desk {
+    pub(crate) fn open(ctx: Rc<Context>) -> Rc<Self> {
+        Rc::new(Self { ctx, intake: Rc::default(), ended: RefCell::default() })
+    }
+
+    /// Largest request body, in bytes; `None` before a configuration is there.
+    pub fn body_limit(&self) -> Option<usize> {
+        self.ctx.config().map(|config| config.body)
+    }
+
+    /// Finds the queue of a request.
+    pub fn queue(&self, host: &str, path: &str) -> Result<Queue, Reply> {
+        let Some(config) = self.ctx.config() else { return Err(self.unavailable()) };
+        config.find(host, path).cloned().ok_or(Reply::NoQueue)
+    }
+
+    fn unavailable(&self) -> Reply {
+        Reply::Refused { busy: false, after: AWAY_RETRY }
+    }
+
+    /// Submits a job; `left` is how long its client waits, in milliseconds.
+    pub async fn submit(&self, queue: &Queue, id: &str, job: &Job, left: u64) -> Reply {
+        if let Err(error) = job.check() {
+            return Reply::Invalid(error.to_string());
+        }
+        let cell = queue.pool.clone();
+        let part = keys::part(&queue.name);
+        if let Some(after) = self.overload(queue, &cell, job) {
+            // A job that came before and was accepted stays accepted.
+            match self.find(&part, id, clock::now() + STORE_PATIENCE).await {
+                Ok(Some(_)) => return Reply::Accepted,
+                Ok(None) => {
+                    self.refused(id, "load", after);
+                    return Reply::Refused { busy: true, after };
+                }
+                Err(()) => return Reply::Unknown,
+            }
+        }
+        let row = JobRow::new(&queue.name, self.ctx.table_now(), job);
+        let until = clock::now() + STORE_PATIENCE.min(left * TRY_SHARE / 100);
+        match self.intake.store(&self.ctx, &part, id, &cell, &row, until).await {
+            Stored::Yes => {
+                self.ctx.timeline.record(
+                    base::Event::JobAccepted,
+                    &[("job", &id), ("queue", &queue.name), ("cell", &cell)],
+                );
+                Reply::Accepted
+            }
+            Stored::No => {
+                self.refused(id, "table away", AWAY_RETRY);
+                Reply::Refused { busy: false, after: AWAY_RETRY }
+            }
+            Stored::Unknown => {
+                self.ctx.timeline.record(base::Event::WriteUnsettled, &[("job", &id)]);
+                Reply::Unknown
+            }
+        }
+    }
+
+    fn refused(&self, id: &str, why: &str, after: u64) {
+        let age = self.ctx.table_age();
+        self.ctx.timeline.record(
+            base::Event::JobRefused,
+            &[("job", &id), ("why", &why), ("after_ms", &after), ("table_age_ms", &age)],
+        );
+    }
+
+    /// When to come back, if the job can't be served in time.
+    fn overload(&self, queue: &Queue, cell: &str, job: &Job) -> Option<u64> {
+        let loads = self.ctx.loads.borrow();
+        let load = loads.get(cell)?;
+        if self.ctx.table_now() > load.clock + LOAD_AGE || job.is_lasting() {
+            return None;
+        }
+        let chain = job.chain();
+        let slack = (chain * queue.stretch / 1_000 + queue.target).saturating_sub(chain);
+        let load = admit::Load {
+            jobs: usize::try_from(load.jobs).unwrap_or(usize::MAX),
+            waiting: load.waiting,
+            room: load.room,
+        };
+        match admit::judge(&load, slack) {
+            Verdict::Accept => None,
+            Verdict::Refuse(after) => Some(after),
+        }
+    }
+
+    /// Shows a job's state.
+    pub async fn state(&self, queue: &Queue, id: &str, left: u64) -> Reply {
+        let part = keys::part(&queue.name);
+        let key = (part.clone(), id.to_owned());
+        if let Some(state) = self.ended.borrow().get(&key) {
+            return Reply::State(*state);
+        }
+        match self.find(&part, id, clock::now() + left * TRY_SHARE / 100).await {
+            Ok(None) => Reply::NoJob,
+            Ok(Some((_, row))) => match row.state() {
+                Some(state) => {
+                    if state.is_final() {
+                        self.keep(key, state);
+                    }
+                    Reply::State(state)
+                }
+                None => self.unavailable(),
+            },
+            Err(()) => self.unavailable(),
+        }
+    }
+
+    fn keep(&self, key: (String, String), state: State) {
+        let mut ended = self.ended.borrow_mut();
+        if ended.len() >= KEPT {
+            ended.swap_remove_index(0);
+        }
+        ended.insert(key, state);
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, queue: &Queue, id: &str, left: u64) -> Reply {
+        let part = keys::part(&queue.name);
+        let until = clock::now() + left * TRY_SHARE / 100;
+        loop {
+            let (version, row) = match self.find(&part, id, until).await {
+                Ok(None) => return Reply::NoJob,
+                Ok(Some(found)) => found,
+                Err(()) => return Reply::Unknown,
+            };
+            if row.state().is_some_and(State::is_final) {
+                return Reply::Cancelled;
+            }
+            let place = keys::state(&part, id);
+            let mut mark = keys::state(&part, &keys::cancel(id));
+            mark.table = keys::jobs(&row.cell);
+            let cancelled = StateRow::new(&row.cell, State::Cancelled);
+            let change = Change {
+                expect: vec![(place.clone(), version)],
+                writes: vec![(place, rows::encode(&cancelled)), (mark, b"1".to_vec())],
+                removes: Vec::new(),
+            };
+            match self.ctx.ports.store.apply(&change).await {
+                Ok(_) => {
+                    self.ctx.timeline.record(
+                        base::Event::CancelTaken,
+                        &[("job", &id), ("queue", &queue.name), ("cell", &row.cell)],
+                    );
+                    return Reply::Cancelled;
+                }
+                // The job has moved on meanwhile; look at it again.
+                Err(ChangeError::Conflict { .. }) => {}
+                Err(error) => {
+                    self.ctx.set_away(true, &error.to_string());
+                    pause(RETRY).await;
+                }
+            }
+            if clock::now() >= until {
+                return Reply::Unknown;
+            }
+        }
+    }
+
+    /// Counts the jobs of a queue that have not begun.
+    pub async fn pending(&self, queue: &Queue, left: u64) -> Reply {
+        let until = clock::now() + left * TRY_SHARE / 100;
+        let cell = &queue.pool;
+        loop {
+            match self.ctx.ports.store.read(&keys::load(cell), 1).await {
+                Ok(page) => {
+                    self.ctx.set_away(false, "load was read");
+                    self.ctx.saw(&page);
+                    let place = keys::load(cell);
+                    let row = page.rows.iter().find(|row| row.place == place);
+                    let load: Option<rows::Load> =
+                        row.and_then(|r| r.value.as_deref()).and_then(|v| rows::decode(v).ok());
+                    let count =
+                        load.and_then(|load| load.pending.get(&queue.name).copied()).unwrap_or(0);
+                    return Reply::Pending(count);
+                }
+                Err(error) => {
+                    self.ctx.set_away(true, &error.to_string());
+                    if clock::now() >= until {
+                        return self.unavailable();
+                    }
+                    pause(RETRY).await;
+                }
+            }
+        }
+    }
+
+    /// Reads a job's state row, with its version; tries until `until`.
+    async fn find(&self, part: &str, id: &str, until: u64) -> Result<Option<(u64, StateRow)>, ()> {
+        let place = keys::state(part, id);
+        loop {
+            match self.ctx.ports.store.read(&place, 1).await {
+                Ok(page) => {
+                    self.ctx.set_away(false, "state was read");
+                    self.ctx.saw(&page);
+                    let Some(row) = page.rows.into_iter().find(|row| row.place == place) else {
+                        return Ok(None);
+                    };
+                    let Some(value) = row.value else { return Ok(None) };
+                    return match rows::decode(&value) {
+                        Ok(state) => Ok(Some((row.version, state))),
+                        Err(error) => {
+                            self.ctx.timeline.record(
+                                base::Event::RowUnreadable,
+                                &[("row", &id), ("error", &error)],
+                            );
+                            Err(())
+                        }
+                    };
+                }
+                Err(error) => {
+                    self.ctx.set_away(true, &error.to_string());
+                    if clock::now() + RETRY >= until {
+                        return Err(());
+                    }
+                    pause(RETRY).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cells/src/keys.rs
@@ -0,0 +1,66 @@
+//! Names of the rows that the cells keep.
+
+use crate::ports::Place;
+
+/// Table of what every process has to know: leases, heartbeats and loads.
+pub const SHARED: &str = "shared";
+/// Cell of the fleet's own duties; pools can't have this name, as it is no name for a service.
+pub const FLEET: &str = "!fleet";
+
+/// Lease of a cell.
+pub fn lease(cell: &str) -> Place {
+    Place::new(SHARED, "", &format!("lease/{cell}"))
+}
+
+/// Heartbeat of a process.
+pub fn beat(process: &str) -> Place {
+    Place::new(SHARED, "", &format!("beat/{process}"))
+}
+
+/// Load of a cell.
+pub fn load(cell: &str) -> Place {
+    Place::new(SHARED, "", &format!("load/{cell}"))
+}
+
+/// Executors that holders of a cell have given orders to.
+pub fn roster(cell: &str) -> Place {
+    Place::new("roster", "", cell)
+}
+
+/// Mark of the holder of a cell in a part of the jobs.
+pub fn fence(part: &str, cell: &str) -> Place {
+    Place::new("fence", part, cell)
+}
+
+/// State of a job, under its queue.
+pub fn state(part: &str, id: &str) -> Place {
+    Place::new("states", part, id)
+}
+
+/// Table of the jobs of a cell.
+pub fn jobs(cell: &str) -> String {
+    format!("jobs.{cell}")
+}
+
+/// Table of the progress of a cell's jobs.
+pub fn progress(cell: &str) -> String {
+    format!("progress.{cell}")
+}
+
+/// Key of the mark that a job is cancelled, beside the job's own.
+pub fn cancel(id: &str) -> String {
+    format!("{id}!")
+}
+
+/// A machine's row among the fleet's duties.
+pub fn duty(machine: &str) -> Place {
+    Place::new("duties", "", machine)
+}
+
+/// Part of the table that holds the jobs of a queue.
+///
+/// It depends on the queue alone, so that a job is found after its queue has moved to another
+/// pool.
+pub fn part(queue: &str) -> String {
+    queue.to_owned()
+}
--- /dev/null
+++ b/crates/cells/src/member.rs
@@ -0,0 +1,203 @@
+//! Heartbeats, leases and the cells that this process holds.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
+
+use crate::claim::Observations;
+use crate::clock;
+use crate::context::{Context, pause};
+use crate::fleet::Fleet;
+use crate::follow::read_all;
+use crate::keys;
+use crate::owner::{Owner, Tenure};
+use crate::ports::{Change, ChangeError, Place, Row};
+use crate::rows::{self, Beat, Lease, Load};
+
+/// Time between heartbeats and reads of the shared rows, in milliseconds; five fit in the silence
+/// after which a process counts as gone.
+const BEAT: u64 = 500;
+
+/// The cells that this process holds.
+#[derive(Default)]
+struct Held {
+    owners: IndexMap<String, Owner>,
+    fleet: Option<Fleet>,
+}
+
+/// Keeps this process a member for as long as it runs.
+pub(crate) struct Member {
+    ctx: Rc<Context>,
+    held: RefCell<Held>,
+    seen: RefCell<Observations>,
+}
+
+impl Member {
+    pub fn spawn(ctx: Rc<Context>) -> Rc<Self> {
+        let member = Rc::new(Self { ctx, held: RefCell::default(), seen: RefCell::default() });
+        actix::spawn(Rc::clone(&member).beat());
+        actix::spawn(Rc::clone(&member).poll());
+        member
+    }
+
+    /// Hands all cells over, then leaves.
+    pub async fn close(&self) {
+        let held = std::mem::take(&mut *self.held.borrow_mut());
+        let closing = held.owners.into_values().map(Owner::close);
+        futures_util::future::join_all(closing).await;
+        if let Some(fleet) = held.fleet {
+            fleet.close().await;
+        }
+    }
+
+    async fn beat(self: Rc<Self>) {
+        let place = keys::beat(&self.ctx.settings.name);
+        for count in 1.. {
+            let open = !self.ctx.stopping.get();
+            let beat = Beat { count, start: self.ctx.start, open };
+            let change =
+                Change { writes: vec![(place.clone(), rows::encode(&beat))], ..Change::default() };
+            if let Err(error) = self.ctx.ports.store.apply(&change).await {
+                self.ctx.set_away(true, &error.to_string());
+            }
+            pause(BEAT).await;
+        }
+    }
+
+    async fn poll(self: Rc<Self>) {
+        loop {
+            let from = Place::new(keys::SHARED, "", "");
+            match read_all(&self.ctx, from).await {
+                Ok((rows, _)) => {
+                    self.ctx.set_away(false, "shared rows were read");
+                    self.take(&rows);
+                    self.claim().await;
+                    let held = !self.held.borrow().owners.is_empty();
+                    self.ctx.wants_registry.set(held);
+                }
+                Err(error) => self.ctx.set_away(true, &error.to_string()),
+            }
+            pause(BEAT).await;
+        }
+    }
+
+    /// Takes in the shared rows, and gives up cells that others hold by now.
+    fn take(&self, rows: &[Row]) {
+        let now = clock::now();
+        let loads = self.read::<Load>(rows, "load/");
+        *self.ctx.loads.borrow_mut() = loads.into_iter().map(|(n, (_, load))| (n, load)).collect();
+        let leases = self.read::<Lease>(rows, "lease/");
+        let me = self.ctx.holder();
+        let mut held = self.held.borrow_mut();
+        let is_mine = |cell: &str, tenure: &Tenure| {
+            leases.get(cell).is_some_and(|(_, l)| l.holder == me && l.term == tenure.term)
+        };
+        held.owners.retain(|cell, owner| {
+            if is_mine(cell, owner.tenure()) {
+                owner.confirm(now);
+                return true;
+            }
+            owner.abandon("another process holds the lease");
+            false
+        });
+        held.owners.retain(|_, owner| !owner.is_lost());
+        if let Some(fleet) = &held.fleet
+            && !is_mine(keys::FLEET, fleet.tenure())
+        {
+            fleet.abandon();
+            held.fleet = None;
+        }
+        if let Some(fleet) = &held.fleet {
+            fleet.confirm(now);
+        }
+        self.seen.borrow_mut().observe(self.read::<Beat>(rows, "beat/"), leases, now);
+    }
+
+    fn read<T: DeserializeOwned>(&self, rows: &[Row], prefix: &str) -> IndexMap<String, (u64, T)> {
+        let mut all = IndexMap::new();
+        for row in rows {
+            let Some(name) = row.place.key.strip_prefix(prefix) else { continue };
+            let Some(value) = &row.value else { continue };
+            match rows::decode(value) {
+                Ok(value) => {
+                    all.insert(name.to_owned(), (row.version, value));
+                }
+                Err(error) => self.ctx.timeline.record(
+                    base::Event::RowUnreadable,
+                    &[("row", &row.place.key), ("error", &error)],
+                ),
+            }
+        }
+        all
+    }
+
+    /// Claims the cells that are this process's to take.
+    async fn claim(&self) {
+        if self.ctx.stopping.get() {
+            return;
+        }
+        let Some(config) = self.ctx.config() else { return };
+        let mut cells: Vec<String> =
+            config.pools.values().filter(|pool| !pool.standby).map(|p| p.name.clone()).collect();
+        // A pool that is gone from the configuration may still have jobs.
+        cells.extend(
+            self.ctx.loads.borrow().iter().filter(|(_, l)| l.jobs > 0).map(|(n, _)| n.clone()),
+        );
+        cells.push(keys::FLEET.to_owned());
+        cells.sort();
+        cells.dedup();
+        let me = self.ctx.holder();
+        let claims = self.seen.borrow_mut().claims(&cells, &me, clock::now());
+        for cell in claims {
+            let (version, lease) = self.seen.borrow().lease(&cell);
+            if let Some(tenure) = self.acquire(&cell, version, &lease).await {
+                let mut held = self.held.borrow_mut();
+                if cell == keys::FLEET {
+                    held.fleet = Some(Fleet::spawn(Rc::clone(&self.ctx), tenure));
+                } else {
+                    held.owners.insert(cell, Owner::spawn(Rc::clone(&self.ctx), tenure));
+                }
+            }
+        }
+    }
+
+    async fn acquire(&self, cell: &str, version: u64, old: &Lease) -> Option<Tenure> {
+        let lease = Lease { holder: self.ctx.holder(), term: old.term + 1 };
+        let place = keys::lease(cell);
+        let change = Change {
+            expect: vec![(place.clone(), version)],
+            writes: vec![(place, rows::encode(&lease))],
+            removes: Vec::new(),
+        };
+        let asked = clock::now();
+        match self.ctx.ports.store.apply(&change).await {
+            Ok(done) => {
+                self.ctx.timeline.record(
+                    base::Event::CellTaken,
+                    &[
+                        ("cell", &cell),
+                        ("epoch", &done.version),
+                        ("term", &lease.term),
+                        ("before", &old.holder),
+                    ],
+                );
+                Some(Tenure {
+                    cell: cell.to_owned(),
+                    epoch: done.version,
+                    term: lease.term,
+                    since: asked,
+                    planned: old.holder.is_empty(),
+                })
+            }
+            // Another process was faster, or the next read shows whether this one has it: it then
+            // holds a lease without a running owner and lets it go.
+            Err(ChangeError::Conflict { .. }) => None,
+            Err(error) => {
+                self.ctx.set_away(true, &error.to_string());
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cells/src/node.rs
@@ -0,0 +1,127 @@
+//! One process: its desk, its membership and what it follows.
+
+use std::rc::Rc;
+
+use base::Timeline;
+use indexmap::IndexMap;
+
+use crate::clock;
+use crate::context::{Context, Ports, SeenWave, Settings, pause};
+use crate::desk::Desk;
+use crate::follow::follow;
+use crate::member::Member;
+use crate::ports::{Instruction, Row};
+
+/// Least time between two reads of the registry's changes, in milliseconds; executors write there
+/// about every second and a half each.
+const REGISTRY_GAP: u64 = 250;
+
+/// A running process.
+#[expect(missing_debug_implementations, reason = "holds trait objects")]
+pub struct Node {
+    ctx: Rc<Context>,
+    desk: Rc<Desk>,
+    member: Rc<Member>,
+}
+
+impl Node {
+    /// Starts following the platform and taking cells.
+    pub fn spawn(settings: Settings, ports: Ports, timeline: Timeline) -> Self {
+        let ctx = Context::new(settings, ports, timeline);
+        actix::spawn(follow_instructions(Rc::clone(&ctx)));
+        actix::spawn(follow_registry(Rc::clone(&ctx)));
+        let member = Member::spawn(Rc::clone(&ctx));
+        Self { desk: Desk::open(Rc::clone(&ctx)), member, ctx }
+    }
+
+    /// Answers clients.
+    pub fn desk(&self) -> Rc<Desk> {
+        Rc::clone(&self.desk)
+    }
+
+    /// Whether new connections may come: a configuration is there, the table answers, and the
+    /// process is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        !self.ctx.stopping.get() && self.ctx.config().is_some() && !self.ctx.is_away()
+    }
+
+    /// Hands the cells over; requests are still answered.
+    pub async fn close(self) {
+        self.ctx.stopping.set(true);
+        self.member.close().await;
+    }
+}
+
+async fn follow_instructions(ctx: Rc<Context>) {
+    let table = ctx.ports.dialect.instructions().to_owned();
+    let taker = Rc::clone(&ctx);
+    let take = move |row: &Row| match taker.ports.dialect.instruction(row) {
+        Ok(Some(Instruction::Configuration(config))) => taker.set_config(config),
+        Ok(Some(Instruction::Wave(wave))) => {
+            let mut waves = taker.waves.borrow_mut();
+            let same = waves.get(&wave.number).is_some_and(|seen| seen.wave == wave);
+            if !same {
+                taker.timeline.record(
+                    base::Event::WaveSeen,
+                    &[
+                        ("wave", &wave.number),
+                        ("machines", &wave.machines.len()),
+                        ("most", &wave.most),
+                        ("within_ms", &wave.within),
+                    ],
+                );
+                waves.insert(wave.number, SeenWave { since: clock::now(), wave });
+            }
+        }
+        Ok(None) => {}
+        Err(error) => taker
+            .timeline
+            .record(base::Event::RowUnreadable, &[("row", &row.place.key), ("error", &error)]),
+    };
+    follow(ctx, table, 0, || true, take, || {}).await;
+}
+
+/// Follows the registry whenever this process holds a cell.
+async fn follow_registry(ctx: Rc<Context>) {
+    let table = ctx.ports.dialect.registry().to_owned();
+    loop {
+        while !ctx.wants_registry.get() {
+            pause(REGISTRY_GAP).await;
+        }
+        let taker = Rc::clone(&ctx);
+        let mut bad: IndexMap<String, ()> = IndexMap::new();
+        let take = move |row: &Row| {
+            let id = &row.place.key;
+            if row.value.is_none() {
+                taker.registry.borrow_mut().swap_remove(id);
+                return;
+            }
+            match taker.ports.dialect.registration(row) {
+                Ok(entry) => {
+                    taker.registry.borrow_mut().insert(id.clone(), entry);
+                }
+                Err(error) => {
+                    // An entry that can't be read names no executor to use.
+                    taker.registry.borrow_mut().swap_remove(id);
+                    if bad.insert(id.clone(), ()).is_none() {
+                        taker
+                            .timeline
+                            .record(base::Event::RowUnreadable, &[("row", id), ("error", &error)]);
+                    }
+                }
+            }
+        };
+        let (whole, wanted) = (Rc::clone(&ctx), Rc::clone(&ctx));
+        follow(
+            Rc::clone(&ctx),
+            table.clone(),
+            REGISTRY_GAP,
+            move || wanted.wants_registry.get(),
+            take,
+            move || whole.listed.set(true),
+        )
+        .await;
+        ctx.listed.set(false);
+        ctx.registry.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/cells/src/owner/look.rs
@@ -0,0 +1,138 @@
+//! Looking at executors: renews leases, acknowledges ends, learns what runs.
+//!
+//! Load pattern: a busy executor ends dozens of tasks a second. A look returns with the first end,
+//! so a pause between looks lets several ends share one; an executor without work is looked at
+//! only as often as its freshness needs.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Inner;
+use crate::clock;
+use crate::context::pause;
+use crate::ports::{Ask, OrderError};
+
+/// Longest wait of an executor for an end, in milliseconds; leases are renewed at least as often.
+const WAIT: u64 = 900;
+/// Pause between looks at an executor with work, in milliseconds; delays the end of a step by half
+/// of it on average.
+const BUSY: u64 = 100;
+/// Pause between looks at an executor without work, in milliseconds.
+const IDLE: u64 = 1_400;
+/// Pause after a look without answer, in milliseconds.
+const RETRY: u64 = 250;
+
+impl Inner {
+    /// Starts the look loops of executors that have none.
+    pub(super) fn start_looks(self: &Rc<Self>) {
+        let ids: Vec<String> = {
+            let cell = self.cell.borrow();
+            let looked = self.looked.borrow();
+            let alive = cell.workers().iter().filter(|(_, w)| !w.dead);
+            alive.map(|(id, _)| id).filter(|id| !looked.contains(*id)).cloned().collect()
+        };
+        for id in ids {
+            self.looked.borrow_mut().insert(id.clone());
+            actix::spawn(Rc::clone(self).look_at(id));
+        }
+    }
+
+    async fn look_at(self: Rc<Self>, id: String) {
+        while self.is_active() {
+            if !self.may_order() {
+                pause(RETRY).await;
+                continue;
+            }
+            let Some(executor) = self.executor(&id) else { break };
+            let Some(ask) = self.ask(&id) else { break };
+            let sent = clock::now();
+            let answer = self.ctx.ports.executors.look(&executor, self.tenure.epoch, &ask).await;
+            if !self.is_active() {
+                break;
+            }
+            let now = clock::now();
+            let rest = match answer {
+                Ok(look) => {
+                    let busy = !look.present.is_empty();
+                    let ends = !look.ended.is_empty();
+                    let mut cell = self.cell.borrow_mut();
+                    if let Some(worker) = cell.workers().get(&id)
+                        && !worker.joined
+                    {
+                        self.ctx.timeline.record(
+                            base::Event::ExecutorJoined,
+                            &[
+                                ("cell", &self.tenure.cell),
+                                ("executor", &id),
+                                ("runs", &look.present.len()),
+                                ("ends", &look.ended.len()),
+                            ],
+                        );
+                    }
+                    cell.looked(&id, &look, sent, now);
+                    drop(cell);
+                    if ends {
+                        self.wake.notify_one();
+                    }
+                    if busy || ends { BUSY } else { self.idle_rest(&id) }
+                }
+                Err(OrderError::Fenced) => {
+                    self.cell.borrow_mut().supersede();
+                    break;
+                }
+                Err(OrderError::Gone) => {
+                    self.note_gone(&id, "another incarnation answers");
+                    self.cell.borrow_mut().bury(&id, now);
+                    self.wake.notify_one();
+                    break;
+                }
+                Err(OrderError::Silent { what }) => {
+                    let first = {
+                        let mut cell = self.cell.borrow_mut();
+                        cell.unheard(&id);
+                        cell.workers().get(&id).is_some_and(|w| w.silent == 1)
+                    };
+                    if first {
+                        self.note_gone(&id, &what);
+                    }
+                    RETRY
+                }
+            };
+            self.rest(&id, rest).await;
+        }
+        self.looked.borrow_mut().swap_remove(&id);
+    }
+
+    fn note_gone(&self, id: &str, what: &str) {
+        self.ctx.timeline.record(
+            base::Event::ExecutorSilent,
+            &[("cell", &self.tenure.cell), ("executor", &id), ("what", &what)],
+        );
+    }
+
+    fn idle_rest(&self, id: &str) -> u64 {
+        let cell = self.cell.borrow();
+        let busy = cell.workers().get(id).is_some_and(|w| !w.runs.is_empty() || w.seen > w.durable);
+        if busy { BUSY } else { IDLE }
+    }
+
+    /// Waits until the next look, less long when the executor gets work meanwhile.
+    async fn rest(&self, id: &str, ms: u64) {
+        let until = clock::now() + ms;
+        pause(ms.min(BUSY)).await;
+        while self.is_active() && clock::now() < until && self.idle_rest(id) == IDLE {
+            pause(BUSY).await;
+        }
+    }
+
+    fn ask(&self, id: &str) -> Option<Ask> {
+        let mut cell = self.cell.borrow_mut();
+        let worker = cell.workers().get(id).filter(|w| !w.dead)?;
+        let acked = worker.durable;
+        let quiet = worker.runs.is_empty() || worker.seen > worker.durable || !worker.joined;
+        let hurried = worker.runs.values().any(|slot| slot.phase == jobs::worker::Phase::Stopped);
+        let wait = if quiet || hurried { 0 } else { WAIT };
+        let expires = if worker.runs.is_empty() { None } else { cell.grant(id, clock::now()) };
+        Some(Ask { expires, acked, wait: Duration::from_millis(wait) })
+    }
+}
--- /dev/null
+++ b/crates/cells/src/owner/mod.rs
@@ -0,0 +1,310 @@
+//! Holder of one cell: runs its scheduler against the table and the executors.
+
+mod duty;
+mod look;
+mod recover;
+mod send;
+mod write;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use jobs::cell::Arrival;
+use jobs::row::JobRow;
+use jobs::{Progress, Rules};
+use tokio::sync::{Notify, Semaphore};
+
+use crate::clock;
+use crate::context::{Context, pause};
+use crate::keys;
+use crate::ports::{Change, Executor, Place, Row};
+use crate::rows::{self, Lease, Load};
+
+/// Time for which a holder gives orders after its lease was last confirmed, in milliseconds;
+/// rides out the usual outages of the table.
+const VALID: u64 = 9_000;
+/// Time between passes of the scheduler without events, in milliseconds.
+const TICK: u64 = 25;
+/// Time between publications of the load, in milliseconds; half of the age that clients may see.
+const PUBLISH: u64 = 600;
+/// Longest part of the stop that is spent on making the last ends durable, in milliseconds.
+const FLUSH: u64 = 600;
+
+/// The right to run a cell.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tenure {
+    /// The cell.
+    pub cell: String,
+    /// Number that executors and machines compare; rises over all cells.
+    pub epoch: u64,
+    /// Number of the holder.
+    pub term: u64,
+    /// When the lease was asked for, in milliseconds.
+    pub since: u64,
+    /// Whether the holder before has handed it over.
+    pub planned: bool,
+}
+
+/// State of a running owner.
+pub(crate) struct Inner {
+    pub ctx: Rc<Context>,
+    pub tenure: Tenure,
+    pub cell: RefCell<jobs::Cell>,
+    /// Limits of the connections to each executor.
+    pub gates: RefCell<IndexMap<String, Rc<Semaphore>>>,
+    /// Executors that look loops run for.
+    pub looked: RefCell<indexmap::IndexSet<String>>,
+    pub ledgers: RefCell<IndexMap<String, write::Ledger>>,
+    pub roster: RefCell<write::RosterState>,
+    /// Jobs that were cancelled before they were seen.
+    pub cancels: RefCell<indexmap::IndexSet<String>>,
+    confirmed: Cell<u64>,
+    lost: Cell<bool>,
+    pub ready: Cell<bool>,
+    pub wake: Notify,
+}
+
+/// Handle of a running owner.
+pub(crate) struct Owner {
+    inner: Rc<Inner>,
+}
+
+impl Owner {
+    pub fn spawn(ctx: Rc<Context>, tenure: Tenure) -> Self {
+        let now = clock::now();
+        let lease = ctx.lease();
+        let rules = Rules {
+            lease,
+            legacy: if tenure.planned { lease + lease / 20 } else { VALID + lease + lease / 20 },
+            early: ctx.settings.bounds.early / 2,
+            term: tenure.term,
+        };
+        let inner = Rc::new(Inner {
+            ctx,
+            cell: RefCell::new(jobs::Cell::new(rules, now)),
+            gates: RefCell::default(),
+            looked: RefCell::default(),
+            ledgers: RefCell::default(),
+            roster: RefCell::default(),
+            cancels: RefCell::default(),
+            confirmed: Cell::new(now),
+            lost: Cell::new(false),
+            ready: Cell::new(false),
+            wake: Notify::new(),
+            tenure,
+        });
+        actix::spawn(Rc::clone(&inner).run());
+        Self { inner }
+    }
+
+    pub fn tenure(&self) -> &Tenure {
+        &self.inner.tenure
+    }
+
+    /// Notes that the lease was seen to be held.
+    pub fn confirm(&self, now: u64) {
+        self.inner.confirmed.set(now);
+    }
+
+    pub fn is_lost(&self) -> bool {
+        self.inner.lost.get()
+    }
+
+    /// Ends without a hand-over.
+    pub fn abandon(&self, why: &str) {
+        self.inner.lose(why);
+    }
+
+    /// Makes durable what can be, and hands the cell over.
+    pub async fn close(self) {
+        let inner = self.inner;
+        let until = clock::now() + FLUSH;
+        while inner.is_active() && inner.cell.borrow().is_dirty() && clock::now() < until {
+            pause(TICK).await;
+        }
+        if !inner.is_active() {
+            return;
+        }
+        inner.lose("planned stop");
+        release(&inner.ctx, &inner.tenure).await;
+    }
+}
+
+/// Gives a lease up.
+pub(crate) async fn release(ctx: &Context, tenure: &Tenure) {
+    let place = keys::lease(&tenure.cell);
+    let row = rows::encode(&Lease { holder: String::new(), term: tenure.term });
+    let change = Change {
+        expect: vec![(place.clone(), tenure.epoch)],
+        writes: vec![(place, row)],
+        removes: Vec::new(),
+    };
+    match ctx.ports.store.apply(&change).await {
+        Ok(_) => ctx.timeline.record(base::Event::CellReleased, &[("cell", &tenure.cell)]),
+        Err(error) => {
+            ctx.timeline.record(base::Event::CellLost, &[("cell", &tenure.cell), ("why", &error)])
+        }
+    }
+}
+
+impl Inner {
+    /// Whether this process may act for the cell.
+    pub fn is_active(&self) -> bool {
+        !self.lost.get()
+    }
+
+    /// Whether orders may go out: the lease was confirmed lately.
+    pub fn may_order(&self) -> bool {
+        self.is_active() && clock::now() < self.confirmed.get() + VALID
+    }
+
+    pub fn lose(&self, why: &str) {
+        if !self.lost.replace(true) {
+            self.ctx.timeline.record(
+                base::Event::CellLost,
+                &[("cell", &self.tenure.cell), ("epoch", &self.tenure.epoch), ("why", &why)],
+            );
+        }
+    }
+
+    pub fn executor(&self, id: &str) -> Option<Executor> {
+        let cell = self.cell.borrow();
+        let worker = cell.workers().get(id)?;
+        Some(Executor { address: worker.entry.address.clone(), id: id.to_owned() })
+    }
+
+    async fn run(self: Rc<Self>) {
+        self.configure();
+        if !self.recover().await {
+            return;
+        }
+        self.ready.set(true);
+        let count = self.cell.borrow().count();
+        self.ctx
+            .timeline
+            .record(base::Event::CellReady, &[("cell", &self.tenure.cell), ("jobs", &count)]);
+        actix::spawn(Rc::clone(&self).publish());
+        actix::spawn(Rc::clone(&self).write_all());
+        actix::spawn(Rc::clone(&self).follow_duties());
+        let mut version = self.ctx.config().map(|c| c.version);
+        while self.is_active() {
+            let current = self.ctx.config().map(|c| c.version);
+            if current != version {
+                version = current;
+                self.configure();
+            }
+            self.sync_workers().await;
+            self.start_looks();
+            if self.may_order() {
+                let orders = self.cell.borrow_mut().tick(clock::now(), clock::wall());
+                for order in orders {
+                    self.send(order);
+                }
+            }
+            if self.cell.borrow().is_superseded() {
+                self.lose("an executor has seen a later holder");
+            }
+            tokio::select! {
+                () = pause(TICK) => {}
+                () = self.wake.notified() => pause(TICK / 3).await,
+            }
+        }
+    }
+
+    fn configure(&self) {
+        if let Some(config) = self.ctx.config() {
+            self.cell.borrow_mut().configure(config.queues.values());
+        }
+    }
+
+    /// Takes in a row of the cell's jobs.
+    pub fn take_job(&self, row: &Row, progress: Progress, inherited: bool) {
+        let key = row.place.key.as_str();
+        let Some(value) = &row.value else { return };
+        if let Some(id) = key.strip_suffix('!') {
+            let mut cell = self.cell.borrow_mut();
+            if cell.holds(id) {
+                cell.cancel(id, clock::now());
+                self.wake.notify_one();
+            } else {
+                self.cancels.borrow_mut().insert(id.to_owned());
+            }
+            return;
+        }
+        let job: JobRow = match rows::decode(value) {
+            Ok(job) => job,
+            Err(error) => {
+                self.ctx
+                    .timeline
+                    .record(base::Event::RowUnreadable, &[("row", &key), ("error", &error)]);
+                return;
+            }
+        };
+        let now = clock::now();
+        let age = self.ctx.table_now().saturating_sub(job.accepted);
+        let arrival = Arrival {
+            id: key.to_owned(),
+            part: row.place.part.clone(),
+            queue: job.queue.clone(),
+            progress,
+            accepted: if job.accepted == 0 { now } else { now.saturating_sub(age) },
+            inherited,
+            job: job.into(),
+        };
+        let mut cell = self.cell.borrow_mut();
+        cell.admit(arrival);
+        if self.cancels.borrow_mut().swap_remove(key) {
+            cell.cancel(key, now);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Publishes the load, for clients' questions and for admission.
+    async fn publish(self: Rc<Self>) {
+        let mut last = Load::default();
+        while self.is_active() {
+            let load = self.load();
+            let same = Load { clock: last.clock, ..load.clone() } == last;
+            if !same || load.clock > last.clock + 2 * PUBLISH {
+                let place = keys::load(&self.tenure.cell);
+                let change = Change {
+                    expect: vec![(keys::lease(&self.tenure.cell), self.tenure.epoch)],
+                    writes: vec![(place, rows::encode(&load))],
+                    removes: Vec::new(),
+                };
+                match self.ctx.ports.store.apply(&change).await {
+                    Ok(_) => last = load,
+                    Err(crate::ports::ChangeError::Conflict { .. }) => {
+                        self.lose("the lease has changed");
+                    }
+                    Err(error) => self.ctx.set_away(true, &error.to_string()),
+                }
+            }
+            pause(PUBLISH).await;
+        }
+    }
+
+    fn load(&self) -> Load {
+        let cell = self.cell.borrow();
+        let now = clock::now();
+        let (mut room, mut used) = (0, 0);
+        for worker in cell.workers().values().filter(|w| w.takes(now)) {
+            room += worker.entry.room.cpu;
+            used += worker.used.cpu;
+        }
+        Load {
+            pending: cell.pending(),
+            jobs: cell.count() as u64,
+            waiting: cell.backlog(),
+            room,
+            used,
+            clock: self.ctx.table_now(),
+        }
+    }
+
+    /// Key that a job's row has in a table of the cell.
+    pub fn place(table: String, part: &str, key: &str) -> Place {
+        Place { table, part: part.to_owned(), key: key.to_owned() }
+    }
+}
--- /dev/null
+++ b/crates/cells/src/owner/send.rs
@@ -0,0 +1,128 @@
+//! Sending orders to executors.
+
+use std::rc::Rc;
+
+use jobs::cell::{Order, StartOutcome};
+use tokio::sync::Semaphore;
+
+use super::Inner;
+use crate::clock;
+use crate::ports::{OrderError, Start};
+
+/// Orders under way to one executor at most; each may take a connection of its own.
+const ORDERS: usize = 4;
+
+impl Inner {
+    /// Sends an order; its answer goes to the scheduler.
+    pub(super) fn send(self: &Rc<Self>, order: Order) {
+        let inner = Rc::clone(self);
+        actix::spawn(async move {
+            match order {
+                Order::Start { worker, task, run, payload, expires, saved } => {
+                    let outcome = inner.start(&worker, &task, run, &payload, expires, &saved).await;
+                    inner.note_start(&worker, &task, run, &saved, outcome);
+                    inner.cell.borrow_mut().started(&worker, &task, run, outcome, clock::now());
+                    if !matches!(outcome, StartOutcome::Running(_)) {
+                        inner.wake.notify_one();
+                    }
+                }
+                Order::Stop { worker, task, run } => {
+                    let Some(executor) = inner.executor(&worker) else { return };
+                    let epoch = inner.tenure.epoch;
+                    let executors = &inner.ctx.ports.executors;
+                    let answer = executors.stop(&executor, epoch, &task, run).await;
+                    inner.ctx.timeline.record(
+                        base::Event::StopSent,
+                        &[
+                            ("task", &task),
+                            ("run", &run),
+                            ("executor", &worker),
+                            (
+                                "answer",
+                                &answer
+                                    .as_ref()
+                                    .err()
+                                    .map_or("taken".to_owned(), ToString::to_string),
+                            ),
+                        ],
+                    );
+                    let now = clock::now();
+                    let mut cell = inner.cell.borrow_mut();
+                    match answer {
+                        Ok(()) => cell.stopped(&worker, &task, run, true, now),
+                        Err(OrderError::Silent { .. }) => {
+                            cell.stopped(&worker, &task, run, false, now);
+                        }
+                        Err(OrderError::Fenced) => cell.supersede(),
+                        Err(OrderError::Gone) => cell.bury(&worker, now),
+                    }
+                }
+                Order::Pace { worker, task, run, percent } => {
+                    let Some(executor) = inner.executor(&worker) else { return };
+                    let epoch = inner.tenure.epoch;
+                    let executors = &inner.ctx.ports.executors;
+                    let answer = executors.pace(&executor, epoch, &task, run, percent).await;
+                    if let Err(error) = answer {
+                        inner.cell.borrow_mut().pace_lost(&worker, &task, run);
+                        inner.ctx.timeline.record(
+                            base::Event::PaceLost,
+                            &[("task", &task), ("executor", &worker), ("error", &error)],
+                        );
+                    }
+                }
+            }
+        });
+    }
+
+    async fn start(
+        &self,
+        worker: &str,
+        task: &jobs::TaskId,
+        run: u64,
+        payload: &str,
+        expires: u64,
+        saved: &str,
+    ) -> StartOutcome {
+        let Some(executor) = self.executor(worker) else { return StartOutcome::Gone };
+        let gate = Rc::clone(
+            self.gates
+                .borrow_mut()
+                .entry(worker.to_owned())
+                .or_insert_with(|| Rc::new(Semaphore::new(ORDERS))),
+        );
+        let Ok(_permit) = gate.acquire().await else { return StartOutcome::Unsent };
+        if !self.may_order() {
+            return StartOutcome::Unsent;
+        }
+        let start = Start { task, run, payload, expires, saved, ticket: "" };
+        self.ctx.ports.executors.start(&executor, self.tenure.epoch, &start).await
+    }
+
+    fn note_start(
+        &self,
+        worker: &str,
+        task: &jobs::TaskId,
+        run: u64,
+        saved: &str,
+        outcome: StartOutcome,
+    ) {
+        let outcome = match outcome {
+            StartOutcome::Running(_) => "running".to_owned(),
+            StartOutcome::Refused(refusal) => format!("refused-{refusal}"),
+            StartOutcome::Unsent => "unsent".to_owned(),
+            StartOutcome::Gone => "gone".to_owned(),
+            StartOutcome::Unknown => "unknown".to_owned(),
+        };
+        self.ctx.timeline.record(
+            base::Event::StartSent,
+            &[
+                ("task", &task),
+                ("run", &run),
+                ("executor", &worker),
+                ("epoch", &self.tenure.epoch),
+                ("resumes", &!saved.is_empty()),
+                ("outcome", &outcome),
+            ],
+        );
+    }
+}
--- /dev/null
+++ b/crates/cells/src/owner/write.rs
@@ -0,0 +1,278 @@
+//! Making a cell's progress durable.
+//!
+//! All writes of a holder in a part form a chain: each expects the mark that the one before has
+//! left. So neither an earlier holder's write nor a delayed one of this holder can come after
+//! newer ones, and a write whose answer was lost shows by the mark whether it was applied.
+
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use jobs::Registration;
+use jobs::State;
+use jobs::cell::Change as JobChange;
+use jobs::row::ProgressRow;
+
+use super::Inner;
+use crate::context::pause;
+use crate::keys;
+use crate::ports::{Change, ChangeError, Row};
+use crate::rows::{self, Fence, Roster, StateRow};
+
+/// Changes of jobs in one transaction; each takes up to four of the hundred entries allowed.
+const BATCH: usize = 22;
+/// Least time between two rounds of writes, in milliseconds; a part takes 150 transactions a second
+/// and clients' jobs need some of them.
+const ROUND: u64 = 40;
+/// Pause before a write without success is repeated, in milliseconds.
+const RETRY: u64 = 80;
+/// Executors that leave the roster only after so many are on it that do not exist.
+const ROSTER_SLACK: usize = 64;
+
+/// This holder's chain in a part.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ledger {
+    version: u64,
+    count: u64,
+}
+
+/// The durable list of executors, and its row's version.
+#[derive(Debug, Default)]
+pub(crate) struct RosterState {
+    roster: Roster,
+    version: u64,
+}
+
+/// Why a write or a read for it could not be done.
+#[derive(Debug)]
+pub(crate) enum WriteError {
+    /// A later holder has the cell.
+    Lost,
+    /// The table is away.
+    Away(String),
+}
+
+impl Inner {
+    /// Marks a part as this holder's.
+    pub(super) async fn raise(&self, part: &str) -> Result<(), WriteError> {
+        let place = keys::fence(part, &self.tenure.cell);
+        let mine = Fence { epoch: self.tenure.epoch, count: 0 };
+        loop {
+            let page = self.ctx.ports.store.read(&place, 1).await?;
+            let row = page.rows.into_iter().find(|row| row.place == place);
+            let version = row.as_ref().map_or(0, |row| row.version);
+            let fence = row.and_then(|row| fence(&row)).unwrap_or_default();
+            if fence.epoch > self.tenure.epoch {
+                return Err(WriteError::Lost);
+            }
+            if fence.epoch == self.tenure.epoch {
+                let ledger = Ledger { version, count: fence.count };
+                self.ledgers.borrow_mut().insert(part.to_owned(), ledger);
+                return Ok(());
+            }
+            let change = Change {
+                expect: vec![(place.clone(), version)],
+                writes: vec![(place.clone(), rows::encode(&mine))],
+                removes: Vec::new(),
+            };
+            match self.ctx.ports.store.apply(&change).await {
+                Ok(done) => {
+                    let ledger = Ledger { version: done.version, count: 0 };
+                    self.ledgers.borrow_mut().insert(part.to_owned(), ledger);
+                    return Ok(());
+                }
+                Err(ChangeError::Conflict { .. }) => {}
+                Err(error) => return Err(WriteError::Away(error.to_string())),
+            }
+        }
+    }
+
+    /// Writes changes for as long as the cell is held.
+    pub(super) async fn write_all(self: Rc<Self>) {
+        while self.is_active() {
+            pause(ROUND).await;
+            if !self.cell.borrow().is_dirty() {
+                continue;
+            }
+            let (changes, durable) = self.cell.borrow_mut().take_changes();
+            let mut parts: IndexMap<String, Vec<JobChange>> = IndexMap::new();
+            for change in changes {
+                parts.entry(change.part.clone()).or_default().push(change);
+            }
+            let writes = parts.iter().map(|(part, changes)| self.write_part(part, changes));
+            let results = futures_util::future::join_all(writes).await;
+            if results.iter().any(|kept| !kept) {
+                self.cell.borrow_mut().not_durable(&durable);
+                continue;
+            }
+            for change in parts.values().flatten().filter(|c| c.state.is_final()) {
+                self.ctx.timeline.record(
+                    base::Event::JobEnded,
+                    &[("job", &change.id), ("state", &change.state), ("queue", &change.part)],
+                );
+            }
+            self.cell.borrow_mut().made_durable(&durable);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Writes the changes of a part; false when the cell was lost.
+    async fn write_part(&self, part: &str, changes: &[JobChange]) -> bool {
+        for batch in changes.chunks(BATCH) {
+            if !self.write_batch(part, batch).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn write_batch(&self, part: &str, batch: &[JobChange]) -> bool {
+        let place = keys::fence(part, &self.tenure.cell);
+        while self.is_active() {
+            let ledger = self.ledgers.borrow().get(part).copied();
+            let Some(ledger) = ledger else {
+                match self.raise(part).await {
+                    Ok(()) => {}
+                    Err(WriteError::Lost) => self.lose("a later holder has written"),
+                    Err(WriteError::Away(what)) => {
+                        self.ctx.set_away(true, &what);
+                        pause(RETRY).await;
+                    }
+                }
+                continue;
+            };
+            let next = Fence { epoch: self.tenure.epoch, count: ledger.count + 1 };
+            let mut change = Change {
+                expect: vec![(place.clone(), ledger.version)],
+                writes: vec![(place.clone(), rows::encode(&next))],
+                removes: Vec::new(),
+            };
+            batch.iter().for_each(|job| self.add(&mut change, job));
+            match self.ctx.ports.store.apply(&change).await {
+                Ok(done) => {
+                    self.ctx.saw_clock(done.clock);
+                    self.advance(part, done.version, next.count);
+                    return true;
+                }
+                Err(ChangeError::Conflict { rows }) => {
+                    let row = rows.iter().find(|row| row.place == place);
+                    match row.and_then(fence) {
+                        Some(seen) if seen == next => {
+                            let version = row.map_or(0, |row| row.version);
+                            self.advance(part, version, next.count);
+                            return true;
+                        }
+                        _ => self.lose("a later holder has written"),
+                    }
+                }
+                Err(error) => {
+                    self.ctx.set_away(true, &error.to_string());
+                    pause(RETRY).await;
+                }
+            }
+        }
+        false
+    }
+
+    fn advance(&self, part: &str, version: u64, count: u64) {
+        self.ledgers.borrow_mut().insert(part.to_owned(), Ledger { version, count });
+    }
+
+    fn add(&self, change: &mut Change, job: &JobChange) {
+        let cell = &self.tenure.cell;
+        let state = keys::state(&job.part, &job.id);
+        if job.shows {
+            change.writes.push((state, rows::encode(&StateRow::new(cell, job.state))));
+        }
+        let kept = Self::place(keys::progress(cell), &job.part, &job.id);
+        if job.state.is_final() {
+            change.removes.push(kept);
+            change.removes.push(Self::place(keys::jobs(cell), &job.part, &job.id));
+            if job.state == State::Cancelled {
+                let mark = keys::cancel(&job.id);
+                change.removes.push(Self::place(keys::jobs(cell), &job.part, &mark));
+            }
+        } else {
+            change.writes.push((kept, rows::encode(&ProgressRow::from(&job.progress))));
+        }
+    }
+
+    /// Reads the executors that earlier holders used.
+    pub(super) async fn load_roster(&self) -> Result<(), WriteError> {
+        let place = keys::roster(&self.tenure.cell);
+        let page = self.ctx.ports.store.read(&place, 1).await?;
+        let Some(row) = page.rows.into_iter().find(|row| row.place == place) else { return Ok(()) };
+        let roster: Roster = match rows::decode(row.value.as_deref().unwrap_or_default()) {
+            Ok(roster) => roster,
+            Err(error) => return Err(WriteError::Away(format!("roster: {error}"))),
+        };
+        for (id, address) in &roster.workers {
+            let entry = Registration {
+                id: id.clone(),
+                pool: self.tenure.cell.clone(),
+                address: address.clone(),
+                ..Registration::default()
+            };
+            let mut cell = self.cell.borrow_mut();
+            if !cell.workers().contains_key(id) {
+                cell.register(entry);
+                cell.unlist(id);
+            }
+        }
+        *self.roster.borrow_mut() = RosterState { roster, version: row.version };
+        Ok(())
+    }
+
+    /// Puts executors on the roster; false when that is not known to be durable.
+    pub(super) async fn enroll(&self, fresh: &[&Registration]) -> bool {
+        let (mut roster, version) = {
+            let state = self.roster.borrow();
+            (state.roster.clone(), state.version)
+        };
+        let missing = fresh.iter().any(|e| roster.workers.get(&e.id) != Some(&e.address));
+        if !missing {
+            return true;
+        }
+        for entry in fresh {
+            roster.workers.insert(entry.id.clone(), entry.address.clone());
+        }
+        let known = self.cell.borrow().workers().len() + fresh.len();
+        if roster.workers.len() > known + ROSTER_SLACK {
+            let cell = self.cell.borrow();
+            roster.workers.retain(|id, _| {
+                cell.workers().contains_key(id) || fresh.iter().any(|e| e.id == *id)
+            });
+        }
+        let place = keys::roster(&self.tenure.cell);
+        let lease = keys::lease(&self.tenure.cell);
+        let change = Change {
+            expect: vec![(lease.clone(), self.tenure.epoch), (place.clone(), version)],
+            writes: vec![(place.clone(), rows::encode(&roster))],
+            removes: Vec::new(),
+        };
+        match self.ctx.ports.store.apply(&change).await {
+            Ok(done) => {
+                *self.roster.borrow_mut() = RosterState { roster, version: done.version };
+                true
+            }
+            Err(ChangeError::Conflict { rows }) => {
+                let row = |place| rows.iter().find(|row| row.place == place);
+                if row(lease).is_some_and(|row| row.version != self.tenure.epoch) {
+                    self.lose("the lease has changed");
+                } else if let Some(row) = row(place) {
+                    // An earlier write of this holder was applied without an answer.
+                    self.roster.borrow_mut().version = row.version;
+                }
+                false
+            }
+            Err(error) => {
+                self.ctx.set_away(true, &error.to_string());
+                pause(RETRY).await;
+                false
+            }
+        }
+    }
+}
+
+fn fence(row: &Row) -> Option<Fence> {
+    rows::decode(row.value.as_deref()?).ok()
+}
--- /dev/null
+++ b/crates/cells/src/rows.rs
@@ -0,0 +1,126 @@
+//! Forms of the rows that the cells keep.
+
+use indexmap::IndexMap;
+use jobs::State;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Who holds a cell.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Lease {
+    /// Process; empty after a planned stop.
+    #[serde(rename = "h")]
+    pub holder: String,
+    /// Number of the holder, counted from 1.
+    #[serde(rename = "t")]
+    pub term: u64,
+}
+
+/// Sign of life of a process.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Beat {
+    /// Rises with each beat.
+    #[serde(rename = "n")]
+    pub count: u64,
+    /// Start of the process, so that a restarted one is another.
+    #[serde(rename = "s")]
+    pub start: u64,
+    /// Whether it takes cells.
+    #[serde(rename = "o")]
+    pub open: bool,
+}
+
+/// Load of a cell.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Jobs that wait for their first start, by queue.
+    #[serde(rename = "q")]
+    pub pending: IndexMap<String, u64>,
+    /// Jobs that have not ended.
+    #[serde(rename = "j")]
+    pub jobs: u64,
+    /// Work that waits, in thousandths of a core times milliseconds.
+    #[serde(rename = "w")]
+    pub waiting: u64,
+    /// Room of the executors that take work, in thousandths of a core.
+    #[serde(rename = "r")]
+    pub room: u64,
+    /// Room that is in use, in thousandths of a core.
+    #[serde(rename = "u", default)]
+    pub used: u64,
+    /// The table's clock when it was written, in milliseconds.
+    #[serde(rename = "c")]
+    pub clock: u64,
+}
+
+/// Mark of a holder in a part.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fence {
+    /// Epoch of the holder.
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    /// Its transactions in the part so far.
+    #[serde(rename = "n")]
+    pub count: u64,
+}
+
+/// State of a job.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct StateRow {
+    /// Cell that has it.
+    #[serde(rename = "c")]
+    pub cell: String,
+    /// Name of its state.
+    #[serde(rename = "s")]
+    state: String,
+}
+
+impl StateRow {
+    /// The row of a job in a cell.
+    pub fn new(cell: &str, state: State) -> Self {
+        Self { cell: cell.to_owned(), state: state.to_string() }
+    }
+
+    /// The state, where it can be read.
+    pub fn state(&self) -> Option<State> {
+        self.state.parse().ok()
+    }
+}
+
+/// Executors of a cell.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Addresses by incarnation.
+    #[serde(rename = "w")]
+    pub workers: IndexMap<String, String>,
+}
+
+/// What is going on with a machine.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duty {
+    /// Wave that it belongs to; 0 for a move.
+    #[serde(rename = "w")]
+    pub wave: u64,
+    /// Pool that it moves to; empty for maintenance.
+    #[serde(rename = "p", default)]
+    pub pool: String,
+    /// Name of its stage.
+    #[serde(rename = "s")]
+    pub stage: String,
+    /// Executor that has to be empty.
+    #[serde(rename = "x")]
+    pub executor: String,
+    /// Whether the cell has emptied it.
+    #[serde(rename = "e", default)]
+    pub empty: bool,
+}
+
+/// Writes a row.
+pub fn encode<T: Serialize>(row: &T) -> Vec<u8> {
+    serde_json::to_vec(row).expect("rows are plain data, which always has a JSON form")
+}
+
+/// Reads a row, with the reason when it can't be read.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(bytes).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/jobs/src/cell/assign.rs
@@ -0,0 +1,236 @@
+//! Giving waiting tasks to executors.
+
+use indexmap::IndexMap;
+
+use super::{Cell, Entry, Order, StepState, blank_steps};
+use crate::job::{State, TaskId};
+use crate::order::Rank;
+use crate::place;
+use crate::worker::{Phase, Slot};
+
+/// Starts in one pass; bounds the time of a pass and the burst on the connections.
+const STARTS_A_PASS: usize = 256;
+
+/// The next step of a job that has open tasks.
+struct Ready {
+    rank: Rank,
+    job: usize,
+}
+
+impl Cell {
+    /// Starts what can start.
+    pub(super) fn assign(&mut self, now: u64, wall: u64) {
+        if self.superseded {
+            return;
+        }
+        let settled = self.settled(now);
+        let early = self.rules.early;
+        let mut ready: Vec<Ready> = Vec::new();
+        for (job, entry) in self.jobs.values_mut().enumerate() {
+            if entry.state.is_final() || (entry.inherited && !settled) {
+                continue;
+            }
+            begin_turns(entry, wall + early);
+            if entry.turns.values().any(|turn| turn.iter().any(|step| step.open > 0)) {
+                ready.push(Ready { rank: entry.waiting.rank(now), job });
+            }
+        }
+        if ready.is_empty() {
+            return;
+        }
+        ready.sort_by_key(|r| r.rank);
+        let open: Vec<usize> = (0..self.workers.len())
+            .filter(|n| self.workers.get_index(*n).is_some_and(|(_, w)| w.takes(now)))
+            .collect();
+        let mut left = STARTS_A_PASS;
+        for item in ready {
+            if left == 0 || open.is_empty() {
+                break;
+            }
+            self.assign_job(item.job, &open, now, &mut left);
+        }
+    }
+
+    fn assign_job(&mut self, job: usize, open: &[usize], now: u64, left: &mut usize) {
+        let Some((_, entry)) = self.jobs.get_index(job) else { return };
+        let turns: Vec<u32> = entry.turns.keys().copied().collect();
+        for turn in turns {
+            let Some((_, entry)) = self.jobs.get_index(job) else { return };
+            for step in 0..entry.job.steps.len() {
+                let Some((_, entry)) = self.jobs.get_index(job) else { return };
+                let Some(states) = entry.turns.get(&turn) else { break };
+                let after = &entry.job.steps[step].after;
+                if states[step].open == 0 || !after.iter().all(|n| states[*n].is_done()) {
+                    continue;
+                }
+                if entry.job.steps[step].gang {
+                    self.assign_gang(job, turn, step, open, now, left);
+                } else {
+                    self.assign_step(job, turn, step, open, now, left);
+                }
+            }
+        }
+    }
+
+    /// Starts the open tasks of a step one by one.
+    fn assign_step(
+        &mut self,
+        job: usize,
+        turn: u32,
+        step: usize,
+        open: &[usize],
+        now: u64,
+        left: &mut usize,
+    ) {
+        let Some((id, entry)) = self.jobs.get_index(job) else { return };
+        let id = id.clone();
+        let state = &entry.turns[&turn][step];
+        let mut here = self.spread(state);
+        let rack = self.rack_of(state);
+        let tasks: Vec<u32> = (0u32..)
+            .zip(&state.tasks)
+            .filter(|(_, t)| !t.done && t.live.is_none() && t.after <= now)
+            .map(|(n, _)| n)
+            .collect();
+        for index in tasks {
+            if *left == 0 {
+                return;
+            }
+            let Some(worker) = self.choose(job, step, open, &here, rack.as_deref()) else { return };
+            *here.entry(worker.clone()).or_default() += 1;
+            let task = TaskId { job: id.clone(), turn, step, index };
+            let run = self.jobs[job].turns[&turn][step].tasks[index as usize].run;
+            self.start(job, &worker, task, self.next_run(run), now);
+            *left -= 1;
+        }
+    }
+
+    /// Starts a whole gang, or nothing.
+    fn assign_gang(
+        &mut self,
+        job: usize,
+        turn: u32,
+        step: usize,
+        open: &[usize],
+        now: u64,
+        left: &mut usize,
+    ) {
+        let Some((id, entry)) = self.jobs.get_index(job) else { return };
+        let id = id.clone();
+        let state = &entry.turns[&turn][step];
+        if state.open != state.tasks.len() || state.tasks.iter().any(|t| t.after > now) {
+            return;
+        }
+        let run = self.next_run(state.tasks.iter().map(|t| t.run).max().unwrap_or(0));
+        // All members resume from the same checkpoint.
+        let saved = state.tasks.iter().map(|t| t.saved.clone()).max().unwrap_or_default();
+        let count = state.tasks.len();
+        let mut here = IndexMap::new();
+        let mut chosen: Vec<String> = Vec::with_capacity(count);
+        let need = place::need(&entry.job.steps[step]);
+        let mut rack = None;
+        for _ in 0..count {
+            let Some(worker) = self.choose(job, step, open, &here, rack.as_deref()) else { break };
+            *here.entry(worker.clone()).or_default() += 1;
+            let w = &mut self.workers[&worker];
+            w.used.add(need);
+            rack = rack.or_else(|| w.rack().map(str::to_owned));
+            chosen.push(worker);
+        }
+        for worker in &chosen {
+            let w = &mut self.workers[worker];
+            w.used = w.used.less(need);
+        }
+        if chosen.len() < count {
+            return;
+        }
+        for (index, worker) in (0u32..).zip(chosen) {
+            let entry = &mut self.jobs[job];
+            entry.turns[&turn][step].tasks[index as usize].saved.clone_from(&saved);
+            let task = TaskId { job: id.clone(), turn, step, index };
+            self.start(job, &worker, task, run, now);
+            *left = left.saturating_sub(1);
+        }
+    }
+
+    /// Number of a step's tasks by executor.
+    fn spread(&self, state: &StepState) -> IndexMap<String, u32> {
+        let mut here = IndexMap::new();
+        for worker in state.tasks.iter().filter_map(|t| t.live.as_ref()) {
+            *here.entry(worker.clone()).or_default() += 1;
+        }
+        here
+    }
+
+    /// Rack of the first task of a step that has a place.
+    fn rack_of(&self, state: &StepState) -> Option<String> {
+        let worker = state.tasks.iter().find_map(|t| t.live.as_ref())?;
+        self.workers.get(worker)?.rack().map(str::to_owned)
+    }
+
+    /// The executor for one more task of a step.
+    fn choose(
+        &self,
+        job: usize,
+        step: usize,
+        open: &[usize],
+        here: &IndexMap<String, u32>,
+        rack: Option<&str>,
+    ) -> Option<String> {
+        let shape = &self.jobs.get_index(job)?.1.job.steps[step];
+        open.iter()
+            .filter_map(|n| self.workers.get_index(*n))
+            .filter(|(id, w)| {
+                !w.dead && place::suits(shape, w, here.get(*id).copied().unwrap_or(0))
+            })
+            .filter_map(|(id, w)| Some((place::score(shape, w, rack)?, id)))
+            .max_by_key(|(score, _)| *score)
+            .map(|(_, id)| id.clone())
+    }
+
+    fn start(&mut self, job: usize, worker: &str, task: TaskId, run: u64, now: u64) {
+        let Some(expires) = self.grant(worker, now) else { return };
+        let Some((id, entry)) = self.jobs.get_index_mut(job) else { return };
+        let room = place::need(&entry.job.steps[task.step]);
+        let step = &mut entry.turns[&task.turn][task.step];
+        let state = &mut step.tasks[task.index as usize];
+        state.run = run;
+        state.live = Some(worker.to_owned());
+        step.open -= 1;
+        entry.live += 1;
+        let saved = state.saved.clone();
+        if entry.state == State::Queued {
+            entry.state = State::Running;
+            self.dirty.insert(id.clone());
+        }
+        let slot =
+            Slot { run, room, phase: Phase::Sent, since: now, ordered: now, pace: 100, percent: 0 };
+        self.workers[worker].occupy(task.clone(), slot);
+        self.orders.push(Order::Start {
+            worker: worker.to_owned(),
+            task,
+            run,
+            payload: entry.payload.clone(),
+            expires,
+            saved,
+        });
+    }
+}
+
+/// Begins the occurrences that are due at `wall`.
+fn begin_turns(entry: &mut Entry, wall: u64) {
+    let next = entry.turns.keys().max().map_or(entry.past, |n| n + 1);
+    let last = match entry.job.schedule {
+        None => 1,
+        Some(schedule) => match wall.checked_sub(schedule.first) {
+            None => 0,
+            Some(since) => {
+                let due = since.checked_div(schedule.every).unwrap_or(u64::from(schedule.times));
+                u32::try_from(due + 1).unwrap_or(u32::MAX).min(schedule.times)
+            }
+        },
+    };
+    for turn in next..last {
+        entry.turns.insert(turn, blank_steps(&entry.job));
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/cell/mod.rs
@@ -0,0 +1,432 @@
+//! The scheduler of one cell: the jobs given to a share of a pool's executors.
+//!
+//! A state machine: events and the time go in, [`Order`]s and [`Change`]s come out. What may be
+//! running somewhere keeps its room and keeps its task from starting again until an executor has
+//! listed its end or its lease has surely run out.
+
+mod assign;
+mod drain;
+mod look;
+mod outcome;
+mod record;
+
+use std::rc::Rc;
+
+use indexmap::{IndexMap, IndexSet};
+
+pub use outcome::{Refusal, StartOutcome};
+pub use record::{Change, Durable};
+
+use crate::job::{Job, State, TaskId};
+use crate::order::Waiting;
+use crate::progress::Progress;
+use crate::queue::Queue;
+use crate::worker::{Registration, Worker};
+
+/// Runs that one holder of a cell may number for a task before its successor's numbers begin.
+const RUNS_A_TERM: u64 = 1_000;
+
+/// Figures that the scheduler works with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rules {
+    /// Lease that executors get, in milliseconds.
+    pub lease: u64,
+    /// Longest time for which a former holder's leases can go on, in milliseconds.
+    pub legacy: u64,
+    /// How long before its due time an occurrence may start, in milliseconds.
+    pub early: u64,
+    /// Number of this holder, counted from 1.
+    pub term: u64,
+}
+
+/// What has to be sent to an executor.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Start a run.
+    Start {
+        /// Incarnation of the executor.
+        worker: String,
+        /// Task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Text for the task.
+        payload: Rc<str>,
+        /// End of the executor's lease, by its own clock.
+        expires: u64,
+        /// Checkpoint to resume from; empty for none.
+        saved: String,
+    },
+    /// Stop a run.
+    Stop {
+        /// Incarnation of the executor.
+        worker: String,
+        /// Task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+    },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// Incarnation of the executor.
+        worker: String,
+        /// Task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Share in percent.
+        percent: u64,
+    },
+}
+
+/// One task of an occurrence.
+#[derive(Debug, Clone, Default)]
+struct Task {
+    done: bool,
+    /// Numbers of the runs that failed.
+    failed: Vec<u64>,
+    /// Highest number of a run.
+    run: u64,
+    /// Executor that has or may have it.
+    live: Option<String>,
+    saved: String,
+    /// Earliest time of the next start, in milliseconds.
+    after: u64,
+}
+
+/// One step of an occurrence.
+#[derive(Debug, Clone, Default)]
+struct StepState {
+    tasks: Vec<Task>,
+    /// Tasks that are done.
+    done: usize,
+    /// Tasks that neither are done nor have a run.
+    open: usize,
+}
+
+impl StepState {
+    fn is_done(&self) -> bool {
+        self.done == self.tasks.len()
+    }
+}
+
+/// A job in the cell.
+#[derive(Debug)]
+struct Entry {
+    part: String,
+    queue: String,
+    job: Job,
+    payload: Rc<str>,
+    waiting: Waiting,
+    state: State,
+    /// State that is durable.
+    shown: State,
+    /// Whether it was there when this holder took the cell.
+    inherited: bool,
+    past: u32,
+    turns: IndexMap<u32, Vec<StepState>>,
+    /// Runs that it has or may have.
+    live: usize,
+}
+
+/// A job to take into a cell.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Id.
+    pub id: String,
+    /// Part of the table that holds it.
+    pub part: String,
+    /// Queue that it came to.
+    pub queue: String,
+    /// The job.
+    pub job: Job,
+    /// What is durable of its progress.
+    pub progress: Progress,
+    /// When it was accepted, by the cell's clock, in milliseconds.
+    pub accepted: u64,
+    /// Whether it was there when this holder took the cell.
+    pub inherited: bool,
+}
+
+/// The scheduler of one cell.
+#[derive(Debug)]
+pub struct Cell {
+    rules: Rules,
+    /// When this holder took the cell, in milliseconds.
+    since: u64,
+    queues: IndexMap<String, Queue>,
+    jobs: IndexMap<String, Entry>,
+    workers: IndexMap<String, Worker>,
+    orders: Vec<Order>,
+    dirty: IndexSet<String>,
+    superseded: bool,
+}
+
+impl Cell {
+    /// A cell without jobs, taken at `now`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use jobs::{Cell, Rules};
+    /// let rules = Rules { lease: 6_000, legacy: 16_000, early: 0, term: 1 };
+    /// let mut cell = Cell::new(rules, 0);
+    /// assert!(cell.tick(10, 0).is_empty());
+    /// ```
+    pub fn new(rules: Rules, now: u64) -> Self {
+        Self {
+            rules,
+            since: now,
+            queues: IndexMap::new(),
+            jobs: IndexMap::new(),
+            workers: IndexMap::new(),
+            orders: Vec::new(),
+            dirty: IndexSet::new(),
+            superseded: false,
+        }
+    }
+
+    /// Takes the rules of the queues; unknown queues keep the last that were known.
+    pub fn configure<'a>(&mut self, queues: impl Iterator<Item = &'a Queue>) {
+        for queue in queues {
+            self.queues.insert(queue.name.clone(), queue.clone());
+        }
+        for entry in self.jobs.values_mut() {
+            if let Some(queue) = self.queues.get(&entry.queue) {
+                entry.waiting = waiting(queue, &entry.job, entry.waiting.accepted);
+            }
+        }
+    }
+
+    /// Takes a job in; a job that is there already stays as it is.
+    pub fn admit(&mut self, arrival: Arrival) {
+        if self.jobs.contains_key(&arrival.id) {
+            return;
+        }
+        let blank = Queue { attempts: 1, ..Queue::default() };
+        let queue = self.queues.get(&arrival.queue).unwrap_or(&blank);
+        let begun = arrival.progress.begun;
+        let mut entry = Entry {
+            waiting: waiting(queue, &arrival.job, arrival.accepted),
+            payload: Rc::from(arrival.job.payload.as_str()),
+            part: arrival.part,
+            queue: arrival.queue,
+            state: if begun { State::Running } else { State::Queued },
+            shown: if begun { State::Running } else { State::Queued },
+            inherited: arrival.inherited,
+            past: arrival.progress.past,
+            turns: IndexMap::new(),
+            live: 0,
+            job: arrival.job,
+        };
+        for (turn, steps) in &arrival.progress.turns {
+            let mut states = blank_steps(&entry.job);
+            for (state, durable) in states.iter_mut().zip(steps) {
+                record::restore(state, durable);
+            }
+            entry.turns.insert(*turn, states);
+        }
+        self.jobs.insert(arrival.id.clone(), entry);
+        self.settle_job(&arrival.id);
+    }
+
+    /// Ends a job because its client wants it no more.
+    pub fn cancel(&mut self, id: &str, now: u64) {
+        self.end_job(id, State::Cancelled, now);
+    }
+
+    /// Whether the job is in the cell.
+    pub fn holds(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// Takes a registration in.
+    pub fn register(&mut self, entry: Registration) {
+        match self.workers.get_mut(&entry.id) {
+            Some(worker) => {
+                worker.entry = entry;
+                worker.listed = true;
+            }
+            None => {
+                self.workers.insert(entry.id.clone(), Worker::new(entry));
+            }
+        }
+    }
+
+    /// Notes that the registry does not list an executor any more.
+    pub fn unlist(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.listed = false;
+        }
+    }
+
+    /// Marks an executor that is to be emptied, or takes the mark back.
+    pub fn set_leaving(&mut self, id: &str, leaving: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.leaving = leaving;
+        }
+    }
+
+    /// Whether an executor runs nothing and is not going to.
+    pub fn is_emptied(&self, id: &str) -> bool {
+        self.workers.get(id).is_none_or(|w| w.dead || (w.runs.is_empty() && w.joined))
+    }
+
+    /// Whether another holder's orders have been seen.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Executors by incarnation.
+    pub fn workers(&self) -> &IndexMap<String, Worker> {
+        &self.workers
+    }
+
+    /// Jobs that wait for their first start, by queue.
+    pub fn pending(&self) -> IndexMap<String, u64> {
+        let mut counts = IndexMap::new();
+        for entry in self.jobs.values().filter(|e| e.state == State::Queued) {
+            *counts.entry(entry.queue.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Estimated work of tasks that wait for room, in thousandths of a core times milliseconds.
+    pub fn backlog(&self) -> u64 {
+        let active = self.jobs.values().filter(|e| !e.state.is_final());
+        active
+            .map(|entry| match entry.turns.get_index(0) {
+                None if entry.job.schedule.is_none() => entry.job.work(),
+                None => 0,
+                Some((_, turn)) => turn
+                    .iter()
+                    .zip(&entry.job.steps)
+                    .filter(|(_, shape)| !shape.lasting && !shape.filler)
+                    .map(|(state, shape)| state.open as u64 * shape.room.cpu * shape.estimate)
+                    .sum(),
+            })
+            .sum()
+    }
+
+    /// Number of jobs that have not ended.
+    pub fn count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Advances time and gives the orders that are due; `wall` is the wall clock in milliseconds.
+    pub fn tick(&mut self, now: u64, wall: u64) -> Vec<Order> {
+        self.expire(now);
+        self.empty_leaving(now);
+        self.repeat_stops(now);
+        self.assign(now, wall);
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Ends the runs of executors whose leases have surely run out, and forgets those that are gone.
+    fn expire(&mut self, now: u64) {
+        let inherited = now > self.since + self.rules.legacy;
+        let lapsed: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| !w.runs.is_empty() && w.lapsed(now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            self.clear(&id, now);
+        }
+        self.workers.retain(|_, w| {
+            let gone = w.dead || (!w.listed && (w.lapsed(now) || (w.heard == 0 && inherited)));
+            !(gone && w.runs.is_empty() && !w.listed)
+        });
+    }
+
+    /// Whether every executor that a former holder used has answered or runs nothing any more.
+    fn settled(&self, now: u64) -> bool {
+        now > self.since + self.rules.legacy || self.workers.values().all(|w| w.joined || w.dead)
+    }
+
+    /// Notes that an incarnation has ended and runs nothing any more.
+    pub fn bury(&mut self, id: &str, now: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.dead = true;
+        }
+        self.clear(id, now);
+    }
+
+    /// Ends all runs of an executor without word from it.
+    fn clear(&mut self, id: &str, now: u64) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
+        for task in tasks {
+            self.free(id, &task, now);
+        }
+    }
+
+    /// Takes a run from its executor and makes its task open again.
+    fn free(&mut self, worker: &str, task: &TaskId, now: u64) {
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.vacate(task);
+        }
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let Some(step) = entry.turns.get_mut(&task.turn).and_then(|t| t.get_mut(task.step)) else {
+            return;
+        };
+        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        if state.live.as_deref() != Some(worker) {
+            return;
+        }
+        state.live = None;
+        state.after = state.after.max(now);
+        if !state.done {
+            step.open += 1;
+        }
+        entry.live = entry.live.saturating_sub(1);
+    }
+
+    /// Ends a job for good: what it runs is stopped.
+    fn end_job(&mut self, id: &str, state: State, now: u64) {
+        let Some(entry) = self.jobs.get_mut(id) else { return };
+        if entry.state.is_final() {
+            return;
+        }
+        entry.state = state;
+        self.dirty.insert(id.to_owned());
+        for (name, worker) in &mut self.workers {
+            for (task, slot) in worker.runs.iter_mut().filter(|(task, _)| task.job == id) {
+                look::stop(&mut self.orders, name, task, slot, now);
+            }
+        }
+    }
+
+    /// Ends a job whose tasks are all done.
+    fn settle_job(&mut self, id: &str) {
+        let Some(entry) = self.jobs.get_mut(id) else { return };
+        let times = entry.job.schedule.map_or(1, |s| s.times);
+        while entry.turns.get(&entry.past).is_some_and(|t| t.iter().all(StepState::is_done)) {
+            entry.turns.shift_remove(&entry.past);
+            entry.past += 1;
+        }
+        if entry.past >= times && !entry.state.is_final() {
+            entry.state = State::Completed;
+            self.dirty.insert(id.to_owned());
+        }
+    }
+}
+
+/// The steps of an occurrence before anything ran.
+fn blank_steps(job: &Job) -> Vec<StepState> {
+    job.steps
+        .iter()
+        .map(|step| StepState {
+            tasks: vec![Task::default(); step.count as usize],
+            done: 0,
+            open: step.count as usize,
+        })
+        .collect()
+}
+
+fn waiting(queue: &Queue, job: &Job, accepted: u64) -> Waiting {
+    let chain = job.chain();
+    let objective = accepted + chain.saturating_mul(queue.stretch) / 1_000 + queue.target;
+    Waiting { lasting: job.is_lasting(), priority: queue.priority, accepted, objective, chain }
+}
--- /dev/null
+++ b/crates/jobs/src/cell/record.rs
@@ -0,0 +1,115 @@
+//! What of the cell has to be durable.
+
+use indexmap::IndexMap;
+
+use super::{Cell, Entry, StepState};
+use crate::job::State;
+use crate::progress::{Progress, StepProgress};
+
+/// A job whose durable record has to change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Id of the job.
+    pub id: String,
+    /// Part of the table that holds it.
+    pub part: String,
+    /// State to show.
+    pub state: State,
+    /// Whether the state shown is another by now.
+    pub shows: bool,
+    /// Progress to keep; not needed when the state is final.
+    pub progress: Progress,
+}
+
+/// What becomes durable with a set of changes.
+#[derive(Debug, Clone, Default)]
+pub struct Durable {
+    /// Jobs and the state that was written.
+    pub jobs: Vec<(String, State)>,
+    /// Ends by executor, up to which all is durable.
+    pub ends: IndexMap<String, u64>,
+}
+
+impl Cell {
+    /// Gives the changes that have to be made durable, and what may be acknowledged after that.
+    pub fn take_changes(&mut self) -> (Vec<Change>, Durable) {
+        let mut changes = Vec::with_capacity(self.dirty.len());
+        let mut durable = Durable::default();
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(entry) = self.jobs.get(&id) else { continue };
+            durable.jobs.push((id.clone(), entry.state));
+            changes.push(Change {
+                part: entry.part.clone(),
+                state: entry.state,
+                shows: entry.state != entry.shown,
+                progress: progress(entry),
+                id,
+            });
+        }
+        let unacknowledged = self.workers.iter().filter(|(_, w)| w.seen > w.durable);
+        durable.ends = unacknowledged.map(|(id, w)| (id.clone(), w.seen)).collect();
+        (changes, durable)
+    }
+
+    /// Whether there is something to make durable.
+    pub fn is_dirty(&self) -> bool {
+        !self.dirty.is_empty() || self.workers.values().any(|w| w.seen > w.durable)
+    }
+
+    /// Notes that changes are durable.
+    pub fn made_durable(&mut self, durable: &Durable) {
+        for (id, state) in &durable.jobs {
+            if let Some(entry) = self.jobs.get_mut(id) {
+                entry.shown = *state;
+            }
+        }
+        for (id, number) in &durable.ends {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.durable = worker.durable.max(*number);
+            }
+        }
+        self.jobs.retain(|_, e| !(e.state.is_final() && e.shown == e.state));
+    }
+
+    /// Notes that changes could not be made durable; they are given again.
+    pub fn not_durable(&mut self, durable: &Durable) {
+        self.dirty.extend(durable.jobs.iter().map(|(id, _)| id.clone()));
+    }
+}
+
+fn progress(entry: &Entry) -> Progress {
+    let step = |s: &StepState| {
+        let tasks = || (0u32..).zip(&s.tasks);
+        StepProgress {
+            done: tasks().filter(|(_, t)| t.done).map(|(n, _)| n).collect(),
+            failed: tasks()
+                .filter(|(_, t)| !t.done)
+                .flat_map(|(n, t)| t.failed.iter().map(move |run| (n, *run)))
+                .collect(),
+        }
+    };
+    Progress {
+        begun: entry.state != State::Queued,
+        past: entry.past,
+        turns: entry.turns.iter().map(|(n, t)| (*n, t.iter().map(step).collect())).collect(),
+    }
+}
+
+/// Brings a step back to what was durable.
+pub(super) fn restore(step: &mut StepState, durable: &StepProgress) {
+    for index in &durable.done {
+        if let Some(task) = step.tasks.get_mut(*index as usize)
+            && !task.done
+        {
+            task.done = true;
+            step.done += 1;
+            step.open -= 1;
+        }
+    }
+    for (index, run) in &durable.failed {
+        if let Some(task) = step.tasks.get_mut(*index as usize) {
+            task.failed.push(*run);
+            task.run = task.run.max(*run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/order.rs
@@ -0,0 +1,52 @@
+//! Order in which waiting jobs get room.
+//!
+//! Load pattern: a queue's turn brings several times what its pool holds. A job that ends after
+//! its objective is worth a small part of one that ends in time, so jobs that can still be in time
+//! go first, the one with the least time to spare before the others, and late ones fill what is
+//! left in the order of their arrival. Lasting jobs go before all of them, because every moment
+//! without their tasks is lost for good.
+
+/// What decides a job's place in the order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waiting {
+    /// Whether its tasks last until it is cancelled.
+    pub lasting: bool,
+    /// Priority of its queue; 0 goes first.
+    pub priority: u32,
+    /// When it was accepted, in milliseconds.
+    pub accepted: u64,
+    /// When it should be completed, in milliseconds.
+    pub objective: u64,
+    /// Estimated time that its remaining chain takes, in milliseconds.
+    pub chain: u64,
+}
+
+/// Place of a job in the order; smaller goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    class: u8,
+    time: u64,
+    priority: u32,
+}
+
+impl Waiting {
+    /// Its place at a moment.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use jobs::order::Waiting;
+    /// let early = Waiting { lasting: false, priority: 0, accepted: 0, objective: 900, chain: 600 };
+    /// let late = Waiting { objective: 500, ..early };
+    /// assert!(early.rank(0) < late.rank(0));
+    /// ```
+    pub fn rank(&self, now: u64) -> Rank {
+        let latest = self.objective.saturating_sub(self.chain);
+        let (class, time) = match () {
+            () if self.lasting => (0, self.accepted),
+            () if now <= latest => (1, latest),
+            () => (2, self.accepted),
+        };
+        Rank { class, time, priority: self.priority }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/place.rs
@@ -0,0 +1,41 @@
+//! Choice of the executor for a task.
+//!
+//! Load pattern: many small tasks and some large ones that come in groups. A task goes where most
+//! processor stays free, so that neither a machine's failure nor its emptying for maintenance hits
+//! more work than needed; the rack that holds its data goes before that.
+
+use crate::job::Step;
+use crate::worker::{Room, Worker};
+
+/// Whether a step's task may run on a worker, room aside.
+///
+/// `here` is the number of tasks of the step that the worker already has.
+pub fn suits(step: &Step, worker: &Worker, here: u32) -> bool {
+    let labelled =
+        step.label.as_ref().is_none_or(|label| worker.entry.labels.iter().any(|l| l == label));
+    labelled && (step.spread == 0 || here < step.spread)
+}
+
+/// What a step's task takes of an executor's room.
+///
+/// Fillers use what the others leave of the processor, so only their memory counts.
+pub fn need(step: &Step) -> Room {
+    if step.filler { Room { cpu: 0, ..step.room } } else { step.room }
+}
+
+/// How good a worker is for a step; larger is better, `None` when it has no room.
+///
+/// `rack` is where the other tasks of a step that wants to stay together stand.
+pub fn score(step: &Step, worker: &Worker, rack: Option<&str>) -> Option<u64> {
+    let need = need(step);
+    if !worker.free().fits(need) {
+        return None;
+    }
+    let near = match (step.rack.as_deref(), rack) {
+        (Some(want), _) => worker.entry.labels.iter().any(|l| l == want),
+        (None, Some(want)) if step.together => worker.rack() == Some(want),
+        _ => true,
+    };
+    let left = worker.free().less(need).cpu.min(u64::from(u32::MAX));
+    Some((u64::from(near) << 40) | left)
+}
