An earlier holder's lease counts from the first look

A new holder had granted nothing yet, so the runs that it found counted as lapsed at once and their room and tasks were given away.

Change: the first look counts as a grant of a whole lease. Test fails without.

--- a/crates/jobs/src/cell/look.rs
+++ b/crates/jobs/src/cell/look.rs
@@ -36,7 +36,11 @@
     pub fn looked(&mut self, id: &str, look: &Look, sent: u64, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.answered(look.clock, now);
-        worker.joined = true;
+        if !worker.joined {
+            // An earlier holder may have given a lease just before.
+            worker.granted = worker.granted.max(worker.clock + self.rules.lease);
+            worker.joined = true;
+        }
         for end in &look.ended {
             let Some(worker) = self.workers.get_mut(id) else { return };
             if end.number > worker.seen {
--- /dev/null
+++ b/crates/jobs/tests/cell.rs
@@ -0,0 +1,168 @@
+//! The scheduler under recorded loads and faults, without any I/O.
+
+use jobs::cell::{Arrival, Order, StartOutcome};
+use jobs::worker::{Ended, Present};
+use jobs::{Cell, How, Job, Look, Progress, Queue, Registration, Room, Rules, Step, TaskId};
+
+const LEASE: u64 = 6_000;
+const JOB: &str = "00000000000000aa";
+
+fn rules(term: u64) -> Rules {
+    Rules { lease: LEASE, legacy: 16_000, early: 0, term }
+}
+
+fn executor(id: &str) -> Registration {
+    Registration {
+        id: id.to_owned(),
+        pool: "p".to_owned(),
+        address: format!("10.0.0.{}:1", id.len()),
+        ready: true,
+        room: Room { cpu: 4_000, memory: 4_000, gpus: 0 },
+        ..Registration::default()
+    }
+}
+
+fn step(count: u32, cpu: u64) -> Step {
+    Step { count, room: Room { cpu, memory: 10, gpus: 0 }, estimate: 500, ..Step::default() }
+}
+
+fn arrival(steps: Vec<Step>, inherited: bool) -> Arrival {
+    Arrival {
+        id: JOB.to_owned(),
+        part: "q".to_owned(),
+        queue: "q".to_owned(),
+        job: Job { payload: "x".to_owned(), steps, schedule: None },
+        progress: Progress::default(),
+        accepted: 0,
+        inherited,
+    }
+}
+
+fn task(step: usize, index: u32) -> TaskId {
+    TaskId { job: JOB.to_owned(), turn: 0, step, index }
+}
+
+fn cell(term: u64, executors: &[&str]) -> Cell {
+    let mut cell = Cell::new(rules(term), 0);
+    let queue = Queue {
+        name: "q".to_owned(),
+        attempts: 2,
+        stretch: 1_600,
+        target: 600,
+        ..Queue::default()
+    };
+    cell.configure(std::iter::once(&queue));
+    for id in executors {
+        cell.register(executor(id));
+    }
+    cell
+}
+
+fn look(clock: u64) -> Look {
+    Look { clock, ..Look::default() }
+}
+
+fn present(task: TaskId, run: u64) -> Present {
+    Present { task, run, saved: String::new(), percent: 100, gauge: 0 }
+}
+
+fn starts(orders: &[Order]) -> Vec<(String, TaskId, u64)> {
+    orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Start { worker, task, run, .. } => Some((worker.clone(), task.clone(), *run)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn end(number: u64, task: TaskId, run: u64, how: How) -> Ended {
+    Ended { number, task, run, how, saved: String::new() }
+}
+
+#[test]
+fn runs_of_an_earlier_holder_keep_their_room_until_their_lease_has_ended() {
+    let mut cell = cell(2, &["a"]);
+    cell.admit(arrival(vec![step(1, 4_000)], true));
+    let mut seen = look(1_000);
+    seen.present = vec![present(task(0, 0), 7)];
+    cell.looked("a", &seen, 5, 10);
+    for now in [20, 500, 3_000] {
+        assert!(starts(&cell.tick(now, now)).is_empty(), "at {now} ms the run may go on");
+    }
+    // The executor falls silent: its lease ends at 7000 of its clock, 2 % later at the latest.
+    assert!(starts(&cell.tick(6_010, 0)).is_empty());
+}
+
+#[test]
+fn a_step_waits_for_the_steps_before_it() {
+    let mut cell = cell(1, &["a"]);
+    let second = Step { after: vec![0], ..step(1, 100) };
+    cell.admit(arrival(vec![step(2, 100), second], false));
+    cell.looked("a", &look(100), 0, 1);
+    let first = starts(&cell.tick(2, 0));
+    assert_eq!(first.len(), 2);
+    for (worker, task, run) in &first {
+        cell.started(worker, task, *run, StartOutcome::Running(101), 3);
+    }
+    let mut seen = look(110);
+    seen.ended = vec![end(1, task(0, 0), 1, How::Done)];
+    seen.present = vec![present(task(0, 1), 1)];
+    cell.looked("a", &seen, 4, 10);
+    assert!(starts(&cell.tick(11, 0)).is_empty());
+    let mut seen = look(120);
+    seen.ended = vec![end(2, task(0, 1), 1, How::Done)];
+    cell.looked("a", &seen, 12, 20);
+    assert_eq!(starts(&cell.tick(21, 0)), [("a".to_owned(), task(1, 0), 1)]);
+}
+
+#[test]
+fn a_task_that_failed_as_often_as_allowed_ends_its_job() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    cell.looked("a", &look(100), 0, 1);
+    for run in 1..=2 {
+        let now = run * 1_000;
+        cell.looked("a", &look(100 + now), now - 10, now - 5);
+        assert_eq!(starts(&cell.tick(now, 0)), [("a".to_owned(), task(0, 0), run)]);
+        cell.started("a", &task(0, 0), run, StartOutcome::Running(101), now + 1);
+        let mut seen = look(150 + now);
+        seen.ended = vec![end(run, task(0, 0), run, How::Failed)];
+        cell.looked("a", &seen, now + 2, now + 5);
+    }
+    let (changes, _) = cell.take_changes();
+    assert_eq!(changes[0].state, jobs::State::Failed);
+}
+
+#[test]
+fn a_start_without_answer_keeps_its_room_until_a_stop_is_taken() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![step(1, 4_000)], false));
+    cell.looked("a", &look(100), 0, 1);
+    assert_eq!(starts(&cell.tick(2, 0)).len(), 1);
+    cell.started("a", &task(0, 0), 1, StartOutcome::Unknown, 900);
+    let orders = cell.tick(901, 0);
+    assert!(matches!(orders[..], [Order::Stop { run: 1, .. }]), "{orders:?}");
+    cell.stopped("a", &task(0, 0), 1, true, 905);
+    assert!(starts(&cell.tick(906, 0)).is_empty());
+    cell.looked("a", &look(1_010), 910, 915);
+    assert_eq!(starts(&cell.tick(1_000, 0)), [("a".to_owned(), task(0, 0), 2)]);
+}
+
+#[test]
+fn ends_are_acknowledged_only_when_they_are_durable() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    cell.looked("a", &look(100), 0, 1);
+    cell.tick(2, 0);
+    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    let mut seen = look(110);
+    seen.ended = vec![end(1, task(0, 0), 1, How::Done)];
+    cell.looked("a", &seen, 4, 10);
+    assert_eq!(cell.workers()["a"].durable, 0);
+    let (changes, durable) = cell.take_changes();
+    assert_eq!(changes[0].state, jobs::State::Completed);
+    cell.made_durable(&durable);
+    assert_eq!(cell.workers()["a"].durable, 1);
+    assert!(!cell.holds(JOB));
+}
