Ends found at a takeover count; a successor waits only for what may still run

Jobs that came and ended while a part was taken over came back by the feed.

Ruled out: lost progress rows; the rows were there in the logs.

Change: an end begins its occurrence; feed rows older than a part's read are left out; ended jobs are remembered; executors leave the roster when they run nothing; a holder whose machine restarted counts as ended at once.

--- a/crates/base/src/admin.rs
+++ b/crates/base/src/admin.rs
@@ -90,6 +90,22 @@
     }
 }
 
+/// Completes when the process is told that its settings have changed.
+pub async fn reload_signal(signals: &mut tokio::signal::unix::Signal) {
+    if signals.recv().await.is_none() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// The stream of reload signals.
+///
+/// # Errors
+///
+/// When the system refuses a handler.
+pub fn reload_signals() -> std::io::Result<tokio::signal::unix::Signal> {
+    signal(SignalKind::hangup())
+}
+
 /// Answers a path that is not there.
 pub async fn unknown() -> HttpResponse {
     HttpResponse::NotFound().json(Refusal::new("no such path"))
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -13,6 +13,8 @@
     Stopping = 1002,
     /// The process ends.
     Stopped = 1003,
+    /// The settings were read again.
+    SettingsReloaded = 1004,
     /// A contract change was committed to the table.
     ContractCommitted = 1101,
     /// A contract change was refused.
--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -86,6 +86,17 @@
         })
     }
 
+    /// Whether a holder has surely ended: its machine runs a later start of the process.
+    pub fn ended(&self, holder: &str) -> bool {
+        self.beats.iter().any(|(name, seen)| {
+            holder
+                .strip_prefix(name.as_str())
+                .and_then(|rest| rest.strip_prefix('~'))
+                .and_then(|start| start.parse::<u64>().ok())
+                .is_some_and(|start| start < seen.beat.start)
+        })
+    }
+
     /// Number of processes that are alive.
     pub fn live(&self, now: u64) -> usize {
         self.beats.values().filter(|seen| now < seen.changed + SUSPECT).count()
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -188,7 +188,7 @@
                     epoch: done.version,
                     term: lease.term,
                     since: asked,
-                    planned: old.holder.is_empty(),
+                    ended: old.holder.is_empty() || self.seen.borrow().ended(&old.holder),
                 })
             }
             // Another process was faster, or the next read shows whether this one has it: it then
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -42,8 +42,8 @@
     pub term: u64,
     /// When the lease was asked for, in milliseconds.
     pub since: u64,
-    /// Whether the holder before has handed it over.
-    pub planned: bool,
+    /// Whether the holder before has surely ended.
+    pub ended: bool,
 }
 
 /// State of a running owner.
@@ -55,10 +55,14 @@
     pub gates: RefCell<IndexMap<String, Rc<Semaphore>>>,
     /// Executors that look loops run for.
     pub looked: RefCell<indexmap::IndexSet<String>>,
+    /// Version at which each part was read whole.
+    pub read: RefCell<IndexMap<String, u64>>,
     pub ledgers: RefCell<IndexMap<String, write::Ledger>>,
     pub roster: RefCell<write::RosterState>,
     /// Jobs that were cancelled before they were seen.
     pub cancels: RefCell<indexmap::IndexSet<String>>,
+    /// When executors were last taken off the roster, in milliseconds.
+    pub trimmed: Cell<u64>,
     confirmed: Cell<u64>,
     lost: Cell<bool>,
     pub ready: Cell<bool>,
@@ -76,7 +80,7 @@
         let lease = ctx.lease();
         let rules = Rules {
             lease,
-            legacy: if tenure.planned { lease + lease / 20 } else { VALID + lease + lease / 20 },
+            legacy: if tenure.ended { lease + lease / 20 } else { VALID + lease + lease / 20 },
             early: ctx.settings.bounds.early / 2,
             term: tenure.term,
         };
@@ -85,9 +89,11 @@
             cell: RefCell::new(jobs::Cell::new(rules, now)),
             gates: RefCell::default(),
             looked: RefCell::default(),
+            read: RefCell::default(),
             ledgers: RefCell::default(),
             roster: RefCell::default(),
             cancels: RefCell::default(),
+            trimmed: Cell::new(0),
             confirmed: Cell::new(now),
             lost: Cell::new(false),
             ready: Cell::new(false),
@@ -195,6 +201,7 @@
                 self.configure();
             }
             self.sync_workers().await;
+            self.trim_roster().await;
             self.start_looks();
             if self.may_order() {
                 let orders = self.cell.borrow_mut().tick(clock::now(), clock::wall());
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -88,7 +88,8 @@
             }
         }
         let table = keys::jobs(&self.tenure.cell);
-        let (rows, _) = read_all(&self.ctx, Place::new(&table, part, "")).await?;
+        let (rows, version) = read_all(&self.ctx, Place::new(&table, part, "")).await?;
+        self.read.borrow_mut().insert(part.to_owned(), version);
         for row in rows {
             let progress = progress.swap_remove(&row.place.key).unwrap_or_default();
             self.take_job(&row, progress, true);
@@ -151,7 +152,12 @@
             }
         }
         for row in rows {
-            self.take_job(row, Progress::default(), false);
+            // Older changes are in what was read whole: a job that came and ended before the part
+            // was taken over must not come back.
+            let read = self.read.borrow().get(&row.place.part).copied().unwrap_or(0);
+            if row.version > read {
+                self.take_job(row, Progress::default(), false);
+            }
         }
         true
     }
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -13,6 +13,7 @@
 use jobs::row::ProgressRow;
 
 use super::Inner;
+use crate::clock;
 use crate::context::pause;
 use crate::keys;
 use crate::ports::{Change, ChangeError, Row};
@@ -25,8 +26,8 @@
 const ROUND: u64 = 40;
 /// Pause before a write without success is repeated, in milliseconds.
 const RETRY: u64 = 80;
-/// Executors that leave the roster only after so many are on it that do not exist.
-const ROSTER_SLACK: usize = 64;
+/// Least time between two writes that take executors off the roster, in milliseconds.
+const TRIM: u64 = 500;
 
 /// This holder's chain in a part.
 #[derive(Debug, Clone, Copy)]
@@ -235,13 +236,28 @@
         for entry in fresh {
             roster.workers.insert(entry.id.clone(), entry.address.clone());
         }
-        let known = self.cell.borrow().workers().len() + fresh.len();
-        if roster.workers.len() > known + ROSTER_SLACK {
+        self.write_roster(roster, version).await
+    }
+
+    /// Takes executors that run nothing any more off the roster, so that a successor does not
+    /// wait for them.
+    pub(super) async fn trim_roster(&self) {
+        let (roster, version) = {
+            let state = self.roster.borrow();
             let cell = self.cell.borrow();
-            roster.workers.retain(|id, _| {
-                cell.workers().contains_key(id) || fresh.iter().any(|e| e.id == *id)
-            });
-        }
+            let stale = state.roster.workers.keys().any(|id| !cell.workers().contains_key(id));
+            if !stale || clock::now() < self.trimmed.get() + TRIM {
+                return;
+            }
+            let mut roster = state.roster.clone();
+            roster.workers.retain(|id, _| cell.workers().contains_key(id));
+            (roster, state.version)
+        };
+        self.trimmed.set(clock::now());
+        self.write_roster(roster, version).await;
+    }
+
+    async fn write_roster(&self, roster: Roster, version: u64) -> bool {
         let place = keys::roster(&self.tenure.cell);
         let lease = keys::lease(&self.tenure.cell);
         let change = Change {
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -219,7 +219,6 @@
 
 /// Begins the occurrences that are due at `wall`.
 fn begin_turns(entry: &mut Entry, wall: u64) {
-    let next = entry.turns.keys().max().map_or(entry.past, |n| n + 1);
     let last = match entry.job.schedule {
         None => 1,
         Some(schedule) => match wall.checked_sub(schedule.first) {
@@ -230,7 +229,10 @@
             }
         },
     };
+    let next = entry.begun.max(entry.past);
     for turn in next..last {
-        entry.turns.insert(turn, blank_steps(&entry.job));
+        let job = &entry.job;
+        entry.turns.entry(turn).or_insert_with(|| blank_steps(job));
     }
+    entry.begun = next.max(last);
 }
--- a/crates/jobs/src/cell/look.rs
+++ b/crates/jobs/src/cell/look.rs
@@ -75,9 +75,12 @@
         let Some(shape) = entry.job.steps.get(task.step) else { return };
         let (gang, lasting) = (shape.gang, shape.lasting);
         let attempts = self.queues.get(&entry.queue).map_or(1, |q| q.attempts.max(1)) as usize;
-        let Some(step) = entry.turns.get_mut(&task.turn).and_then(|t| t.get_mut(task.step)) else {
+        if task.turn < entry.past {
             return;
-        };
+        }
+        let job = &entry.job;
+        let turn = entry.turns.entry(task.turn).or_insert_with(|| super::blank_steps(job));
+        let Some(step) = turn.get_mut(task.step) else { return };
         let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
         state.run = state.run.max(end.run);
         if !end.saved.is_empty() && end.run == state.run {
@@ -139,7 +142,8 @@
     fn adopt(&mut self, id: &str, run: &Present, now: u64) -> bool {
         let task = &run.task;
         let mut room = crate::worker::Room::default();
-        if let Some(entry) = self.jobs.get_mut(&task.job) {
+        let entry = self.jobs.get_mut(&task.job).filter(|entry| task.turn >= entry.past);
+        if let Some(entry) = entry {
             if let Some(shape) = entry.job.steps.get(task.step) {
                 room = place::need(shape);
             }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -26,6 +26,9 @@
 /// Runs that one holder of a cell may number for a task before its successor's numbers begin.
 const RUNS_A_TERM: u64 = 1_000;
 
+/// Ended jobs that are remembered, so that a row read before their end does not bring them back.
+const REMEMBERED: usize = 10_000;
+
 /// Figures that the scheduler works with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rules {
@@ -124,6 +127,8 @@
     /// Whether it was there when this holder took the cell.
     inherited: bool,
     past: u32,
+    /// Occurrences below this number have begun.
+    begun: u32,
     turns: IndexMap<u32, Vec<StepState>>,
     /// Runs that it has or may have.
     live: usize,
@@ -159,6 +164,8 @@
     workers: IndexMap<String, Worker>,
     orders: Vec<Order>,
     dirty: IndexSet<String>,
+    /// Jobs whose end is durable.
+    ended: IndexSet<String>,
     superseded: bool,
 }
 
@@ -182,6 +189,7 @@
             workers: IndexMap::new(),
             orders: Vec::new(),
             dirty: IndexSet::new(),
+            ended: IndexSet::new(),
             superseded: false,
         }
     }
@@ -200,7 +208,7 @@
 
     /// Takes a job in; a job that is there already stays as it is.
     pub fn admit(&mut self, arrival: Arrival) {
-        if self.jobs.contains_key(&arrival.id) {
+        if self.jobs.contains_key(&arrival.id) || self.ended.contains(&arrival.id) {
             return;
         }
         let blank = Queue { attempts: 1, ..Queue::default() };
@@ -215,6 +223,7 @@
             shown: if begun { State::Running } else { State::Queued },
             inherited: arrival.inherited,
             past: arrival.progress.past,
+            begun: arrival.progress.past,
             turns: IndexMap::new(),
             live: 0,
             job: arrival.job,
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::{Cell, Entry, StepState};
+use super::{Cell, Entry, REMEMBERED, StepState};
 use crate::job::State;
 use crate::progress::{Progress, StepProgress};
 
@@ -68,7 +68,15 @@
                 worker.durable = worker.durable.max(*number);
             }
         }
-        self.jobs.retain(|_, e| !(e.state.is_final() && e.shown == e.state));
+        for (id, state) in &durable.jobs {
+            let over = self.jobs.get(id).is_some_and(|e| e.state == *state && state.is_final());
+            if over {
+                self.jobs.swap_remove(id);
+                self.ended.insert(id.clone());
+            }
+        }
+        let surplus = self.ended.len().saturating_sub(REMEMBERED);
+        self.ended.drain(..surplus);
     }
 
     /// Notes that changes could not be made durable; they are given again.
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -38,7 +38,7 @@
     /// use jobs::order::Waiting;
     /// let early = Waiting { lasting: false, priority: 0, accepted: 0, objective: 900, chain: 600 };
     /// let late = Waiting { objective: 500, ..early };
-    /// assert!(early.rank(0) < late.rank(0));
+    /// assert!(early.rank(100) < late.rank(100));
     /// ```
     pub fn rank(&self, now: u64) -> Rank {
         let latest = self.objective.saturating_sub(self.chain);
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -166,3 +166,36 @@
     assert_eq!(cell.workers()["a"].durable, 1);
     assert!(!cell.holds(JOB));
 }
+
+#[test]
+fn a_job_whose_end_is_durable_does_not_come_back_by_an_older_read() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    cell.looked("a", &look(100), 0, 1);
+    cell.tick(2, 0);
+    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    let mut seen = look(110);
+    seen.ended = vec![end(1, task(0, 0), 1, How::Done)];
+    cell.looked("a", &seen, 4, 10);
+    let (_, durable) = cell.take_changes();
+    cell.made_durable(&durable);
+    cell.admit(arrival(vec![step(1, 100)], true));
+    assert!(starts(&cell.tick(20, 0)).is_empty());
+}
+
+#[test]
+fn ends_that_a_new_holder_finds_count_before_it_starts_anything() {
+    let mut cell = cell(2, &["a", "b"]);
+    cell.admit(arrival(vec![step(1, 100)], true));
+    let mut seen = look(500);
+    seen.ended = vec![end(1, task(0, 0), 1, How::Done)];
+    cell.looked("a", &seen, 4, 10);
+    // The other executor never answers.
+    cell.unlist("b");
+    for now in [20, 17_000] {
+        cell.looked("a", &look(500 + now), now - 5, now);
+        assert!(starts(&cell.tick(now, now)).is_empty(), "at {now} ms");
+    }
+    let (changes, _) = cell.take_changes();
+    assert_eq!(changes[0].state, jobs::State::Completed);
+}
