--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -101,6 +101,8 @@
     MachineBack = 2503,
     /// The operator was told how far a wave is.
     WaveReported = 2504,
+    /// A machine was ordered into another pool.
+    MoveOrdered = 2506,
     /// A round of the fleet's duties could not be finished.
     DutyDelayed = 2505,
 }
--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -102,29 +102,36 @@
         self.beats.values().filter(|seen| now < seen.changed + SUSPECT).count()
     }
 
-    /// Cells that `me` should claim now.
-    pub fn claims(&mut self, cells: &[String], me: &str, now: u64) -> Vec<String> {
+    /// Cells that `me` should claim now; `held` are those that it runs already.
+    ///
+    /// A lease in the name of `me` for a cell that it does not run comes from a claim whose answer
+    /// was lost; it is claimed again.
+    pub fn claims(&mut self, cells: &[String], held: &[String], me: &str, now: u64) -> Vec<String> {
         if now < self.since + SETTLE {
             return Vec::new();
         }
         let candidates = self.candidates(now);
-        let mut held: IndexMap<String, usize> =
+        let mut counts: IndexMap<String, usize> =
             candidates.iter().map(|name| (name.clone(), 0)).collect();
         for (_, lease) in self.leases.values() {
-            if let Some(count) = held.get_mut(&lease.holder) {
+            if let Some(count) = counts.get_mut(&lease.holder) {
                 *count += 1;
             }
         }
         let mut mine = Vec::new();
         for cell in cells {
             let holder = self.lease(cell).1.holder;
+            if holder == me && !held.contains(cell) {
+                mine.push(cell.clone());
+                continue;
+            }
             if !holder.is_empty() && self.alive(&holder, now) {
                 self.vacant.swap_remove(cell);
                 continue;
             }
             let since = *self.vacant.entry(cell.clone()).or_insert(now);
-            let mut order: Vec<&String> = held.keys().collect();
-            order.sort_by_key(|name| (held[*name], mix(cell, name)));
+            let mut order: Vec<&String> = counts.keys().collect();
+            order.sort_by_key(|name| (counts[*name], mix(cell, name)));
             let place = order.iter().position(|name| *name == me);
             let first = order.first().map(|name| (*name).clone());
             if let Some(place) = place
@@ -133,7 +140,7 @@
                 mine.push(cell.clone());
             }
             if let Some(first) = first {
-                held[&first] += 1;
+                counts[&first] += 1;
             }
         }
         mine
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -12,7 +12,7 @@
 
 use crate::clock;
 use crate::ports::{Dialect, Executors, Machines, Page, Store};
-use crate::rows::Load;
+use crate::rows::{Duty, Load};
 
 /// Bounds that the platform states, all in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,11 +75,16 @@
     /// Whether the registry has been read since this process began to follow it.
     pub listed: Cell<bool>,
     pub loads: RefCell<IndexMap<String, Load>>,
+    /// What is going on with machines: versions and rows by key.
+    pub duties: RefCell<IndexMap<String, (u64, Duty)>>,
+    /// Whether the duties have been read since this process began to follow them.
+    pub duties_known: Cell<bool>,
     /// The table's clock and when it was read.
     table_clock: Cell<(u64, u64)>,
     pub stopping: Cell<bool>,
-    /// Whether this process holds a cell and so needs the registry.
-    pub wants_registry: Cell<bool>,
+    /// Whether this process holds a cell or the fleet's duties, and so needs the registry and the
+    /// duties.
+    pub holding: Cell<bool>,
     away: Cell<bool>,
 }
 
@@ -96,9 +101,11 @@
             registry: RefCell::default(),
             listed: Cell::new(false),
             loads: RefCell::default(),
+            duties: RefCell::default(),
+            duties_known: Cell::new(false),
             table_clock: Cell::new((0, 0)),
             stopping: Cell::new(false),
-            wants_registry: Cell::new(false),
+            holding: Cell::new(false),
             away: Cell::new(false),
         })
     }
--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -141,13 +141,13 @@
             return None;
         }
         let chain = job.chain();
-        let slack = (chain * queue.stretch / 1_000 + queue.target).saturating_sub(chain);
+        let objective = chain * queue.stretch / 1_000 + queue.target;
         let load = admit::Load {
             jobs: usize::try_from(load.jobs).unwrap_or(usize::MAX),
-            waiting: load.waiting,
+            backlog: load.backlog,
             room: load.room,
         };
-        match admit::judge(&load, slack) {
+        match admit::judge(&load, objective, chain) {
             Verdict::Accept => None,
             Verdict::Refuse(after) => Some(after),
         }
--- /dev/null
+++ b/crates/cells/src/fleet/mod.rs
@@ -0,0 +1,205 @@
+//! The fleet's duties: maintenance waves and moves between pools, one process at a time.
+//!
+//! A machine's row tells how far its duty is. The holder of the machine's cell empties its
+//! executor and says so in the row; the holder of the duties then gives the order. For a wave, the
+//! row says that the machine may be down before the order goes out, so that a successor counts it.
+
+mod shift;
+mod wave;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use futures_util::future::join_all;
+use indexmap::IndexMap;
+use jobs::share::Shares;
+use jobs::wave::Stage;
+
+use crate::clock;
+use crate::context::{Context, SeenWave, pause};
+use crate::owner::{self, Tenure};
+use crate::ports::{Change, ChangeError, Machine, Place};
+use crate::rows::{self, Duty};
+
+/// Time between rounds, in milliseconds; a fraction of a machine's stop.
+const ROUND: u64 = 120;
+/// Time for which the holder gives orders after its lease was last confirmed, in milliseconds;
+/// less than the silence after which another process takes the lease.
+const VALID: u64 = 2_000;
+/// Rows in one transaction; each takes two of the hundred entries allowed.
+const BATCH: usize = 40;
+
+/// Handle of the fleet's duties.
+pub(crate) struct Fleet {
+    inner: Rc<Inner>,
+}
+
+pub(super) struct Inner {
+    ctx: Rc<Context>,
+    tenure: Tenure,
+    started: u64,
+    confirmed: Cell<u64>,
+    lost: Cell<bool>,
+    machines: RefCell<IndexMap<String, Machine>>,
+    /// When the list of machines was asked for, in milliseconds.
+    listed: Cell<u64>,
+    /// When this holder's order for a machine in a wave was taken, in milliseconds.
+    taken: RefCell<IndexMap<(u64, String), u64>>,
+    reported: RefCell<IndexMap<u64, bool>>,
+    shares: RefCell<Shares>,
+    /// Machines on their way to another pool, with the pool and the time of the order.
+    moving: RefCell<IndexMap<String, (String, u64)>>,
+}
+
+impl Fleet {
+    pub fn spawn(ctx: Rc<Context>, tenure: Tenure) -> Self {
+        let inner = Rc::new(Inner {
+            ctx,
+            tenure,
+            started: clock::now(),
+            confirmed: Cell::new(clock::now()),
+            lost: Cell::new(false),
+            machines: RefCell::default(),
+            listed: Cell::new(0),
+            taken: RefCell::default(),
+            reported: RefCell::default(),
+            shares: RefCell::default(),
+            moving: RefCell::default(),
+        });
+        actix::spawn(Rc::clone(&inner).run());
+        Self { inner }
+    }
+
+    pub fn tenure(&self) -> &Tenure {
+        &self.inner.tenure
+    }
+
+    /// Notes that the lease was seen to be held.
+    pub fn confirm(&self, now: u64) {
+        self.inner.confirmed.set(now);
+    }
+
+    /// Ends without a hand-over.
+    pub fn abandon(&self) {
+        self.inner.lost.set(true);
+    }
+
+    pub fn is_lost(&self) -> bool {
+        self.inner.lost.get()
+    }
+
+    /// Ends and hands the duties over.
+    pub async fn close(self) {
+        if !self.inner.lost.replace(true) {
+            owner::release(&self.inner.ctx, &self.inner.tenure).await;
+        }
+    }
+}
+
+impl Inner {
+    fn may_order(&self) -> bool {
+        let now = clock::now();
+        !self.lost.get() && now < self.confirmed.get() + VALID
+    }
+
+    async fn run(self: Rc<Self>) {
+        self.ctx.holding.set(true);
+        // Orders of two holders must not come close to each other.
+        let handover = if self.tenure.term == 1 { 0 } else { self.ctx.settings.bounds.handover };
+        while !self.lost.get() && clock::now() < self.started + handover {
+            pause(ROUND).await;
+        }
+        while !self.lost.get() {
+            if self.may_order()
+                && self.ctx.duties_known.get()
+                && let Err(what) = self.round().await
+            {
+                self.ctx.timeline.record(base::Event::DutyDelayed, &[("what", &what)]);
+            }
+            pause(ROUND).await;
+        }
+    }
+
+    async fn round(&self) -> Result<(), String> {
+        let asked = clock::now();
+        let machines = self.ctx.ports.machines.list().await.map_err(|error| error.to_string())?;
+        self.listed.set(asked);
+        *self.machines.borrow_mut() =
+            machines.into_iter().map(|machine| (machine.name.clone(), machine)).collect();
+        let waves: Vec<SeenWave> = self.ctx.waves.borrow().values().cloned().collect();
+        for seen in waves {
+            if self.reported.borrow().get(&seen.wave.number) != Some(&true) {
+                self.wave(&seen.wave).await?;
+            }
+        }
+        self.shift_machines().await
+    }
+
+    /// A duty as it is known.
+    fn duty(&self, place: &Place) -> Option<Duty> {
+        self.ctx.duties.borrow().get(&place.key).map(|(_, duty)| duty.clone())
+    }
+
+    /// Whether a machine has a duty that takes it away.
+    fn has_duty(&self, machine: &str) -> bool {
+        let duties = self.ctx.duties.borrow();
+        duties.values().any(|(_, duty)| duty.machine == machine && duty.takes_away())
+    }
+
+    /// Writes several duties; `None` removes a row.
+    async fn write(&self, duties: Vec<(Place, Option<Duty>)>) -> Result<(), String> {
+        let writes = duties.chunks(BATCH).map(|batch| self.write_batch(batch));
+        join_all(writes).await.into_iter().collect()
+    }
+
+    async fn write_batch(&self, batch: &[(Place, Option<Duty>)]) -> Result<(), String> {
+        let mut change = Change::default();
+        for (place, duty) in batch {
+            let known = self.ctx.duties.borrow().get(&place.key).map_or(0, |(at, _)| *at);
+            change.expect.push((place.clone(), known));
+            match duty {
+                Some(duty) => change.writes.push((place.clone(), rows::encode(duty))),
+                None => change.removes.push(place.clone()),
+            }
+        }
+        match self.ctx.ports.store.apply(&change).await {
+            Ok(done) => {
+                let mut known = self.ctx.duties.borrow_mut();
+                for (place, duty) in batch {
+                    match duty {
+                        Some(duty) => {
+                            known.insert(place.key.clone(), (done.version, duty.clone()));
+                        }
+                        None => {
+                            known.swap_remove(&place.key);
+                        }
+                    }
+                }
+                Ok(())
+            }
+            Err(ChangeError::Conflict { .. }) => Err("a machine's row has changed".to_owned()),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    /// Whether nobody runs anything on a machine.
+    fn is_off(&self, machine: &Machine) -> bool {
+        let standby = |pool: &str| {
+            let config = self.ctx.config();
+            config.is_some_and(|c| c.pools.get(pool).is_some_and(|pool| pool.standby))
+        };
+        machine.executor.is_empty() || standby(&machine.pool)
+    }
+}
+
+/// A duty at a stage, for the executor that the machine has now.
+fn duty(machine: &Machine, wave: u64, pool: &str, stage: Stage) -> Duty {
+    Duty {
+        machine: machine.name.clone(),
+        wave,
+        pool: pool.to_owned(),
+        stage: stage.to_string(),
+        executor: machine.executor.clone(),
+        empty: false,
+    }
+}
--- /dev/null
+++ b/crates/cells/src/fleet/shift.rs
@@ -0,0 +1,203 @@
+//! Moves of machines between pools.
+
+use futures_util::future::join_all;
+use indexmap::IndexMap;
+use jobs::share::{Demand, Shift};
+use jobs::wave::Stage;
+
+use super::{Inner, duty};
+use crate::clock;
+use crate::follow::read_all;
+use crate::keys;
+use crate::ports::{Machine, MachineError, Place};
+use crate::rows::{self, Load};
+
+/// Orders in one round; the platform takes some dozens a second.
+const ORDERS: usize = 12;
+/// How long a machine counts as on its way to a pool, in milliseconds; over twice a move.
+const ON_THE_WAY: u64 = 4_000;
+/// How long a machine may take to become empty for a move, in milliseconds.
+const EMPTYING: u64 = 3_000;
+/// Age up to which a cell's load counts, in milliseconds.
+const LOAD_AGE: u64 = 2_500;
+
+impl Inner {
+    /// Decides on moves and carries them on.
+    pub(super) async fn shift_machines(&self) -> Result<(), String> {
+        let Some(config) = self.ctx.config() else { return Ok(()) };
+        self.settle_moves();
+        self.carry_on().await?;
+        let loads = self.loads().await?;
+        let standby = config.pools.values().find(|pool| pool.standby).map(|p| p.name.clone());
+        let shifts = {
+            let machines = self.machines.borrow();
+            let mut pools: IndexMap<String, Demand> = IndexMap::new();
+            for pool in config.pools.values().filter(|pool| !pool.standby) {
+                // Without a fresh load nothing is known of the pool, so that it stays as it is.
+                if let Some(load) = loads.get(&pool.name) {
+                    pools.insert(pool.name.clone(), self.demand(&pool.name, load, &machines));
+                }
+            }
+            let free = |m: &&Machine| m.up && !self.is_engaged(&m.name);
+            let off: Vec<String> = machines
+                .values()
+                .filter(|m| Some(&m.pool) == standby.as_ref())
+                .filter(free)
+                .map(|m| m.name.clone())
+                .collect();
+            let size = machines.values().map(|m| m.cpu).max().unwrap_or(0);
+            let off = standby.as_deref().map(|pool| (pool, off.as_slice()));
+            self.shares.borrow_mut().next(&pools, off, machines.len(), size, clock::now())
+        };
+        self.begin(&shifts, standby.as_deref()).await
+    }
+
+    /// Whether a machine is in a wave's hands or on its way.
+    fn is_engaged(&self, machine: &str) -> bool {
+        self.moving.borrow().contains_key(machine) || self.has_duty(machine)
+    }
+
+    fn demand(&self, pool: &str, load: &Load, machines: &IndexMap<String, Machine>) -> Demand {
+        let moving = self.moving.borrow();
+        let coming = moving.iter().filter(|(name, (to, _))| {
+            to == pool && machines.get(*name).is_none_or(|m| m.pool != pool)
+        });
+        let leaving = |m: &&Machine| moving.get(&m.name).is_some_and(|(to, _)| to != pool);
+        let here = machines.values().filter(|m| m.pool == pool && !leaving(m)).count();
+        let by_executor: IndexMap<&str, &Machine> =
+            machines.values().map(|m| (m.executor.as_str(), m)).collect();
+        let spares = load
+            .spares
+            .iter()
+            .filter_map(|id| by_executor.get(id.as_str()))
+            .filter(|m| m.up && m.pool == pool && !self.is_engaged(&m.name))
+            .map(|m| m.name.clone())
+            .collect();
+        Demand {
+            arriving: load.arriving,
+            waiting: load.waiting,
+            lasting: load.lasting,
+            floor: load.floor,
+            machines: here + coming.count(),
+            spares,
+        }
+    }
+
+    async fn loads(&self) -> Result<IndexMap<String, Load>, String> {
+        let from = Place { key: "load/".to_owned(), ..keys::load("") };
+        let (rows, _) = read_all(&self.ctx, from).await.map_err(|error| error.to_string())?;
+        let now = self.ctx.table_now();
+        let mut loads = IndexMap::new();
+        for row in rows {
+            let Some(cell) = row.place.key.strip_prefix("load/") else { continue };
+            // The reader of the shared rows reports those that can't be read.
+            let load = rows::decode::<Load>(row.value.as_deref().unwrap_or_default());
+            if let Ok(load) = load
+                && now < load.clock + LOAD_AGE
+            {
+                loads.insert(cell.to_owned(), load);
+            }
+        }
+        Ok(loads)
+    }
+
+    /// Forgets moves that have arrived or taken too long.
+    fn settle_moves(&self) {
+        let machines = self.machines.borrow();
+        let now = clock::now();
+        self.moving.borrow_mut().retain(|name, (to, since)| {
+            let arrived = machines.get(name).is_some_and(|m| m.pool == *to && m.up);
+            !arrived && now < *since + ON_THE_WAY
+        });
+    }
+
+    /// Carries on moves whose machines had to be emptied.
+    async fn carry_on(&self) -> Result<(), String> {
+        let mut over = Vec::new();
+        let mut ready = Vec::new();
+        {
+            let duties = self.ctx.duties.borrow();
+            let machines = self.machines.borrow();
+            let moves = duties.values().map(|(_, duty)| duty);
+            for duty in moves.filter(|d| d.wave == 0 && d.takes_away()) {
+                let name = &duty.machine;
+                let machine = machines.get(name);
+                let gone = machine.is_none_or(|m| m.executor != duty.executor);
+                // A move that another holder began, or that takes too long, is given up.
+                let waits = self.moving.borrow().contains_key(name);
+                let late = self
+                    .moving
+                    .borrow()
+                    .get(name)
+                    .is_some_and(|(_, since)| clock::now() > *since + EMPTYING);
+                if gone || !waits || (late && !duty.empty) {
+                    over.push(name.clone());
+                } else if duty.empty {
+                    ready.push((name.clone(), duty.pool.clone()));
+                }
+            }
+        }
+        if !over.is_empty() {
+            self.write(over.iter().map(|name| (keys::shift(name), None)).collect()).await?;
+            for name in over {
+                let arriving = self.machines.borrow().get(&name).is_some_and(|m| !m.up);
+                if !arriving {
+                    self.moving.borrow_mut().swap_remove(&name);
+                }
+            }
+        }
+        join_all(ready.iter().take(ORDERS).map(|(name, pool)| self.order_move(name, pool))).await;
+        Ok(())
+    }
+
+    async fn begin(&self, shifts: &[Shift], standby: Option<&str>) -> Result<(), String> {
+        let now = clock::now();
+        let mut writes = Vec::new();
+        let mut direct = Vec::new();
+        for shift in shifts {
+            let off = standby == Some(shift.from.as_str());
+            if off && direct.len() >= ORDERS {
+                continue;
+            }
+            self.moving.borrow_mut().insert(shift.machine.clone(), (shift.to.clone(), now));
+            if off {
+                direct.push((shift.machine.clone(), shift.to.clone()));
+            } else if let Some(machine) = self.machines.borrow().get(&shift.machine) {
+                let next = duty(machine, 0, &shift.to, Stage::Emptying);
+                writes.push((keys::shift(&shift.machine), Some(next)));
+            }
+        }
+        if !writes.is_empty() {
+            self.write(writes).await?;
+        }
+        join_all(direct.iter().map(|(name, pool)| self.order_move(name, pool))).await;
+        Ok(())
+    }
+
+    async fn order_move(&self, name: &str, pool: &str) {
+        if !self.may_order() {
+            return;
+        }
+        let answer = self.ctx.ports.machines.shift(name, pool, self.tenure.epoch).await;
+        let text = answer.as_ref().err().map_or("taken".to_owned(), ToString::to_string);
+        self.ctx.timeline.record(
+            base::Event::MoveOrdered,
+            &[
+                ("machine", &name),
+                ("pool", &pool),
+                ("epoch", &self.tenure.epoch),
+                ("answer", &text),
+            ],
+        );
+        match answer {
+            Ok(()) => {
+                self.moving.borrow_mut().insert(name.to_owned(), (pool.to_owned(), clock::now()));
+            }
+            Err(MachineError::Fenced) => self.lost.set(true),
+            Err(MachineError::Unknown { .. }) => {}
+            Err(_) => {
+                self.moving.borrow_mut().swap_remove(name);
+            }
+        }
+    }
+}
--- a/crates/cells/src/keys.rs
+++ b/crates/cells/src/keys.rs
@@ -52,9 +52,17 @@
     format!("{id}!")
 }
 
-/// A machine's row among the fleet's duties.
-pub fn duty(machine: &str) -> Place {
-    Place::new("duties", "", machine)
+/// Table of what is going on with machines.
+pub const DUTIES: &str = "duties";
+
+/// A machine's maintenance in a wave.
+pub fn upkeep(wave: u64, machine: &str) -> Place {
+    Place::new(DUTIES, "", &format!("wave/{wave}/{machine}"))
+}
+
+/// A machine's move to another pool.
+pub fn shift(machine: &str) -> Place {
+    Place::new(DUTIES, "", &format!("move/{machine}"))
 }
 
 /// Part of the table that holds the jobs of a queue.
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -74,8 +74,8 @@
                     self.ctx.set_away(false, "shared rows were read");
                     self.take(&rows);
                     self.claim().await;
-                    let held = !self.held.borrow().owners.is_empty();
-                    self.ctx.wants_registry.set(held);
+                    let held = self.held.borrow();
+                    self.ctx.holding.set(!held.owners.is_empty() || held.fleet.is_some());
                 }
                 Err(error) => self.ctx.set_away(true, &error.to_string()),
             }
@@ -104,7 +104,7 @@
         });
         held.owners.retain(|_, owner| !owner.is_lost());
         if let Some(fleet) = &held.fleet
-            && !is_mine(keys::FLEET, fleet.tenure())
+            && (fleet.is_lost() || !is_mine(keys::FLEET, fleet.tenure()))
         {
             fleet.abandon();
             held.fleet = None;
@@ -149,7 +149,12 @@
         cells.sort();
         cells.dedup();
         let me = self.ctx.holder();
-        let claims = self.seen.borrow_mut().claims(&cells, &me, clock::now());
+        let mine: Vec<String> = {
+            let held = self.held.borrow();
+            let fleet = held.fleet.iter().map(|_| keys::FLEET.to_owned());
+            held.owners.keys().cloned().chain(fleet).collect()
+        };
+        let claims = self.seen.borrow_mut().claims(&cells, &mine, &me, clock::now());
         for cell in claims {
             let (version, lease) = self.seen.borrow().lease(&cell);
             if let Some(tenure) = self.acquire(&cell, version, &lease).await {
--- a/crates/cells/src/node.rs
+++ b/crates/cells/src/node.rs
@@ -3,18 +3,24 @@
 use std::rc::Rc;
 
 use base::Timeline;
-use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::clock;
 use crate::context::{Context, Ports, SeenWave, Settings, pause};
 use crate::desk::Desk;
 use crate::follow::follow;
+use crate::keys;
 use crate::member::Member;
 use crate::ports::{Instruction, Row};
+use crate::rows::{self, Duty};
 
 /// Least time between two reads of the registry's changes, in milliseconds; executors write there
 /// about every second and a half each.
 const REGISTRY_GAP: u64 = 250;
+/// Least time between two reads of the duties' changes, in milliseconds.
+const DUTY_GAP: u64 = 40;
+/// Time between checks whether this process holds something, in milliseconds.
+const IDLE: u64 = 50;
 
 /// A running process.
 #[expect(missing_debug_implementations, reason = "holds trait objects")]
@@ -30,6 +36,7 @@
         let ctx = Context::new(settings, ports, timeline);
         actix::spawn(follow_instructions(Rc::clone(&ctx)));
         actix::spawn(follow_registry(Rc::clone(&ctx)));
+        actix::spawn(follow_duties(Rc::clone(&ctx)));
         let member = Member::spawn(Rc::clone(&ctx));
         Self { desk: Desk::open(Rc::clone(&ctx)), member, ctx }
     }
@@ -81,15 +88,15 @@
     follow(ctx, table, 0, || true, take, || {}).await;
 }
 
-/// Follows the registry whenever this process holds a cell.
+/// Follows the registry whenever this process holds something.
 async fn follow_registry(ctx: Rc<Context>) {
     let table = ctx.ports.dialect.registry().to_owned();
     loop {
-        while !ctx.wants_registry.get() {
-            pause(REGISTRY_GAP).await;
+        while !ctx.holding.get() {
+            pause(IDLE).await;
         }
         let taker = Rc::clone(&ctx);
-        let mut bad: IndexMap<String, ()> = IndexMap::new();
+        let mut bad: IndexSet<String> = IndexSet::new();
         let take = move |row: &Row| {
             let id = &row.place.key;
             if row.value.is_none() {
@@ -103,7 +110,7 @@
                 Err(error) => {
                     // An entry that can't be read names no executor to use.
                     taker.registry.borrow_mut().swap_remove(id);
-                    if bad.insert(id.clone(), ()).is_none() {
+                    if bad.insert(id.clone()) {
                         taker
                             .timeline
                             .record(base::Event::RowUnreadable, &[("row", id), ("error", &error)]);
@@ -111,17 +118,47 @@
                 }
             }
         };
-        let (whole, wanted) = (Rc::clone(&ctx), Rc::clone(&ctx));
-        follow(
-            Rc::clone(&ctx),
-            table.clone(),
-            REGISTRY_GAP,
-            move || wanted.wants_registry.get(),
-            take,
-            move || whole.listed.set(true),
-        )
-        .await;
+        let (whole, holding) = (Rc::clone(&ctx), Rc::clone(&ctx));
+        let go = move || holding.holding.get();
+        let done = move || whole.listed.set(true);
+        follow(Rc::clone(&ctx), table.clone(), REGISTRY_GAP, go, take, done).await;
         ctx.listed.set(false);
         ctx.registry.borrow_mut().clear();
     }
 }
+
+/// Follows the machines' duties whenever this process holds something.
+async fn follow_duties(ctx: Rc<Context>) {
+    let table = keys::DUTIES.to_owned();
+    loop {
+        while !ctx.holding.get() {
+            pause(IDLE).await;
+        }
+        let taker = Rc::clone(&ctx);
+        let take = move |row: &Row| {
+            let key = &row.place.key;
+            let Some(value) = &row.value else {
+                taker.duties.borrow_mut().swap_remove(key);
+                return;
+            };
+            match rows::decode::<Duty>(value) {
+                Ok(duty) => {
+                    let mut duties = taker.duties.borrow_mut();
+                    // The holder of the duties knows its own writes before the feed does.
+                    if duties.get(key).is_none_or(|(version, _)| *version < row.version) {
+                        duties.insert(key.clone(), (row.version, duty));
+                    }
+                }
+                Err(error) => taker
+                    .timeline
+                    .record(base::Event::RowUnreadable, &[("row", key), ("error", &error)]),
+            }
+        };
+        let (whole, holding) = (Rc::clone(&ctx), Rc::clone(&ctx));
+        let go = move || holding.holding.get();
+        let done = move || whole.duties_known.set(true);
+        follow(Rc::clone(&ctx), table.clone(), DUTY_GAP, go, take, done).await;
+        ctx.duties_known.set(false);
+        ctx.duties.borrow_mut().clear();
+    }
+}
--- a/crates/cells/src/owner/duty.rs
+++ b/crates/cells/src/owner/duty.rs
@@ -2,73 +2,56 @@
 
 use std::rc::Rc;
 
-use jobs::wave::Stage;
+use indexmap::IndexSet;
 
 use super::Inner;
-use crate::context::pause;
-use crate::follow::read_all;
 use crate::keys;
-use crate::ports::{Change, ChangeError};
+use crate::ports::{Change, ChangeError, Place};
 use crate::rows::{self, Duty};
 
-/// Time between reads of the duties while there are any, in milliseconds.
-const ROUND: u64 = 250;
-/// Time between reads of the duties without any, in milliseconds.
-const IDLE: u64 = 1_000;
-
 impl Inner {
-    /// Marks and unmarks executors that have to be emptied, and reports those that are empty.
-    pub(super) async fn follow_duties(self: Rc<Self>) {
-        while self.is_active() {
-            let busy = match read_all(&self.ctx, keys::duty("")).await {
-                Ok((rows, _)) => {
-                    let mut busy = false;
-                    for row in rows {
-                        let value = row.value.as_deref().unwrap_or_default();
-                        // The holder of the duties reports rows that can't be read.
-                        let Ok(duty) = rows::decode::<Duty>(value) else { continue };
-                        busy |= self.take_duty(&row.place.key, row.version, duty).await;
-                    }
-                    busy
-                }
-                Err(error) => {
-                    self.ctx.set_away(true, &error.to_string());
-                    true
-                }
-            };
-            pause(if busy { ROUND } else { IDLE }).await;
+    /// Marks the executors that have to be emptied and reports those that are empty.
+    pub(super) fn take_duties(self: &Rc<Self>) {
+        let duties = self.ctx.duties.borrow();
+        let mut cell = self.cell.borrow_mut();
+        let due: IndexSet<String> = duties
+            .values()
+            .filter(|(_, duty)| duty.takes_away())
+            .map(|(_, duty)| duty.executor.clone())
+            .collect();
+        for (key, (version, duty)) in duties.iter().filter(|(_, (_, d))| d.takes_away()) {
+            let mine = cell.workers().contains_key(&duty.executor);
+            let fresh = self.reported.borrow().get(key) != Some(version);
+            if mine && fresh && !duty.empty && cell.is_emptied(&duty.executor) {
+                self.reported.borrow_mut().insert(key.clone(), *version);
+                let report = Rc::clone(self).report_empty(key.clone(), *version, duty.clone());
+                actix::spawn(report);
+            }
         }
+        cell.set_leaving(due);
     }
 
-    /// Takes in one duty; true while it concerns this cell.
-    async fn take_duty(&self, machine: &str, version: u64, duty: Duty) -> bool {
-        let due =
-            duty.stage == Stage::Emptying.to_string() || duty.stage == Stage::Down.to_string();
-        let known = self.cell.borrow().workers().contains_key(&duty.executor);
-        if !known {
-            return due;
-        }
-        self.cell.borrow_mut().set_leaving(&duty.executor, due);
-        let emptied = due && !duty.empty && self.cell.borrow().is_emptied(&duty.executor);
-        if emptied {
-            let place = keys::duty(machine);
-            let executor = duty.executor.clone();
-            let row = rows::encode(&Duty { empty: true, ..duty });
-            let change = Change {
-                expect: vec![(place.clone(), version)],
-                writes: vec![(place, row)],
-                removes: Vec::new(),
-            };
-            match self.ctx.ports.store.apply(&change).await {
-                Ok(_) => self.ctx.timeline.record(
-                    base::Event::ExecutorEmptied,
-                    &[("machine", &machine), ("executor", &executor)],
-                ),
-                // The next round sees what the row has become.
-                Err(ChangeError::Conflict { .. }) => {}
-                Err(error) => self.ctx.set_away(true, &error.to_string()),
+    async fn report_empty(self: Rc<Self>, key: String, version: u64, duty: Duty) {
+        let place = Place::new(keys::DUTIES, "", &key);
+        let machine = duty.machine.clone();
+        let executor = duty.executor.clone();
+        let row = rows::encode(&Duty { empty: true, ..duty });
+        let change = Change {
+            expect: vec![(place.clone(), version)],
+            writes: vec![(place, row)],
+            removes: Vec::new(),
+        };
+        match self.ctx.ports.store.apply(&change).await {
+            Ok(_) => self.ctx.timeline.record(
+                base::Event::ExecutorEmptied,
+                &[("machine", &machine), ("executor", &executor)],
+            ),
+            // The feed brings what the row has become.
+            Err(ChangeError::Conflict { .. }) => {}
+            Err(error) => {
+                self.ctx.set_away(true, &error.to_string());
+                self.reported.borrow_mut().swap_remove(&key);
             }
         }
-        due
     }
 }
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 use jobs::cell::Arrival;
 use jobs::row::JobRow;
+use jobs::share::Inflow;
 use jobs::{Progress, Rules};
 use tokio::sync::{Notify, Semaphore};
 
@@ -26,8 +27,12 @@
 const VALID: u64 = 9_000;
 /// Time between passes of the scheduler without events, in milliseconds.
 const TICK: u64 = 25;
-/// Time between publications of the load, in milliseconds; half of the age that clients may see.
-const PUBLISH: u64 = 600;
+/// Time between publications of the load, in milliseconds; a fraction of a machine's move.
+const PUBLISH: u64 = 150;
+/// Longest time without a publication, in milliseconds; half of the age that clients may see.
+const REFRESH: u64 = 1_000;
+/// Executors that are published as ready to leave; keeps the row small.
+const SPARES: usize = 24;
 /// Longest part of the stop that is spent on making the last ends durable, in milliseconds.
 const FLUSH: u64 = 600;
 
@@ -55,6 +60,9 @@
     pub gates: RefCell<IndexMap<String, Rc<Semaphore>>>,
     /// Executors that look loops run for.
     pub looked: RefCell<indexmap::IndexSet<String>>,
+    pub inflow: RefCell<Inflow>,
+    /// Versions of duties whose executors were reported as empty, by the duty's key.
+    pub reported: RefCell<IndexMap<String, u64>>,
     /// Version at which each part was read whole.
     pub read: RefCell<IndexMap<String, u64>>,
     pub ledgers: RefCell<IndexMap<String, write::Ledger>>,
@@ -89,6 +97,8 @@
             cell: RefCell::new(jobs::Cell::new(rules, now)),
             gates: RefCell::default(),
             looked: RefCell::default(),
+            inflow: RefCell::default(),
+            reported: RefCell::default(),
             read: RefCell::default(),
             ledgers: RefCell::default(),
             roster: RefCell::default(),
@@ -182,6 +192,11 @@
 
     async fn run(self: Rc<Self>) {
         self.configure();
+        // An executor that is about to go down must get no task from a new holder.
+        self.ctx.holding.set(true);
+        while self.is_active() && !self.ctx.duties_known.get() {
+            pause(TICK).await;
+        }
         if !self.recover().await {
             return;
         }
@@ -192,7 +207,6 @@
             .record(base::Event::CellReady, &[("cell", &self.tenure.cell), ("jobs", &count)]);
         actix::spawn(Rc::clone(&self).publish());
         actix::spawn(Rc::clone(&self).write_all());
-        actix::spawn(Rc::clone(&self).follow_duties());
         let mut version = self.ctx.config().map(|c| c.version);
         while self.is_active() {
             let current = self.ctx.config().map(|c| c.version);
@@ -203,6 +217,7 @@
             self.sync_workers().await;
             self.trim_roster().await;
             self.start_looks();
+            self.take_duties();
             if self.may_order() {
                 let orders = self.cell.borrow_mut().tick(clock::now(), clock::wall());
                 for order in orders {
@@ -260,6 +275,9 @@
             job: job.into(),
         };
         let mut cell = self.cell.borrow_mut();
+        if !inherited && !arrival.job.is_lasting() {
+            self.inflow.borrow_mut().add(now, arrival.job.work());
+        }
         cell.admit(arrival);
         if self.cancels.borrow_mut().swap_remove(key) {
             cell.cancel(key, now);
@@ -273,7 +291,7 @@
         while self.is_active() {
             let load = self.load();
             let same = Load { clock: last.clock, ..load.clone() } == last;
-            if !same || load.clock > last.clock + 2 * PUBLISH {
+            if !same || load.clock > last.clock + REFRESH {
                 let place = keys::load(&self.tenure.cell);
                 let change = Change {
                     expect: vec![(keys::lease(&self.tenure.cell), self.tenure.epoch)],
@@ -295,6 +313,8 @@
     fn load(&self) -> Load {
         let cell = self.cell.borrow();
         let now = clock::now();
+        let standing = cell.standing();
+        let (waiting, backlog) = cell.backlog(now);
         let (mut room, mut used) = (0, 0);
         for worker in cell.workers().values().filter(|w| w.takes(now)) {
             room += worker.entry.room.cpu;
@@ -303,9 +323,14 @@
         Load {
             pending: cell.pending(),
             jobs: cell.count() as u64,
-            waiting: cell.backlog(),
+            waiting,
+            backlog,
             room,
             used,
+            arriving: self.inflow.borrow_mut().rate(now),
+            lasting: standing.cpu,
+            floor: standing.floor,
+            spares: standing.spares.into_iter().take(SPARES).collect(),
             clock: self.ctx.table_now(),
         }
     }
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use jobs::State;
+use jobs::wave::Stage;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -39,15 +40,30 @@
     /// Jobs that have not ended.
     #[serde(rename = "j")]
     pub jobs: u64,
-    /// Work that waits, in thousandths of a core times milliseconds.
+    /// Work that waits and can still be in time, in thousandths of a core times milliseconds.
     #[serde(rename = "w")]
     pub waiting: u64,
+    /// All work that waits, in thousandths of a core times milliseconds.
+    #[serde(rename = "b", default)]
+    pub backlog: u64,
     /// Room of the executors that take work, in thousandths of a core.
     #[serde(rename = "r")]
     pub room: u64,
     /// Room that is in use, in thousandths of a core.
     #[serde(rename = "u", default)]
     pub used: u64,
+    /// Rate at which work arrives, in thousandths of a core.
+    #[serde(rename = "a", default)]
+    pub arriving: u64,
+    /// Room of lasting tasks, in thousandths of a core.
+    #[serde(rename = "l", default)]
+    pub lasting: u64,
+    /// Fewest executors on which the lasting tasks can stand.
+    #[serde(rename = "f", default)]
+    pub floor: usize,
+    /// Executors that could leave at little cost, the best first.
+    #[serde(rename = "s", default)]
+    pub spares: Vec<String>,
     /// The table's clock when it was written, in milliseconds.
     #[serde(rename = "c")]
     pub clock: u64,
@@ -98,6 +114,9 @@
 /// What is going on with a machine.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Duty {
+    /// Machine.
+    #[serde(rename = "m", default)]
+    pub machine: String,
     /// Wave that it belongs to; 0 for a move.
     #[serde(rename = "w")]
     pub wave: u64,
@@ -115,6 +134,18 @@
     pub empty: bool,
 }
 
+impl Duty {
+    /// Stage of the duty; one that can't be read counts as not begun.
+    pub fn stage(&self) -> Stage {
+        self.stage.parse().unwrap_or_default()
+    }
+
+    /// Whether its executor may get no new tasks.
+    pub fn takes_away(&self) -> bool {
+        matches!(self.stage(), Stage::Emptying | Stage::Down)
+    }
+}
+
 /// Writes a row.
 pub fn encode<T: Serialize>(row: &T) -> Vec<u8> {
     serde_json::to_vec(row).expect("rows are plain data, which always has a JSON form")
--- a/crates/jobs/src/admit.rs
+++ b/crates/jobs/src/admit.rs
@@ -1,8 +1,9 @@
 //! Whether a new job can be accepted now.
 //!
 //! Load pattern: in a queue's turn, jobs arrive several times as fast as the pool works them off.
-//! A job that would wait past its objective is refused at once with the time when its turn could
-//! come, so that what is accepted ends in time and callers learn early.
+//! Jobs that can still be in time go before late ones, so that a late backlog does not keep a new
+//! job from being in time; it only has to end while its results are still of use. A job that
+//! would come after that is refused at once, with the time when there could be room for it.
 
 /// Most jobs of a cell that wait or run at once; bounds the memory of the cell and the time in
 /// which a new holder reads them back.
@@ -13,8 +14,8 @@
 pub struct Load {
     /// Jobs accepted and not ended.
     pub jobs: usize,
-    /// Work that waits, in thousandths of a core times milliseconds.
-    pub waiting: u64,
+    /// All work that waits, in thousandths of a core times milliseconds.
+    pub backlog: u64,
     /// Room of the executors that take work, in thousandths of a core.
     pub room: u64,
 }
@@ -28,24 +29,26 @@
     Refuse(u64),
 }
 
-/// Decides on a job whose objective leaves `slack` milliseconds beyond its own work.
+/// Part of the objective, in percent, beyond which a result is of no use: late results count up to
+/// three times the objective.
+const USEFUL: u64 = 300;
+
+/// Decides on a job with an objective of so many milliseconds and a chain of estimated work.
 ///
 /// # Examples
 ///
 /// ```
 /// use jobs::admit::{Load, Verdict, judge};
-/// let load = Load { jobs: 10, waiting: 8_000_000, room: 4_000 };
-/// assert_eq!(judge(&load, 3_000), Verdict::Accept);
-/// assert_eq!(judge(&load, 500), Verdict::Refuse(1_500));
+/// let load = Load { jobs: 10, backlog: 8_000_000, room: 4_000 };
+/// assert_eq!(judge(&load, 2_000, 1_000), Verdict::Accept);
+/// assert_eq!(judge(&load, 500, 400), Verdict::Refuse(900));
 /// ```
-pub fn judge(load: &Load, slack: u64) -> Verdict {
-    let wait = match load.room {
-        0 if load.waiting == 0 => 0,
-        0 => return Verdict::Accept,
-        room => load.waiting / room,
-    };
+pub fn judge(load: &Load, objective: u64, chain: u64) -> Verdict {
+    // A pool without room is about to get some, or its holder has just changed.
+    let wait = load.backlog.checked_div(load.room).unwrap_or(0);
     if load.jobs >= MAX_JOBS {
         return Verdict::Refuse(wait.max(1_000));
     }
+    let slack = (objective * USEFUL / 100).saturating_sub(chain);
     if wait > slack { Verdict::Refuse(wait - slack) } else { Verdict::Accept }
 }
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -6,7 +6,7 @@
 use crate::job::{State, TaskId};
 use crate::order::Rank;
 use crate::place;
-use crate::worker::{Phase, Slot};
+use crate::worker::{Phase, Slot, Worker};
 
 /// Starts in one pass; bounds the time of a pass and the burst on the connections.
 const STARTS_A_PASS: usize = 256;
@@ -183,11 +183,18 @@
             .filter(|(id, w)| {
                 !w.dead && place::suits(shape, w, here.get(*id).copied().unwrap_or(0))
             })
-            .filter_map(|(id, w)| Some((place::score(shape, w, rack)?, id)))
+            .filter_map(|(id, w)| {
+                Some((place::score(shape, w, rack, shape.lasting && self.settles(w))?, id))
+            })
             .max_by_key(|(score, _)| *score)
             .map(|(_, id)| id.clone())
     }
 
+    /// Whether an executor has lasting tasks.
+    fn settles(&self, worker: &Worker) -> bool {
+        worker.runs.keys().any(|task| self.lasts(task))
+    }
+
     fn start(&mut self, job: usize, worker: &str, task: TaskId, run: u64, now: u64) {
         let Some(expires) = self.grant(worker, now) else { return };
         let Some((id, entry)) = self.jobs.get_index_mut(job) else { return };
--- a/crates/jobs/src/cell/drain.rs
+++ b/crates/jobs/src/cell/drain.rs
@@ -13,6 +13,9 @@
 const PATIENCE: u64 = 4_000;
 /// Share of full speed, in percent, at which a lasting task is at work.
 const AT_WORK: u64 = 100;
+/// Age up to which an executor's last answer shows that its tasks are at work, in milliseconds;
+/// less than the time after which a task counts as away.
+const SEEN: u64 = 2_000;
 
 impl Cell {
     /// Stops what keeps leaving executors from becoming empty.
@@ -59,11 +62,8 @@
             .filter(|(index, _)| *index != task.index)
             .filter(|(index, state)| {
                 let id = TaskId { index: *index, ..task.clone() };
-                let slot = state
-                    .live
-                    .as_ref()
-                    .and_then(|worker| self.workers.get(worker))
-                    .and_then(|worker| worker.runs.get(&id));
+                let worker = state.live.as_ref().and_then(|worker| self.workers.get(worker));
+                let slot = worker.filter(|w| now < w.heard + SEEN).and_then(|w| w.runs.get(&id));
                 slot.is_none_or(|s| s.phase != Phase::Running || s.percent < AT_WORK)
             })
             .count();
--- a/crates/jobs/src/cell/look.rs
+++ b/crates/jobs/src/cell/look.rs
@@ -11,6 +11,8 @@
 /// Pause before a stop without answer is repeated, in milliseconds; half a second covers several
 /// round trips.
 const REPEAT: u64 = 500;
+/// Pause before a stop is repeated to an executor that does not answer, in milliseconds.
+const SILENT_REPEAT: u64 = 2_000;
 /// Pause before a task that failed starts again, in milliseconds.
 const AGAIN: u64 = 100;
 
@@ -243,8 +245,9 @@
     /// Repeats stops that were not answered.
     pub(super) fn repeat_stops(&mut self, now: u64) {
         for (id, worker) in self.workers.iter_mut().filter(|(_, w)| !w.dead) {
+            let pause = if worker.silent == 0 { REPEAT } else { SILENT_REPEAT };
             for (task, slot) in &mut worker.runs {
-                if slot.phase == Phase::Stopping && now >= slot.ordered + REPEAT {
+                if slot.phase == Phase::Stopping && now >= slot.ordered + pause {
                     slot.ordered = now;
                     self.orders.push(Order::Stop {
                         worker: id.clone(),
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::job::{Job, State, TaskId};
 use crate::order::Waiting;
+use crate::place;
 use crate::progress::Progress;
 use crate::queue::Queue;
 use crate::worker::{Registration, Worker};
@@ -153,6 +154,17 @@
     pub inherited: bool,
 }
 
+/// What keeps machines in a pool.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Room of lasting tasks, in thousandths of a core.
+    pub cpu: u64,
+    /// Fewest executors on which the lasting tasks can stand.
+    pub floor: usize,
+    /// Executors without lasting tasks, those with the least work first.
+    pub spares: Vec<String>,
+}
+
 /// The scheduler of one cell.
 #[derive(Debug)]
 pub struct Cell {
@@ -164,6 +176,8 @@
     workers: IndexMap<String, Worker>,
     orders: Vec<Order>,
     dirty: IndexSet<String>,
+    /// Executors to be emptied, known or not.
+    leaving: IndexSet<String>,
     /// Jobs whose end is durable.
     ended: IndexSet<String>,
     superseded: bool,
@@ -189,6 +203,7 @@
             workers: IndexMap::new(),
             orders: Vec::new(),
             dirty: IndexSet::new(),
+            leaving: IndexSet::new(),
             ended: IndexSet::new(),
             superseded: false,
         }
@@ -257,7 +272,9 @@
                 worker.listed = true;
             }
             None => {
-                self.workers.insert(entry.id.clone(), Worker::new(entry));
+                let leaving = self.leaving.contains(&entry.id);
+                let worker = Worker { leaving, ..Worker::new(entry) };
+                self.workers.insert(worker.entry.id.clone(), worker);
             }
         }
     }
@@ -269,11 +286,12 @@
         }
     }
 
-    /// Marks an executor that is to be emptied, or takes the mark back.
-    pub fn set_leaving(&mut self, id: &str, leaving: bool) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.leaving = leaving;
+    /// Names the executors that are to be emptied; all others are not.
+    pub fn set_leaving(&mut self, executors: IndexSet<String>) {
+        for (id, worker) in &mut self.workers {
+            worker.leaving = executors.contains(id);
         }
+        self.leaving = executors;
     }
 
     /// Whether an executor runs nothing and is not going to.
@@ -300,21 +318,46 @@
         counts
     }
 
-    /// Estimated work of tasks that wait for room, in thousandths of a core times milliseconds.
-    pub fn backlog(&self) -> u64 {
-        let active = self.jobs.values().filter(|e| !e.state.is_final());
-        active
-            .map(|entry| match entry.turns.get_index(0) {
-                None if entry.job.schedule.is_none() => entry.job.work(),
-                None => 0,
-                Some((_, turn)) => turn
-                    .iter()
-                    .zip(&entry.job.steps)
-                    .filter(|(_, shape)| !shape.lasting && !shape.filler)
-                    .map(|(state, shape)| state.open as u64 * shape.room.cpu * shape.estimate)
-                    .sum(),
-            })
-            .sum()
+    /// Estimated work of tasks that wait for room, in thousandths of a core times milliseconds: of
+    /// jobs that can still be in time, and of all.
+    pub fn backlog(&self, now: u64) -> (u64, u64) {
+        let (mut timely, mut all) = (0, 0);
+        for entry in self.jobs.values().filter(|e| !e.state.is_final() && !e.waiting.lasting) {
+            let work = open_work(entry);
+            all += work;
+            if entry.state == State::Running || now <= entry.waiting.latest() {
+                timely += work;
+            }
+        }
+        (timely, all)
+    }
+
+    /// What the lasting tasks need, and the executors that could leave at little cost.
+    pub fn standing(&self) -> Standing {
+        let mut standing = Standing::default();
+        let lasting = self.jobs.values().filter(|e| e.waiting.lasting && !e.state.is_final());
+        for step in lasting.flat_map(|e| &e.job.steps).filter(|step| step.lasting) {
+            standing.cpu += u64::from(step.count) * place::need(step).cpu;
+            let machines = step.count.div_ceil(step.spread.max(1)) as usize;
+            if step.spread > 0 {
+                standing.floor = standing.floor.max(machines);
+            }
+        }
+        let mut spares: Vec<(u64, &String)> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.joined && w.listed && !w.dead && !w.leaving && w.entry.ready)
+            .filter(|(_, w)| !w.runs.keys().any(|task| self.lasts(task)))
+            .map(|(id, w)| (w.used.cpu, id))
+            .collect();
+        spares.sort();
+        standing.spares = spares.into_iter().map(|(_, id)| id.clone()).collect();
+        standing
+    }
+
+    fn lasts(&self, task: &TaskId) -> bool {
+        let step = self.jobs.get(&task.job).and_then(|e| e.job.steps.get(task.step));
+        step.is_none_or(|step| step.lasting)
     }
 
     /// Number of jobs that have not ended.
@@ -422,6 +465,20 @@
     }
 }
 
+/// Estimated work of a job's tasks that wait, in thousandths of a core times milliseconds.
+fn open_work(entry: &Entry) -> u64 {
+    match entry.turns.get_index(0) {
+        None if entry.job.schedule.is_none() => entry.job.work(),
+        None => 0,
+        Some((_, turn)) => turn
+            .iter()
+            .zip(&entry.job.steps)
+            .filter(|(_, shape)| !shape.filler)
+            .map(|(state, shape)| state.open as u64 * shape.room.cpu * shape.estimate)
+            .sum(),
+    }
+}
+
 /// The steps of an occurrence before anything ran.
 fn blank_steps(job: &Job) -> Vec<StepState> {
     job.steps
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -142,10 +142,13 @@
         }
     }
 
-    /// Lease end to give to an executor now, by its own clock; none before its clock is known.
+    /// Lease end to give to an executor now, by its own clock.
+    ///
+    /// None before its clock is known, and none while it does not answer: otherwise the time up to
+    /// which its runs may go on would never be over.
     pub fn grant(&mut self, id: &str, now: u64) -> Option<u64> {
         let lease = self.rules.lease;
-        let worker = self.workers.get_mut(id).filter(|w| w.heard > 0)?;
+        let worker = self.workers.get_mut(id).filter(|w| w.heard > 0 && w.silent == 0)?;
         let until = worker.clock_at(now) + lease;
         worker.granted = worker.granted.max(until);
         Some(until)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod progress;
 pub mod queue;
 pub mod row;
+pub mod share;
 pub mod wave;
 pub mod worker;
 
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -6,6 +6,11 @@
 //! left in the order of their arrival. Lasting jobs go before all of them, because every moment
 //! without their tasks is lost for good.
 
+/// What a job's steps take beyond their own work, in milliseconds: orders, looks and the record.
+const OVERHEAD: u64 = 250;
+/// Part by which chains are taken to be longer than estimated, in percent.
+const DOUBT: u64 = 15;
+
 /// What decides a job's place in the order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Waiting {
@@ -30,18 +35,23 @@
 }
 
 impl Waiting {
+    /// When it has to start to be in time, in milliseconds.
+    pub fn latest(&self) -> u64 {
+        self.objective.saturating_sub(self.chain + self.chain * DOUBT / 100 + OVERHEAD)
+    }
+
     /// Its place at a moment.
     ///
     /// # Examples
     ///
     /// ```
     /// use jobs::order::Waiting;
-    /// let early = Waiting { lasting: false, priority: 0, accepted: 0, objective: 900, chain: 600 };
-    /// let late = Waiting { objective: 500, ..early };
+    /// let early = Waiting { lasting: false, priority: 0, accepted: 0, objective: 1_900, chain: 600 };
+    /// let late = Waiting { objective: 900, ..early };
     /// assert!(early.rank(100) < late.rank(100));
     /// ```
     pub fn rank(&self, now: u64) -> Rank {
-        let latest = self.objective.saturating_sub(self.chain);
+        let latest = self.latest();
         let (class, time) = match () {
             () if self.lasting => (0, self.accepted),
             () if now <= latest => (1, latest),
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: many small tasks and some large ones that come in groups. A task goes where most
 //! processor stays free, so that neither a machine's failure nor its emptying for maintenance hits
-//! more work than needed; the rack that holds its data goes before that.
+//! more work than needed; the rack that holds its data goes before that. Lasting tasks go to
+//! executors that have some already, so that the others can leave their pool at little cost.
 
 use crate::job::Step;
 use crate::worker::{Room, Worker};
@@ -25,8 +26,9 @@
 
 /// How good a worker is for a step; larger is better, `None` when it has no room.
 ///
-/// `rack` is where the other tasks of a step that wants to stay together stand.
-pub fn score(step: &Step, worker: &Worker, rack: Option<&str>) -> Option<u64> {
+/// `rack` is where the other tasks of a step that wants to stay together stand; `settled` tells
+/// whether the worker has lasting tasks.
+pub fn score(step: &Step, worker: &Worker, rack: Option<&str>, settled: bool) -> Option<u64> {
     let need = need(step);
     if !worker.free().fits(need) {
         return None;
@@ -37,5 +39,6 @@
         _ => true,
     };
     let left = worker.free().less(need).cpu.min(u64::from(u32::MAX));
-    Some((u64::from(near) << 40) | left)
+    let joins = settled && step.lasting;
+    Some((u64::from(near) << 41) | (u64::from(joins) << 40) | left)
 }
--- /dev/null
+++ b/crates/jobs/src/share.rs
@@ -0,0 +1,229 @@
+//! How many machines each pool should have.
+//!
+//! Load pattern: the queues' demand rises and falls by turns. In its turn a queue asks for several
+//! times its mean, more than its pool holds, while the others are nearly idle; a turn lasts a few
+//! times as long as a move takes. So machines follow the work that arrives, first the ones that
+//! stand by, then the ones that other pools do not need, and a pool that stays below its size gives
+//! machines back to standby.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+/// Times over which arriving work is averaged, in milliseconds; the longest holds several jobs of
+/// the larger kinds.
+const WINDOWS: [u64; 3] = [400, 900, 2_000];
+/// Time in which waiting work should be done, in milliseconds; the part of an objective beyond a
+/// job's own work.
+const CLEAR: u64 = 1_500;
+/// Room beyond the work that arrives, in percent; covers the packing of tasks and the spread of
+/// estimates.
+const HEADROOM: u64 = 125;
+/// How long a pool has to be larger than needed before it gives machines back, in milliseconds;
+/// the time in which an idle machine costs as much as a move.
+const SURPLUS: u64 = 1_200;
+/// Fewest machines of a pool; one may fail while another is down for maintenance.
+const LEAST: usize = 3;
+
+/// Work that has arrived lately.
+#[derive(Debug, Clone, Default)]
+pub struct Inflow {
+    arrivals: VecDeque<(u64, u64)>,
+}
+
+impl Inflow {
+    /// Notes work that arrives, in thousandths of a core times milliseconds.
+    pub fn add(&mut self, now: u64, work: u64) {
+        self.arrivals.push_back((now, work));
+    }
+
+    /// Rate at which work arrives, in thousandths of a core.
+    ///
+    /// The highest over several windows, so that a rise shows early. The largest job of a window
+    /// is left out: a single one is no rise.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut inflow = jobs::share::Inflow::default();
+    /// for at in [100, 200, 300] {
+    ///     inflow.add(at, 1_000_000);
+    /// }
+    /// assert_eq!(inflow.rate(400), 5_000);
+    /// assert_eq!(inflow.rate(5_000), 0);
+    /// ```
+    pub fn rate(&mut self, now: u64) -> u64 {
+        let longest = WINDOWS.into_iter().max().unwrap_or(0);
+        while self.arrivals.front().is_some_and(|(at, _)| *at + longest < now) {
+            self.arrivals.pop_front();
+        }
+        let rate = |window: u64| {
+            let recent = self.arrivals.iter().filter(|(at, _)| *at + window >= now);
+            let (sum, most) =
+                recent.fold((0, 0), |(sum, most), (_, work)| (sum + work, (*work).max(most)));
+            (sum - most) / window
+        };
+        WINDOWS.into_iter().map(rate).max().unwrap_or(0)
+    }
+}
+
+/// What a pool asks for and has.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Rate at which work arrives, in thousandths of a core.
+    pub arriving: u64,
+    /// Work that waits, in thousandths of a core times milliseconds.
+    pub waiting: u64,
+    /// Room of lasting tasks, in thousandths of a core.
+    pub lasting: u64,
+    /// Fewest machines on which its lasting tasks can stand.
+    pub floor: usize,
+    /// Machines that are in it or on their way, without those that leave.
+    pub machines: usize,
+    /// Machines that can leave at little cost, the best first.
+    pub spares: Vec<String>,
+}
+
+/// One machine to move.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shift {
+    /// Machine.
+    pub machine: String,
+    /// Pool that it leaves.
+    pub from: String,
+    /// Pool that it goes to.
+    pub to: String,
+}
+
+/// Remembers since when pools have been larger than needed.
+#[derive(Debug, Clone, Default)]
+pub struct Shares {
+    surplus: IndexMap<String, u64>,
+}
+
+/// Machines that a pool needs, each of `size` thousandths of a core.
+///
+/// # Examples
+///
+/// ```
+/// use jobs::share::{Demand, need};
+/// let demand = Demand { arriving: 100_000, waiting: 0, lasting: 16_000, ..Demand::default() };
+/// assert_eq!(need(&demand, 16_000), 9);
+/// ```
+pub fn need(demand: &Demand, size: u64) -> usize {
+    let cpu = demand.lasting + demand.arriving * HEADROOM / 100 + demand.waiting / CLEAR;
+    let machines = cpu.div_ceil(size.max(1));
+    usize::try_from(machines).unwrap_or(usize::MAX).max(demand.floor + 1).max(LEAST)
+}
+
+impl Shares {
+    /// Decides which machines move now.
+    ///
+    /// `standby` names the pool of machines that are switched off, with those that are ready
+    /// to move; `total` is the number of all machines and `size` the room of one in thousandths
+    /// of a core.
+    pub fn next(
+        &mut self,
+        pools: &IndexMap<String, Demand>,
+        standby: Option<(&str, &[String])>,
+        total: usize,
+        size: u64,
+        now: u64,
+    ) -> Vec<Shift> {
+        // Between its turns, a pool keeps an even share for the first moments of the next.
+        let base = total / (pools.len() + 1);
+        let mut sides: Vec<Side<'_>> = pools
+            .iter()
+            .map(|(name, demand)| {
+                let need = need(demand, size);
+                let keep = need.max(base);
+                if demand.machines <= keep {
+                    self.surplus.swap_remove(name);
+                } else {
+                    self.surplus.entry(name.clone()).or_insert(now);
+                }
+                let since = self.surplus.get(name).copied().unwrap_or(now);
+                let spares = demand.spares.iter().collect();
+                Side {
+                    name,
+                    have: demand.machines,
+                    need,
+                    keep,
+                    lasts: now >= since + SURPLUS,
+                    spares,
+                }
+            })
+            .collect();
+        let mut off: VecDeque<&String> =
+            standby.map(|(_, machines)| machines.iter().collect()).unwrap_or_default();
+        let off_pool = standby.map_or("", |(pool, _)| pool);
+        let mut shifts = Vec::new();
+        let mut shift = |machine: &String, from: &str, to: &str| {
+            shifts.push(Shift {
+                machine: machine.clone(),
+                from: from.to_owned(),
+                to: to.to_owned(),
+            });
+        };
+        // The pool that lacks most gets the next machine.
+        while let Some(to) = most(&sides, |side| side.need.saturating_sub(side.have)) {
+            if let Some(machine) = off.pop_front() {
+                shift(machine, off_pool, sides[to].name);
+            } else {
+                let from = most(&sides, |side| side.spare(side.need));
+                let Some(from) = from else { break };
+                let Some(machine) = sides[from].give() else { break };
+                shift(machine, sides[from].name, sides[to].name);
+            }
+            sides[to].have += 1;
+        }
+        // Then pools come back to their share, and what is left goes to standby.
+        while let Some(to) = most(&sides, |side| side.keep.saturating_sub(side.have)) {
+            let from = most(&sides, |s| if s.lasts { s.spare(s.keep) } else { 0 });
+            let Some(from) = from else { break };
+            let Some(machine) = sides[from].give() else { break };
+            shift(machine, sides[from].name, sides[to].name);
+            sides[to].have += 1;
+        }
+        if standby.is_some() {
+            while let Some(from) = most(&sides, |s| if s.lasts { s.spare(s.keep) } else { 0 }) {
+                let Some(machine) = sides[from].give() else { break };
+                shift(machine, sides[from].name, off_pool);
+            }
+        }
+        shifts
+    }
+}
+
+/// A pool while moves are decided.
+struct Side<'a> {
+    name: &'a String,
+    have: usize,
+    /// Machines for the work at hand.
+    need: usize,
+    /// Machines to keep for what may come.
+    keep: usize,
+    /// Whether it has been larger than that for a while.
+    lasts: bool,
+    spares: VecDeque<&'a String>,
+}
+
+impl<'a> Side<'a> {
+    /// Machines that it can give and still have `least`.
+    fn spare(&self, least: usize) -> usize {
+        self.have.saturating_sub(least).min(self.spares.len())
+    }
+
+    fn give(&mut self) -> Option<&'a String> {
+        let machine = self.spares.pop_front()?;
+        self.have -= 1;
+        Some(machine)
+    }
+}
+
+/// The pool with the most of something; none when no pool has any.
+fn most(sides: &[Side<'_>], measure: impl Fn(&Side<'_>) -> usize) -> Option<usize> {
+    let (index, amount) =
+        sides.iter().map(&measure).enumerate().max_by_key(|(_, amount)| *amount)?;
+    (amount > 0).then_some(index)
+}
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -199,3 +199,54 @@
     let (changes, _) = cell.take_changes();
     assert_eq!(changes[0].state, jobs::State::Completed);
 }
+
+#[test]
+fn an_executor_that_falls_silent_gives_its_tasks_back_after_its_lease() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![Step { lasting: true, ..step(1, 100) }], false));
+    cell.looked("a", &look(100), 0, 1);
+    cell.tick(2, 0);
+    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    for now in (1_000..8_000).step_by(250) {
+        assert!(cell.grant("a", now).is_none() || now == 1_000);
+        cell.unheard("a");
+        cell.tick(now, 0);
+    }
+    assert!(cell.workers()["a"].runs.is_empty());
+}
+
+#[test]
+fn a_new_holder_gives_no_task_to_an_executor_that_is_to_be_emptied() {
+    let mut cell = cell(2, &[]);
+    cell.set_leaving(std::iter::once("a".to_owned()).collect());
+    cell.register(executor("a"));
+    cell.admit(arrival(vec![step(1, 100)], false));
+    cell.looked("a", &look(100), 0, 1);
+    assert!(starts(&cell.tick(2, 0)).is_empty());
+}
+
+#[test]
+fn a_lasting_task_is_not_stopped_while_another_of_its_step_was_not_seen_lately() {
+    let mut cell = cell(1, &["a", "bb"]);
+    let pair = Step { lasting: true, spread: 1, spare: 1, ..step(2, 100) };
+    cell.admit(arrival(vec![pair], false));
+    for id in ["a", "bb"] {
+        cell.looked(id, &look(100), 0, 1);
+    }
+    for (worker, task, run) in starts(&cell.tick(2, 0)) {
+        cell.started(&worker, &task, run, StartOutcome::Running(101), 3);
+        let mut seen = look(110);
+        seen.present = vec![present(task, run)];
+        cell.looked(&worker, &seen, 4, 10);
+    }
+    cell.set_leaving(std::iter::once("a".to_owned()).collect());
+    let mut seen = look(4_110);
+    seen.present = vec![present(cell.workers()["a"].runs.keys().next().unwrap().clone(), 1)];
+    cell.looked("a", &seen, 4_000, 4_010);
+    let stops = |orders: Vec<Order>| orders.iter().any(|o| matches!(o, Order::Stop { .. }));
+    assert!(!stops(cell.tick(4_020, 0)), "the other one was last seen 4 s ago");
+    let mut seen = look(4_110);
+    seen.present = vec![present(cell.workers()["bb"].runs.keys().next().unwrap().clone(), 1)];
+    cell.looked("bb", &seen, 4_000, 4_030);
+    assert!(stops(cell.tick(4_040, 0)));
+}
