A lease counts as ended only while the holder surely holds its cell

Ruled out: two holders under one token; epochs differ in the logs.

Change: the last confirmed time of the lease counts, not the present; orders go on for 6 s without confirmation instead of 9.

--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -69,10 +69,11 @@
     async fn poll(self: Rc<Self>) {
         loop {
             let from = Place::new(keys::SHARED, "", "");
+            let asked = clock::now();
             match read_all(&self.ctx, from).await {
                 Ok((rows, _)) => {
                     self.ctx.set_away(false, "shared rows were read");
-                    self.take(&rows);
+                    self.take(&rows, asked);
                     self.claim().await;
                     let held = self.held.borrow();
                     self.ctx.holding.set(!held.owners.is_empty() || held.fleet.is_some());
@@ -84,7 +85,7 @@
     }
 
     /// Takes in the shared rows, and gives up cells that others hold by now.
-    fn take(&self, rows: &[Row]) {
+    fn take(&self, rows: &[Row], asked: u64) {
         let now = clock::now();
         let loads = self.read::<Load>(rows, "load/");
         *self.ctx.loads.borrow_mut() = loads.into_iter().map(|(n, (_, load))| (n, load)).collect();
@@ -96,7 +97,7 @@
         };
         held.owners.retain(|cell, owner| {
             if is_mine(cell, owner.tenure()) {
-                owner.confirm(now);
+                owner.confirm(asked);
                 return true;
             }
             owner.abandon("another process holds the lease");
@@ -110,7 +111,7 @@
             held.fleet = None;
         }
         if let Some(fleet) = &held.fleet {
-            fleet.confirm(now);
+            fleet.confirm(asked);
         }
         self.seen.borrow_mut().observe(self.read::<Beat>(rows, "beat/"), leases, now);
     }
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -24,7 +24,7 @@
 
 /// Time for which a holder gives orders after its lease was last confirmed, in milliseconds;
 /// rides out the usual outages of the table.
-const VALID: u64 = 9_000;
+const VALID: u64 = 6_000;
 /// Time between passes of the scheduler without events, in milliseconds.
 const TICK: u64 = 25;
 /// Time between publications of the load, in milliseconds; a fraction of a machine's move.
@@ -118,9 +118,10 @@
         &self.inner.tenure
     }
 
-    /// Notes that the lease was seen to be held.
-    pub fn confirm(&self, now: u64) {
-        self.inner.confirmed.set(now);
+    /// Notes that the lease was held at a time.
+    pub fn confirm(&self, at: u64) {
+        self.inner.confirmed.set(at);
+        self.inner.cell.borrow_mut().confirm(at);
     }
 
     pub fn is_lost(&self) -> bool {
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -23,7 +23,7 @@
         if self.superseded {
             return;
         }
-        let settled = self.settled(now);
+        let settled = self.settled();
         let early = self.rules.early;
         let mut ready: Vec<Ready> = Vec::new();
         for (job, entry) in self.jobs.values_mut().enumerate() {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -171,6 +171,8 @@
     rules: Rules,
     /// When this holder took the cell, in milliseconds.
     since: u64,
+    /// Latest time at which this holder surely held the cell, in milliseconds.
+    confirmed: u64,
     queues: IndexMap<String, Queue>,
     jobs: IndexMap<String, Entry>,
     workers: IndexMap<String, Worker>,
@@ -198,6 +200,7 @@
         Self {
             rules,
             since: now,
+            confirmed: now,
             queues: IndexMap::new(),
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
@@ -299,6 +302,11 @@
         self.workers.get(id).is_none_or(|w| w.dead || (w.runs.is_empty() && w.joined))
     }
 
+    /// Notes that this holder surely held the cell at a time.
+    pub fn confirm(&mut self, at: u64) {
+        self.confirmed = self.confirmed.max(at);
+    }
+
     /// Whether another holder's orders have been seen.
     pub fn is_superseded(&self) -> bool {
         self.superseded
@@ -375,26 +383,30 @@
     }
 
     /// Ends the runs of executors whose leases have surely run out, and forgets those that are gone.
+    ///
+    /// A later holder may have renewed the leases, so that what counts is the last time at which
+    /// there surely was none.
     fn expire(&mut self, now: u64) {
-        let inherited = now > self.since + self.rules.legacy;
+        let sure = self.confirmed.min(now);
+        let inherited = sure > self.since + self.rules.legacy;
         let lapsed: Vec<String> = self
             .workers
             .iter()
-            .filter(|(_, w)| !w.runs.is_empty() && w.lapsed(now))
+            .filter(|(_, w)| !w.runs.is_empty() && w.lapsed(sure))
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
             self.clear(&id, now);
         }
         self.workers.retain(|_, w| {
-            let gone = w.dead || (!w.listed && (w.lapsed(now) || (w.heard == 0 && inherited)));
+            let gone = w.dead || (!w.listed && (w.lapsed(sure) || (w.heard == 0 && inherited)));
             !(gone && w.runs.is_empty() && !w.listed)
         });
     }
 
     /// Whether every executor that a former holder used has answered or runs nothing any more.
-    fn settled(&self, now: u64) -> bool {
-        now > self.since + self.rules.legacy || self.workers.values().all(|w| w.joined || w.dead)
+    fn settled(&self) -> bool {
+        self.confirmed > self.since + self.rules.legacy || self.workers.values().all(|w| w.joined || w.dead)
     }
 
     /// Notes that an incarnation has ended and runs nothing any more.
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -193,6 +193,7 @@
     // The other executor never answers.
     cell.unlist("b");
     for now in [20, 17_000] {
+        cell.confirm(now);
         cell.looked("a", &look(500 + now), now - 5, now);
         assert!(starts(&cell.tick(now, now)).is_empty(), "at {now} ms");
     }
@@ -210,11 +211,25 @@
     for now in (1_000..8_000).step_by(250) {
         assert!(cell.grant("a", now).is_none() || now == 1_000);
         cell.unheard("a");
+        cell.confirm(now);
         cell.tick(now, 0);
     }
     assert!(cell.workers()["a"].runs.is_empty());
 }
 
+#[test]
+fn a_holder_that_is_cut_off_does_not_take_a_lease_for_ended() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    cell.looked("a", &look(100), 0, 1);
+    cell.tick(2, 0);
+    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    cell.unheard("a");
+    cell.tick(8_000, 0);
+    // A later holder may have renewed the lease meanwhile.
+    assert_eq!(cell.workers()["a"].runs.len(), 1);
+}
+
 #[test]
 fn a_new_holder_gives_no_task_to_an_executor_that_is_to_be_emptied() {
     let mut cell = cell(2, &[]);
