--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -102,11 +102,8 @@
         self.beats.values().filter(|seen| now < seen.changed + SUSPECT).count()
     }
 
-    /// Cells that `me` should claim now; `held` are those that it runs already.
-    ///
-    /// A lease in the name of `me` for a cell that it does not run comes from a claim whose answer
-    /// was lost; it is claimed again.
-    pub fn claims(&mut self, cells: &[String], held: &[String], me: &str, now: u64) -> Vec<String> {
+    /// Cells that `me` should claim now.
+    pub fn claims(&mut self, cells: &[String], me: &str, now: u64) -> Vec<String> {
         if now < self.since + SETTLE {
             return Vec::new();
         }
@@ -121,10 +118,6 @@
         let mut mine = Vec::new();
         for cell in cells {
             let holder = self.lease(cell).1.holder;
-            if holder == me && !held.contains(cell) {
-                mine.push(cell.clone());
-                continue;
-            }
             if !holder.is_empty() && self.alive(&holder, now) {
                 self.vacant.swap_remove(cell);
                 continue;
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -200,6 +200,7 @@
         pool: pool.to_owned(),
         stage: stage.to_string(),
         executor: machine.executor.clone(),
+        gone: false,
         empty: false,
     }
 }
--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -10,7 +10,7 @@
 use crate::follow::read_all;
 use crate::keys;
 use crate::ports::{Machine, MachineError, Place};
-use crate::rows::{self, Load};
+use crate::rows::{self, Duty, Load};
 
 /// Orders in one round; the platform takes some dozens a second.
 const ORDERS: usize = 12;
@@ -146,8 +146,17 @@
                 }
             }
         }
-        join_all(ready.iter().take(ORDERS).map(|(name, pool)| self.order_move(name, pool))).await;
-        Ok(())
+        ready.truncate(ORDERS);
+        let orders = ready.iter().map(|(name, pool)| self.order_move(name, pool));
+        let taken = join_all(orders).await;
+        // The cells need not wait for the leases of executors that have surely ended.
+        let gone = ready.iter().zip(taken).filter(|(_, taken)| *taken);
+        let gone = gone.filter_map(|((name, _), _)| {
+            let place = keys::shift(name);
+            let duty = self.duty(&place)?;
+            Some((place, Some(Duty { gone: true, stage: Stage::Done.to_string(), ..duty })))
+        });
+        self.write(gone.collect()).await
     }
 
     async fn begin(&self, shifts: &[Shift], standby: Option<&str>) -> Result<(), String> {
@@ -174,9 +183,10 @@
         Ok(())
     }
 
-    async fn order_move(&self, name: &str, pool: &str) {
+    /// Orders a machine into a pool; true when the order was taken.
+    async fn order_move(&self, name: &str, pool: &str) -> bool {
         if !self.may_order() {
-            return;
+            return false;
         }
         let answer = self.ctx.ports.machines.shift(name, pool, self.tenure.epoch).await;
         let text = answer.as_ref().err().map_or("taken".to_owned(), ToString::to_string);
@@ -192,6 +202,7 @@
         match answer {
             Ok(()) => {
                 self.moving.borrow_mut().insert(name.to_owned(), (pool.to_owned(), clock::now()));
+                return true;
             }
             Err(MachineError::Fenced) => self.lost.set(true),
             Err(MachineError::Unknown { .. }) => {}
@@ -199,5 +210,6 @@
                 self.moving.borrow_mut().swap_remove(name);
             }
         }
+        false
     }
 }
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -120,13 +120,21 @@
             names.iter().filter_map(|name| machines.get(name)).map(down).collect()
         };
         self.write(writes).await?;
-        join_all(names.iter().map(|name| self.order_down(name, wave))).await;
-        Ok(())
+        let taken = join_all(names.iter().map(|name| self.order_down(name, wave))).await;
+        // The cells need not wait for the leases of executors that have surely ended.
+        let gone = names.iter().zip(taken).filter(|(_, taken)| *taken);
+        let gone = gone.filter_map(|(name, _)| {
+            let place = keys::upkeep(wave, name);
+            let duty = self.duty(&place)?;
+            Some((place, Some(Duty { gone: true, ..duty })))
+        });
+        self.write(gone.collect()).await
     }
 
-    async fn order_down(&self, name: &str, wave: u64) {
+    /// Orders a machine down; true when the order was taken.
+    async fn order_down(&self, name: &str, wave: u64) -> bool {
         if !self.may_order() {
-            return;
+            return false;
         }
         let answer = self.ctx.ports.machines.upkeep(name, wave, self.tenure.epoch).await;
         let text = answer.as_ref().err().map_or("taken".to_owned(), ToString::to_string);
@@ -143,10 +151,14 @@
             Ok(()) => {
                 self.taken.borrow_mut().insert((wave, name.to_owned()), clock::now());
             }
-            Err(MachineError::Fenced) => self.lost.set(true),
+            Err(MachineError::Fenced) => {
+                self.lost.set(true);
+                return false;
+            }
             // The next round asks again, once the machine is listed as up.
-            Err(_) => {}
+            Err(_) => return false,
         }
+        true
     }
 
     async fn report(&self, wave: u64, complete: bool) -> Result<(), String> {
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -32,11 +32,18 @@
     ctx: Rc<Context>,
     held: RefCell<Held>,
     seen: RefCell<Observations>,
+    /// Claims without an answer; their epochs are not known.
+    doubts: RefCell<IndexMap<String, Tenure>>,
 }
 
 impl Member {
     pub fn spawn(ctx: Rc<Context>) -> Rc<Self> {
-        let member = Rc::new(Self { ctx, held: RefCell::default(), seen: RefCell::default() });
+        let member = Rc::new(Self {
+            ctx,
+            held: RefCell::default(),
+            seen: RefCell::default(),
+            doubts: RefCell::default(),
+        });
         actix::spawn(Rc::clone(&member).beat());
         actix::spawn(Rc::clone(&member).poll());
         member
@@ -113,6 +120,8 @@
         if let Some(fleet) = &held.fleet {
             fleet.confirm(asked);
         }
+        drop(held);
+        self.adopt(&leases);
         self.seen.borrow_mut().observe(self.read::<Beat>(rows, "beat/"), leases, now);
     }
 
@@ -150,21 +159,46 @@
         cells.sort();
         cells.dedup();
         let me = self.ctx.holder();
-        let mine: Vec<String> = {
-            let held = self.held.borrow();
-            let fleet = held.fleet.iter().map(|_| keys::FLEET.to_owned());
-            held.owners.keys().cloned().chain(fleet).collect()
-        };
-        let claims = self.seen.borrow_mut().claims(&cells, &mine, &me, clock::now());
+        let claims = self.seen.borrow_mut().claims(&cells, &me, clock::now());
         for cell in claims {
             let (version, lease) = self.seen.borrow().lease(&cell);
             if let Some(tenure) = self.acquire(&cell, version, &lease).await {
-                let mut held = self.held.borrow_mut();
-                if cell == keys::FLEET {
-                    held.fleet = Some(Fleet::spawn(Rc::clone(&self.ctx), tenure));
-                } else {
-                    held.owners.insert(cell, Owner::spawn(Rc::clone(&self.ctx), tenure));
+                self.start(tenure);
+            }
+        }
+    }
+
+    /// Runs a cell or the fleet's duties.
+    fn start(&self, tenure: Tenure) {
+        let mut held = self.held.borrow_mut();
+        if tenure.cell == keys::FLEET {
+            held.fleet = Some(Fleet::spawn(Rc::clone(&self.ctx), tenure));
+        } else {
+            let cell = tenure.cell.clone();
+            held.owners.insert(cell, Owner::spawn(Rc::clone(&self.ctx), tenure));
+        }
+    }
+
+    /// Starts what a claim without an answer has brought: its lease is there in this name.
+    fn adopt(&self, leases: &IndexMap<String, (u64, Lease)>) {
+        let me = self.ctx.holder();
+        let doubts = std::mem::take(&mut *self.doubts.borrow_mut());
+        for (cell, tenure) in doubts {
+            let held = {
+                let held = self.held.borrow();
+                held.owners.contains_key(&cell) || (cell == keys::FLEET && held.fleet.is_some())
+            };
+            match leases.get(&cell) {
+                Some((version, lease)) if lease.holder == me && lease.term == tenure.term => {
+                    if !held && !self.ctx.stopping.get() {
+                        self.start(Tenure { epoch: *version, ..tenure });
+                    }
                 }
+                // It may be applied yet.
+                Some((_, lease)) if lease.term < tenure.term => {
+                    self.doubts.borrow_mut().insert(cell, tenure);
+                }
+                _ => {}
             }
         }
     }
@@ -177,7 +211,12 @@
             writes: vec![(place, rows::encode(&lease))],
             removes: Vec::new(),
         };
-        let asked = clock::now();
+        let tenure = Tenure {
+            cell: cell.to_owned(),
+            epoch: 0,
+            term: lease.term,
+            ended: old.holder.is_empty() || self.seen.borrow().ended(&old.holder),
+        };
         match self.ctx.ports.store.apply(&change).await {
             Ok(done) => {
                 self.ctx.timeline.record(
@@ -189,21 +228,15 @@
                         ("before", &old.holder),
                     ],
                 );
-                Some(Tenure {
-                    cell: cell.to_owned(),
-                    epoch: done.version,
-                    term: lease.term,
-                    since: asked,
-                    ended: old.holder.is_empty() || self.seen.borrow().ended(&old.holder),
-                })
+                Some(Tenure { epoch: done.version, ..tenure })
             }
-            // Another process was faster, or the next read shows whether this one has it: it then
-            // holds a lease without a running owner and lets it go.
-            Err(ChangeError::Conflict { .. }) => None,
-            Err(error) => {
-                self.ctx.set_away(true, &error.to_string());
+            Err(ChangeError::Unknown { what }) => {
+                self.ctx.set_away(true, &what);
+                self.doubts.borrow_mut().insert(cell.to_owned(), tenure);
                 None
             }
+            // Another process was faster, or this one's claim was applied without an answer.
+            Err(_) => None,
         }
     }
 }
--- a/crates/cells/src/owner/duty.rs
+++ b/crates/cells/src/owner/duty.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexSet;
 
 use super::Inner;
+use crate::clock;
 use crate::keys;
 use crate::ports::{Change, ChangeError, Place};
 use crate::rows::{self, Duty};
@@ -28,6 +29,12 @@
                 actix::spawn(report);
             }
         }
+        for (_, duty) in duties.values().filter(|(_, duty)| duty.gone) {
+            let alive = cell.workers().get(&duty.executor).is_some_and(|w| !w.dead);
+            if alive {
+                cell.bury(&duty.executor, clock::now());
+            }
+        }
         cell.set_leaving(due);
     }
 
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::context::{Context, pause};
 use crate::keys;
-use crate::ports::{Change, Executor, Place, Row};
+use crate::ports::{Change, ChangeError, Executor, Place, Row};
 use crate::rows::{self, Lease, Load};
 
 /// Time for which a holder gives orders after its lease was last confirmed, in milliseconds;
@@ -35,6 +35,8 @@
 const SPARES: usize = 24;
 /// Longest part of the stop that is spent on making the last ends durable, in milliseconds.
 const FLUSH: u64 = 600;
+/// Longest part of the stop that is spent on giving a lease up, in milliseconds.
+const RELEASE: u64 = 2_000;
 
 /// The right to run a cell.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,8 +47,6 @@
     pub epoch: u64,
     /// Number of the holder.
     pub term: u64,
-    /// When the lease was asked for, in milliseconds.
-    pub since: u64,
     /// Whether the holder before has surely ended.
     pub ended: bool,
 }
@@ -157,11 +157,25 @@
         writes: vec![(place, row)],
         removes: Vec::new(),
     };
-    match ctx.ports.store.apply(&change).await {
-        Ok(_) => ctx.timeline.record(base::Event::CellReleased, &[("cell", &tenure.cell)]),
-        Err(error) => {
-            ctx.timeline.record(base::Event::CellLost, &[("cell", &tenure.cell), ("why", &error)])
+    let until = clock::now() + RELEASE;
+    loop {
+        let why = match ctx.ports.store.apply(&change).await {
+            Ok(_) => {
+                ctx.timeline.record(base::Event::CellReleased, &[("cell", &tenure.cell)]);
+                return;
+            }
+            // An earlier try was applied without an answer, or another process has the lease.
+            Err(ChangeError::Conflict { .. }) => return,
+            Err(error) => error.to_string(),
+        };
+        if clock::now() >= until {
+            ctx.timeline.record(
+                base::Event::CellLost,
+                &[("cell", &tenure.cell), ("why", &format!("not handed over: {why}"))],
+            );
+            return;
         }
+        pause(4 * TICK).await;
     }
 }
 
@@ -301,7 +315,7 @@
                 };
                 match self.ctx.ports.store.apply(&change).await {
                     Ok(_) => last = load,
-                    Err(crate::ports::ChangeError::Conflict { .. }) => {
+                    Err(ChangeError::Conflict { .. }) => {
                         self.lose("the lease has changed");
                     }
                     Err(error) => self.ctx.set_away(true, &error.to_string()),
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -8,7 +8,6 @@
 use jobs::{Progress, Registration};
 
 use super::{Inner, write::WriteError};
-use crate::clock;
 use crate::context::pause;
 use crate::follow::read_all;
 use crate::keys;
@@ -189,21 +188,6 @@
         }
         for entry in listed {
             if durable || known.contains(&entry.id) {
-                // An executor at the same address takes the place of the one before.
-                let old: Vec<String> = cell
-                    .workers()
-                    .iter()
-                    .filter(|(id, w)| {
-                        !known.contains(&entry.id)
-                            && **id != entry.id
-                            && !w.dead
-                            && w.entry.address == entry.address
-                    })
-                    .map(|(id, _)| id.clone())
-                    .collect();
-                for id in old {
-                    cell.bury(&id, clock::now());
-                }
                 cell.register(entry);
             }
         }
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -213,11 +213,7 @@
                 address: address.clone(),
                 ..Registration::default()
             };
-            let mut cell = self.cell.borrow_mut();
-            if !cell.workers().contains_key(id) {
-                cell.register(entry);
-                cell.unlist(id);
-            }
+            self.cell.borrow_mut().inherit(entry);
         }
         *self.roster.borrow_mut() = RosterState { roster, version: row.version };
         Ok(())
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -129,6 +129,9 @@
     /// Executor that has to be empty.
     #[serde(rename = "x")]
     pub executor: String,
+    /// Whether the order was taken, which ends the executor.
+    #[serde(rename = "g", default)]
+    pub gone: bool,
     /// Whether the cell has emptied it.
     #[serde(rename = "e", default)]
     pub empty: bool,
--- a/crates/jobs/src/cell/look.rs
+++ b/crates/jobs/src/cell/look.rs
@@ -143,7 +143,8 @@
     /// Takes in a run that this holder has not started; false when the end is known already.
     fn adopt(&mut self, id: &str, run: &Present, now: u64) -> bool {
         let task = &run.task;
-        let mut room = crate::worker::Room::default();
+        // What an unknown run takes is unknown as well: it may be the whole executor.
+        let Some(mut room) = self.workers.get(id).map(|w| w.entry.room) else { return false };
         let entry = self.jobs.get_mut(&task.job).filter(|entry| task.turn >= entry.past);
         if let Some(entry) = entry {
             if let Some(shape) = entry.job.steps.get(task.step) {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -178,6 +178,8 @@
     workers: IndexMap<String, Worker>,
     orders: Vec<Order>,
     dirty: IndexSet<String>,
+    /// Executors that earlier holders used.
+    inherited: IndexSet<String>,
     /// Executors to be emptied, known or not.
     leaving: IndexSet<String>,
     /// Jobs whose end is durable.
@@ -206,6 +208,7 @@
             workers: IndexMap::new(),
             orders: Vec::new(),
             dirty: IndexSet::new(),
+            inherited: IndexSet::new(),
             leaving: IndexSet::new(),
             ended: IndexSet::new(),
             superseded: false,
@@ -282,6 +285,16 @@
         }
     }
 
+    /// Takes in an executor that an earlier holder used; the registry may list it or not.
+    pub fn inherit(&mut self, entry: Registration) {
+        self.inherited.insert(entry.id.clone());
+        if !self.workers.contains_key(&entry.id) {
+            let id = entry.id.clone();
+            self.register(entry);
+            self.unlist(&id);
+        }
+    }
+
     /// Notes that the registry does not list an executor any more.
     pub fn unlist(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
@@ -406,7 +419,8 @@
 
     /// Whether every executor that a former holder used has answered or runs nothing any more.
     fn settled(&self) -> bool {
-        self.confirmed > self.since + self.rules.legacy || self.workers.values().all(|w| w.joined || w.dead)
+        let over = |id: &String| self.workers.get(id).is_none_or(|w| w.joined || w.dead);
+        self.confirmed > self.since + self.rules.legacy || self.inherited.iter().all(over)
     }
 
     /// Notes that an incarnation has ended and runs nothing any more.
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -185,7 +185,8 @@
 
 #[test]
 fn ends_that_a_new_holder_finds_count_before_it_starts_anything() {
-    let mut cell = cell(2, &["a", "b"]);
+    let mut cell = cell(2, &["a"]);
+    cell.inherit(executor("b"));
     cell.admit(arrival(vec![step(1, 100)], true));
     let mut seen = look(500);
     seen.ended = vec![end(1, task(0, 0), 1, How::Done)];
@@ -265,3 +266,20 @@
     cell.looked("bb", &seen, 4_000, 4_030);
     assert!(stops(cell.tick(4_040, 0)));
 }
+
+#[test]
+fn a_run_of_an_unknown_job_takes_its_executor_whole_until_it_has_ended() {
+    let mut cell = cell(2, &["a"]);
+    let stray = TaskId { job: "00000000000000bb".to_owned(), ..task(0, 0) };
+    let mut seen = look(500);
+    seen.present = vec![present(stray.clone(), 9)];
+    cell.looked("a", &seen, 4, 10);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    let orders = cell.tick(11, 0);
+    assert!(matches!(&orders[..], [Order::Stop { task, run: 9, .. }] if *task == stray));
+    cell.stopped("a", &stray, 9, true, 12);
+    let mut seen = look(600);
+    seen.ended = vec![end(1, stray, 9, How::Stopped)];
+    cell.looked("a", &seen, 13, 20);
+    assert_eq!(starts(&cell.tick(21, 0)).len(), 1);
+}
