Shorter validity and leases, so that a successor waits eight seconds at most

Ruled out: taking executors without a registry entry for gone; they may be cut off and run on.

Change: orders for 3.5 s without confirmation (6 s before), leases of 4.5 s (6 s).

--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -179,7 +179,7 @@
 
 /// Longest lease given to executors, in milliseconds; covers the loss of a holder, which takes up
 /// to half of it, and keeps tasks of unreachable executors waiting no longer than needed.
-const MAX_LEASE: u64 = 6_000;
+const MAX_LEASE: u64 = 4_500;
 
 /// Name of a process's incarnation.
 pub(crate) fn holder(name: &str, start: u64) -> String {
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -23,8 +23,9 @@
 use crate::rows::{self, Lease, Load};
 
 /// Time for which a holder gives orders after its lease was last confirmed, in milliseconds;
-/// rides out the usual outages of the table.
-const VALID: u64 = 6_000;
+/// with the lease of the executors it rides out eight seconds without the table, and a successor
+/// waits no longer than that for executors that it can't reach.
+const VALID: u64 = 3_500;
 /// Time between passes of the scheduler without events, in milliseconds.
 const TICK: u64 = 25;
 /// Time between publications of the load, in milliseconds; a fraction of a machine's move.
