Waves take machines as the deadline asks for, idle ones first

Ruled out: the limit itself; it was never reached by need.

Change: pace by what is left of the time, order by cost; the start of a wave is kept in the table for successors.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 use crate::context::{Context, SeenWave, pause};
 use crate::owner::{self, Tenure};
 use crate::ports::{Change, ChangeError, Machine, Place};
-use crate::rows::{self, Duty};
+use crate::rows::{self, Duty, Load};
 
 /// Time between rounds, in milliseconds; a fraction of a machine's stop.
 const ROUND: u64 = 120;
@@ -46,6 +46,10 @@
     /// When this holder's order for a machine in a wave was taken, in milliseconds.
     taken: RefCell<IndexMap<(u64, String), u64>>,
     reported: RefCell<IndexMap<u64, bool>>,
+    /// When waves were first seen by any holder, by the table's clock.
+    starts: RefCell<IndexMap<u64, u64>>,
+    /// Loads of the cells, as last read.
+    loads: RefCell<IndexMap<String, Load>>,
     shares: RefCell<Shares>,
     /// Machines on their way to another pool, with the pool and the time of the order.
     moving: RefCell<IndexMap<String, (String, u64)>>,
@@ -63,6 +67,8 @@
             listed: Cell::new(0),
             taken: RefCell::default(),
             reported: RefCell::default(),
+            starts: RefCell::default(),
+            loads: RefCell::default(),
             shares: RefCell::default(),
             moving: RefCell::default(),
         });
@@ -126,6 +132,7 @@
         self.listed.set(asked);
         *self.machines.borrow_mut() =
             machines.into_iter().map(|machine| (machine.name.clone(), machine)).collect();
+        self.read_loads().await?;
         let waves: Vec<SeenWave> = self.ctx.waves.borrow().values().cloned().collect();
         for seen in waves {
             if self.reported.borrow().get(&seen.wave.number) != Some(&true) {
--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -27,7 +27,7 @@
         let Some(config) = self.ctx.config() else { return Ok(()) };
         self.settle_moves();
         self.carry_on().await?;
-        let loads = self.loads().await?;
+        let loads = self.loads.borrow().clone();
         let standby = config.pools.values().find(|pool| pool.standby).map(|p| p.name.clone());
         let shifts = {
             let machines = self.machines.borrow();
@@ -83,7 +83,8 @@
         }
     }
 
-    async fn loads(&self) -> Result<IndexMap<String, Load>, String> {
+    /// Reads the loads of the cells.
+    pub(super) async fn read_loads(&self) -> Result<(), String> {
         let from = Place { key: "load/".to_owned(), ..keys::load("") };
         let (rows, _) = read_all(&self.ctx, from).await.map_err(|error| error.to_string())?;
         let now = self.ctx.table_now();
@@ -98,7 +99,8 @@
                 loads.insert(cell.to_owned(), load);
             }
         }
-        Ok(loads)
+        *self.loads.borrow_mut() = loads;
+        Ok(())
     }
 
     /// Forgets moves that have arrived or taken too long.
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -7,13 +7,17 @@
 use super::{Inner, duty};
 use crate::clock;
 use crate::keys;
-use crate::ports::{Change, Machine, MachineError};
-use crate::rows::Duty;
+use crate::ports::{Change, ChangeError, Machine, MachineError};
+use crate::rows::{self, Duty};
+
+/// Cost of a machine with lasting tasks, above that of any without.
+const LASTING: u64 = 100;
 
 impl Inner {
     /// Does the next steps of a wave.
     pub(super) async fn wave(&self, wave: &Wave) -> Result<(), String> {
         self.note_returns(wave).await?;
+        let elapsed = self.elapsed(wave.number).await?;
         let steps = {
             let machines = self.machines.borrow();
             let stages: IndexMap<String, Stage> = wave
@@ -28,7 +32,8 @@
                     && (self.is_off(machine)
                         || duty.is_some_and(|d| d.empty && d.executor == machine.executor))
             };
-            wave::next(wave, &stages, &empty)
+            let cost = |name: &str| machines.get(name).map_or(0, |m| self.cost(m));
+            wave::next(wave, &stages, elapsed, &empty, &cost)
         };
         let mut writes = Vec::new();
         {
@@ -61,6 +66,48 @@
         self.report(wave.number, steps.complete).await
     }
 
+    /// What it costs to take a machine down now: nothing while it is off, little while it could
+    /// leave its pool, more in a pool that has work waiting.
+    fn cost(&self, machine: &Machine) -> u64 {
+        if self.is_off(machine) {
+            return 0;
+        }
+        let loads = self.loads.borrow();
+        let Some(load) = loads.get(&machine.pool) else { return LASTING };
+        let place = load.spares.iter().position(|id| *id == machine.executor);
+        let busy = (load.arriving * 1_000).checked_div(load.room).unwrap_or(1_000);
+        busy + place.map_or(LASTING, |place| 1 + place as u64)
+    }
+
+    /// Milliseconds since a wave was first seen by any holder.
+    async fn elapsed(&self, wave: u64) -> Result<u64, String> {
+        let known = self.starts.borrow().get(&wave).copied();
+        let start = match known {
+            Some(start) => start,
+            None => {
+                let place = keys::wave_start(wave);
+                let now = self.ctx.table_now();
+                let change = Change {
+                    expect: vec![(place.clone(), 0)],
+                    writes: vec![(place.clone(), rows::encode(&now))],
+                    removes: Vec::new(),
+                };
+                let start = match self.ctx.ports.store.apply(&change).await {
+                    Ok(_) => now,
+                    Err(ChangeError::Conflict { rows }) => rows
+                        .iter()
+                        .find(|row| row.place == place)
+                        .and_then(|row| rows::decode(row.value.as_deref()?).ok())
+                        .unwrap_or(now),
+                    Err(error) => return Err(error.to_string()),
+                };
+                self.starts.borrow_mut().insert(wave, start);
+                start
+            }
+        };
+        Ok(self.ctx.table_now().saturating_sub(start))
+    }
+
     fn stage(&self, wave: u64, name: &str) -> Stage {
         // A machine that the platform no longer lists has left and needs no maintenance.
         if !self.machines.borrow().contains_key(name) {
--- a/crates/cells/src/keys.rs
+++ b/crates/cells/src/keys.rs
@@ -60,6 +60,11 @@
     Place::new(DUTIES, "", &format!("wave/{wave}/{machine}"))
 }
 
+/// When a wave was first seen, by the table's clock.
+pub fn wave_start(wave: u64) -> Place {
+    Place::new(SHARED, "", &format!("wave/{wave}"))
+}
+
 /// A machine's move to another pool.
 pub fn shift(machine: &str) -> Place {
     Place::new(DUTIES, "", &format!("move/{machine}"))
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -1,8 +1,8 @@
 //! Which machines of a maintenance wave go down next.
 //!
 //! Load pattern: a wave names up to half of all machines, few of which may be down at once, and
-//! its deadline leaves little more than the sum of the stops. So the machines that follow are
-//! emptied while the ones before them are down.
+//! each of which is missed by the queue whose turn it is. So the machines are spread over the time
+//! up to the deadline, idle ones first, and the next ones are emptied while others are down.
 
 use indexmap::IndexMap;
 
@@ -45,14 +45,23 @@
     pub complete: bool,
 }
 
-/// Machines emptied ahead of the ones that may be down; a stop takes about as long as two of the
-/// usual tasks, so twice the limit keeps the next ones empty in time.
-const AHEAD: usize = 2;
+/// Time that a machine's emptying and stop take, in milliseconds; the stop itself is about half.
+const CYCLE: u64 = 4_000;
+/// Part of the time from the order to the deadline that is planned with, in percent; the rest is
+/// for machines that can't be emptied at once.
+const PLANNED: u64 = 65;
 
-/// Decides the next steps of a wave.
+/// Decides the next steps of a wave, `elapsed` milliseconds after its order.
 ///
-/// `empty` tells whether an emptied machine runs nothing any more.
-pub fn next(wave: &Wave, stages: &IndexMap<String, Stage>, empty: &dyn Fn(&str) -> bool) -> Steps {
+/// Only as many machines are taken at once as the deadline asks for, those with the least `cost`
+/// first. `empty` tells whether an emptied machine runs nothing any more.
+pub fn next(
+    wave: &Wave,
+    stages: &IndexMap<String, Stage>,
+    elapsed: u64,
+    empty: &dyn Fn(&str) -> bool,
+    cost: &dyn Fn(&str) -> u64,
+) -> Steps {
     let stage = |m: &String| stages.get(m).copied().unwrap_or_default();
     let at = |s: Stage| wave.machines.iter().filter(move |m| stage(m) == s);
     let most = wave.most.max(1);
@@ -65,9 +74,14 @@
         room -= 1;
         steps.down.push(machine.clone());
     }
+    let left = (wave.within * PLANNED / 100).saturating_sub(elapsed).max(CYCLE);
+    let open = wave.machines.iter().filter(|m| stage(m) != Stage::Done).count();
+    let pace = (open as u64 * CYCLE).div_ceil(left);
+    let pace = usize::try_from(pace).unwrap_or(usize::MAX).min(most + 1);
     let begun = at(Stage::Emptying).count() + at(Stage::Down).count();
-    let more = (most * AHEAD).max(most + 1).saturating_sub(begun);
-    steps.empty = at(Stage::Due).take(more).cloned().collect();
-    steps.complete = wave.machines.iter().all(|m| stage(m) == Stage::Done);
+    let mut due: Vec<&String> = at(Stage::Due).collect();
+    due.sort_by_key(|m| cost(m));
+    steps.empty = due.into_iter().take(pace.saturating_sub(begun)).cloned().collect();
+    steps.complete = open == 0;
     steps
 }
