Machines follow the trend of the inflow

Ruled out: the pace of the orders; they went out within 300 ms.

Change: a rise over the last second is carried on for two.

--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -13,6 +13,11 @@
 /// Times over which arriving work is averaged, in milliseconds; the longest holds several jobs of
 /// the larger kinds.
 const WINDOWS: [u64; 3] = [400, 900, 2_000];
+/// Window over which a rise is measured, in milliseconds.
+const TREND: u64 = 1_000;
+/// How far ahead a rise is carried on, in milliseconds; about the time from a decision to the first
+/// task on a machine that moved.
+const LEAD: u64 = 2_000;
 /// Time in which waiting work should be done, in milliseconds; the part of an objective beyond a
 /// job's own work.
 const CLEAR: u64 = 1_500;
@@ -37,33 +42,37 @@
         self.arrivals.push_back((now, work));
     }
 
-    /// Rate at which work arrives, in thousandths of a core.
+    /// Rate at which work is about to arrive, in thousandths of a core.
     ///
-    /// The highest over several windows, so that a rise shows early. The largest job of a window
-    /// is left out: a single one is no rise.
+    /// The highest over several windows, so that a rise shows early, and as much more as the rate
+    /// rises within the time of a move. The largest job of a window is left out: a single one is
+    /// no rise.
     ///
     /// # Examples
     ///
     /// ```
     /// let mut inflow = jobs::share::Inflow::default();
-    /// for at in [100, 200, 300] {
-    ///     inflow.add(at, 1_000_000);
+    /// for at in 0..100 {
+    ///     inflow.add(at * 40, 400_000);
     /// }
-    /// assert_eq!(inflow.rate(400), 5_000);
-    /// assert_eq!(inflow.rate(5_000), 0);
+    /// assert!((9_500..=10_500).contains(&inflow.rate(3_980)));
+    /// assert_eq!(inflow.rate(9_000), 0);
     /// ```
     pub fn rate(&mut self, now: u64) -> u64 {
-        let longest = WINDOWS.into_iter().max().unwrap_or(0);
-        while self.arrivals.front().is_some_and(|(at, _)| *at + longest < now) {
+        while self.arrivals.front().is_some_and(|(at, _)| *at + 2 * TREND < now) {
             self.arrivals.pop_front();
         }
-        let rate = |window: u64| {
-            let recent = self.arrivals.iter().filter(|(at, _)| *at + window >= now);
-            let (sum, most) =
-                recent.fold((0, 0), |(sum, most), (_, work)| (sum + work, (*work).max(most)));
-            (sum - most) / window
-        };
-        WINDOWS.into_iter().map(rate).max().unwrap_or(0)
+        let rate = WINDOWS.into_iter().map(|window| self.mean(now, window)).max().unwrap_or(0);
+        let rise = self.mean(now, TREND).saturating_sub(self.mean(now.saturating_sub(TREND), TREND));
+        rate + rise * LEAD / TREND
+    }
+
+    /// Mean rate over a window that ends at `end`.
+    fn mean(&self, end: u64, window: u64) -> u64 {
+        let inside = self.arrivals.iter().filter(|(at, _)| *at + window >= end && *at <= end);
+        let (sum, most) =
+            inside.fold((0, 0), |(sum, most), (_, work)| (sum + work, (*work).max(most)));
+        (sum - most) / window
     }
 }
 
