The fleet's duties go on at once after a hand-over

Change: every order is announced in a row with its time and epoch, so that only machines with a recent order have to wait; processes that started later take cells first, as they do not stop soon; single unanswered calls are no outage.

--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -4,6 +4,7 @@
 //! of them. Nobody judges others by time in which the table could not be read; of the processes
 //! that are alive, the one with the fewest cells takes the next.
 
+use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use indexmap::IndexMap;
@@ -17,6 +18,8 @@
 const BLIND: u64 = 1_500;
 /// Head start of each candidate over the next, in milliseconds; a poll and a transaction.
 const RANK: u64 = 800;
+/// Starts within such a time count as one, in milliseconds.
+const SAME_START: u64 = 4_000;
 /// How long a new process only observes, in milliseconds; machines start within 0.3 s.
 const SETTLE: u64 = 1_200;
 
@@ -102,6 +105,21 @@
         self.beats.values().filter(|seen| now < seen.changed + SUSPECT).count()
     }
 
+    /// Place of a candidate in the order of those that may take a cell; smaller goes first.
+    ///
+    /// A process that started later goes first, as in a series of planned restarts it is the one
+    /// that does not stop soon; but no process takes many cells while others have few.
+    fn preference(
+        &self,
+        holder: &str,
+        count: usize,
+        cell: &str,
+    ) -> (usize, Reverse<u64>, usize, u64) {
+        let start = holder.rsplit_once('~').and_then(|(_, start)| start.parse::<u64>().ok());
+        let start = start.unwrap_or(0) / SAME_START;
+        (count / 2, Reverse(start), count, mix(cell, holder))
+    }
+
     /// Cells that `me` should claim now.
     pub fn claims(&mut self, cells: &[String], me: &str, now: u64) -> Vec<String> {
         if now < self.since + SETTLE {
@@ -124,7 +142,7 @@
             }
             let since = *self.vacant.entry(cell.clone()).or_insert(now);
             let mut order: Vec<&String> = counts.keys().collect();
-            order.sort_by_key(|name| (counts[*name], mix(cell, name)));
+            order.sort_by_key(|name| self.preference(name, counts[*name], cell));
             let place = order.iter().position(|name| *name == me);
             let first = order.first().map(|name| (*name).clone());
             if let Some(place) = place
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -86,6 +86,8 @@
     /// duties.
     pub holding: Cell<bool>,
     away: Cell<bool>,
+    /// When the table last answered, in milliseconds.
+    answered: Cell<u64>,
 }
 
 impl Context {
@@ -107,6 +109,7 @@
             stopping: Cell::new(false),
             holding: Cell::new(false),
             away: Cell::new(false),
+            answered: Cell::new(0),
         })
     }
 
@@ -157,15 +160,26 @@
         self.saw_clock(page.clock);
     }
 
-    /// Notes whether the table answers, with a line on each change.
-    pub fn set_away(&self, away: bool, what: &str) {
+    /// Notes whether a call to the table was answered, with a line on each change.
+    ///
+    /// Single calls without an answer are common; the table counts as away when none was answered
+    /// for a while.
+    pub fn set_away(&self, failed: bool, what: &str) {
+        let now = clock::now();
+        if !failed {
+            self.answered.set(now);
+        }
+        let away = failed && now > self.answered.get() + AWAY;
+        if failed && !away {
+            return;
+        }
         if self.away.replace(away) != away {
             let event = if away { base::Event::PlatformAway } else { base::Event::PlatformBack };
             self.timeline.record(event, &[("what", &what)]);
         }
     }
 
-    /// Whether the table did not answer the last time.
+    /// Whether the table has not answered for a while.
     pub fn is_away(&self) -> bool {
         self.away.get()
     }
@@ -181,6 +195,10 @@
 /// to half of it, and keeps tasks of unreachable executors waiting no longer than needed.
 const MAX_LEASE: u64 = 4_500;
 
+/// Time without any answer after which the table counts as away, in milliseconds; the limit of one
+/// call.
+const AWAY: u64 = 1_200;
+
 /// Name of a process's incarnation.
 pub(crate) fn holder(name: &str, start: u64) -> String {
     format!("{name}~{start}")
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -37,7 +37,6 @@
 pub(super) struct Inner {
     ctx: Rc<Context>,
     tenure: Tenure,
-    started: u64,
     confirmed: Cell<u64>,
     lost: Cell<bool>,
     machines: RefCell<IndexMap<String, Machine>>,
@@ -60,7 +59,6 @@
         let inner = Rc::new(Inner {
             ctx,
             tenure,
-            started: clock::now(),
             confirmed: Cell::new(clock::now()),
             lost: Cell::new(false),
             machines: RefCell::default(),
@@ -110,11 +108,6 @@
 
     async fn run(self: Rc<Self>) {
         self.ctx.holding.set(true);
-        // Orders of two holders must not come close to each other.
-        let handover = if self.tenure.term == 1 { 0 } else { self.ctx.settings.bounds.handover };
-        while !self.lost.get() && clock::now() < self.started + handover {
-            pause(ROUND).await;
-        }
         while !self.lost.get() {
             if self.may_order()
                 && self.ctx.duties_known.get()
@@ -189,6 +182,24 @@
         }
     }
 
+    /// Whether an earlier holder may have given an order for a machine so lately that another one
+    /// would come too close.
+    fn is_fresh(&self, machine: &str) -> bool {
+        let duties = self.ctx.duties.borrow();
+        let now = self.ctx.table_now();
+        duties.values().any(|(_, duty)| {
+            duty.machine == machine
+                && duty.epoch != self.tenure.epoch
+                && now < duty.at + self.ctx.settings.bounds.handover
+        })
+    }
+
+    /// A duty whose order is about to go out.
+    fn ordered(&self, duty: Duty) -> Duty {
+        let (at, epoch) = (self.ctx.table_now(), self.tenure.epoch);
+        Duty { stage: Stage::Down.to_string(), empty: true, at, epoch, ..duty }
+    }
+
     /// Whether nobody runs anything on a machine.
     fn is_off(&self, machine: &Machine) -> bool {
         let standby = |pool: &str| {
@@ -209,5 +220,7 @@
         executor: machine.executor.clone(),
         gone: false,
         empty: false,
+        at: 0,
+        epoch: 0,
     }
 }
--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -18,6 +18,8 @@
 const ON_THE_WAY: u64 = 4_000;
 /// How long a machine may take to become empty for a move, in milliseconds.
 const EMPTYING: u64 = 3_000;
+/// Pause before an order without answer is given again, in milliseconds; over its longest answer.
+const AGAIN: u64 = 1_600;
 /// Age up to which a cell's load counts, in milliseconds.
 const LOAD_AGE: u64 = 2_500;
 
@@ -54,7 +56,9 @@
 
     /// Whether a machine is in a wave's hands or on its way.
     fn is_engaged(&self, machine: &str) -> bool {
-        self.moving.borrow().contains_key(machine) || self.has_duty(machine)
+        self.moving.borrow().contains_key(machine)
+            || self.has_duty(machine)
+            || self.is_fresh(machine)
     }
 
     fn demand(&self, pool: &str, load: &Load, machines: &IndexMap<String, Machine>) -> Demand {
@@ -134,6 +138,11 @@
                     .is_some_and(|(_, since)| clock::now() > *since + EMPTYING);
                 if gone || !waits || (late && !duty.empty) {
                     over.push(name.clone());
+                } else if duty.stage() == Stage::Down {
+                    // The order's answer was lost, or it was refused: the list tells in a moment.
+                    if clock::now() > self.moving.borrow()[name].1 + AGAIN {
+                        ready.push((name.clone(), duty.pool.clone()));
+                    }
                 } else if duty.empty {
                     ready.push((name.clone(), duty.pool.clone()));
                 }
@@ -149,6 +158,7 @@
             }
         }
         ready.truncate(ORDERS);
+        self.announce(&ready).await?;
         let orders = ready.iter().map(|(name, pool)| self.order_move(name, pool));
         let taken = join_all(orders).await;
         // The cells need not wait for the leases of executors that have surely ended.
@@ -181,8 +191,29 @@
         if !writes.is_empty() {
             self.write(writes).await?;
         }
-        join_all(direct.iter().map(|(name, pool)| self.order_move(name, pool))).await;
-        Ok(())
+        self.announce(&direct).await?;
+        let taken = join_all(direct.iter().map(|(name, pool)| self.order_move(name, pool))).await;
+        let over = direct.iter().zip(taken).filter(|(_, taken)| *taken);
+        let over = over.filter_map(|((name, _), _)| {
+            let place = keys::shift(name);
+            let duty = self.duty(&place)?;
+            Some((place, Some(Duty { stage: Stage::Done.to_string(), ..duty })))
+        });
+        self.write(over.collect()).await
+    }
+
+    /// Notes the orders that are about to go out, for a successor.
+    async fn announce(&self, moves: &[(String, String)]) -> Result<(), String> {
+        let writes = {
+            let machines = self.machines.borrow();
+            let note = |(name, pool): &(String, String)| {
+                let machine = machines.get(name)?;
+                let next = self.ordered(duty(machine, 0, pool, Stage::Down));
+                Some((keys::shift(name), Some(next)))
+            };
+            moves.iter().filter_map(note).collect()
+        };
+        self.write(writes).await
     }
 
     /// Orders a machine into a pool; true when the order was taken.
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -29,6 +29,7 @@
                 let Some(machine) = machines.get(name) else { return true };
                 let duty = self.duty(&keys::upkeep(wave.number, name));
                 machine.up
+                    && !self.is_fresh(name)
                     && (self.is_off(machine)
                         || duty.is_some_and(|d| d.empty && d.executor == machine.executor))
             };
@@ -132,6 +133,7 @@
                 match taken.get(&(wave.number, machine.name.clone())) {
                     Some(at) if self.listed.get() > *at => back.push(machine.clone()),
                     Some(_) => {}
+                    None if self.is_fresh(&machine.name) => {}
                     None => unsure.push(machine.name.clone()),
                 }
             }
@@ -161,7 +163,7 @@
         let writes = {
             let machines = self.machines.borrow();
             let down = |m: &Machine| {
-                let next = Duty { empty: true, ..duty(m, wave, "", Stage::Down) };
+                let next = self.ordered(duty(m, wave, "", Stage::Down));
                 (keys::upkeep(wave, &m.name), Some(next))
             };
             names.iter().filter_map(|name| machines.get(name)).map(down).collect()
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -135,6 +135,12 @@
     /// Whether the cell has emptied it.
     #[serde(rename = "e", default)]
     pub empty: bool,
+    /// The table's clock when an order was about to go out, in milliseconds.
+    #[serde(rename = "t", default)]
+    pub at: u64,
+    /// Epoch of the holder that gave the order.
+    #[serde(rename = "o", default)]
+    pub epoch: u64,
 }
 
 impl Duty {
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -63,7 +63,8 @@
             self.arrivals.pop_front();
         }
         let rate = WINDOWS.into_iter().map(|window| self.mean(now, window)).max().unwrap_or(0);
-        let rise = self.mean(now, TREND).saturating_sub(self.mean(now.saturating_sub(TREND), TREND));
+        let rise =
+            self.mean(now, TREND).saturating_sub(self.mean(now.saturating_sub(TREND), TREND));
         rate + rise * LEAD / TREND
     }
 
