Logs on standard output, bounded and never waiting

Cause: the users' on-call engineers have standard output only; lines went to standard error and a slow reader would have stopped the process.

Change: a bounded queue with its own writer, lines that don't fit are counted; at most 300 lines a second and event, what is left out is told. Tests for both.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -15,6 +15,8 @@
     Stopped = 1003,
     /// The settings were read again.
     SettingsReloaded = 1004,
+    /// Log lines of an event were left out in the last second, as there were too many.
+    LinesLeftOut = 1005,
     /// A contract change was committed to the table.
     ContractCommitted = 1101,
     /// A contract change was refused.
--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -1,11 +1,20 @@
 //! Log output through fern, one line per numbered event.
+//!
+//! Lines go to standard output through a bounded queue: a reader that is slow or gone costs lines,
+//! which are counted, and never time.
 
-use std::{fmt, io};
+use std::fmt;
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{self, Receiver, SyncSender};
+use std::thread;
+use std::time::Duration;
 
 use fern::Dispatch;
 use indexmap::IndexMap;
 use log::kv::{self, Key, Value, VisitSource};
-use log::{Level, LevelFilter, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use serde::Serialize;
 use snafu::Snafu;
 
@@ -48,7 +57,7 @@
 }
 
 impl Logging {
-    /// Starts the log on standard error for the life of the process.
+    /// Starts the log on standard output for the life of the process.
     ///
     /// # Errors
     ///
@@ -73,12 +82,87 @@
                     out.finish(format_args!("{at_ms} {level} {message}{}", Pairs(&fields)));
                 }
             })
-            .chain(io::stderr())
+            .chain(Box::new(Bounded::spawn(Box::new(io::stdout()))) as Box<dyn Log>)
             .apply()
             .map_err(|source| OpenError { source })
     }
 }
 
+/// Lines that wait for the writer at most; some seconds of the usual volume.
+const QUEUE: usize = 4_096;
+/// Time between two writes, in milliseconds, so that lines share a write.
+const BATCH: u64 = 25;
+/// Longest wait for the queue to become empty at the end of the process, in milliseconds.
+const FLUSH: u64 = 300;
+
+/// What goes through the queue.
+enum Item {
+    Line(String),
+    Flush(SyncSender<()>),
+}
+
+/// A log that never waits for its reader.
+pub(crate) struct Bounded {
+    queue: SyncSender<Item>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Bounded {
+    /// Starts the thread that writes.
+    pub(crate) fn spawn(out: Box<dyn Write + Send>) -> Self {
+        let (queue, items) = mpsc::sync_channel(QUEUE);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&dropped);
+        thread::spawn(move || write_out(&items, &counter, out));
+        Self { queue, dropped }
+    }
+}
+
+impl Log for Bounded {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if self.queue.try_send(Item::Line(record.args().to_string())).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn flush(&self) {
+        let (done, wait) = mpsc::sync_channel(1);
+        if self.queue.try_send(Item::Flush(done)).is_ok() {
+            // A reader that does not read in time loses the rest.
+            let _ = wait.recv_timeout(Duration::from_millis(FLUSH));
+        }
+    }
+}
+
+/// Writes lines as they come; a reader that is gone is no reason to end.
+fn write_out(items: &Receiver<Item>, dropped: &AtomicU64, mut out: Box<dyn Write + Send>) {
+    while let Ok(first) = items.recv() {
+        thread::sleep(Duration::from_millis(BATCH));
+        let (mut text, mut waiting) = (String::new(), Vec::new());
+        for item in std::iter::once(first).chain(items.try_iter()) {
+            match item {
+                Item::Line(line) => {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
+                Item::Flush(done) => waiting.push(done),
+            }
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            text.push_str(&format!("{{\"message\":\"lines dropped\",\"count\":{lost}}}\n"));
+        }
+        let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        for done in waiting {
+            let _ = done.send(());
+        }
+    }
+}
+
 /// Fields in the human form.
 struct Pairs<'a>(&'a IndexMap<String, String>);
 
@@ -119,3 +203,7 @@
             .build(),
     );
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/logging.rs"]
+mod tests;
--- a/crates/base/src/timeline.rs
+++ b/crates/base/src/timeline.rs
@@ -24,6 +24,37 @@
 struct State {
     clock: u64,
     entries: VecDeque<Entry>,
+    budget: Budget,
+}
+
+/// Log lines an event may have in a second; the usual rate of the most frequent one is a third.
+const LINES: u32 = 300;
+
+/// Bounds the log lines of each event; all events stay on the time line.
+#[derive(Debug, Default)]
+struct Budget {
+    /// Second, lines in it, and lines left out since the last note, by event.
+    spent: IndexMap<Event, (u64, u32, u64)>,
+}
+
+impl Budget {
+    /// Whether an event may be logged now, and how many were left out before if that is to be
+    /// told.
+    fn spend(&mut self, event: Event, at_ms: u64) -> (bool, Option<u64>) {
+        let second = at_ms / 1_000;
+        let (last, lines, left_out) = self.spent.entry(event).or_default();
+        let mut told = None;
+        if *last != second {
+            told = (*left_out > 0).then_some(*left_out);
+            (*last, *lines, *left_out) = (second, 0, 0);
+        }
+        *lines += 1;
+        if *lines > LINES {
+            *left_out += 1;
+            return (false, told);
+        }
+        (true, told)
+    }
 }
 
 /// One event on the time line, also its wire form.
@@ -66,12 +97,21 @@
     pub fn record(&self, event: Event, fields: &[(&str, &dyn Display)]) {
         let fields: IndexMap<String, String> =
             fields.iter().map(|(name, value)| ((*name).to_owned(), value.to_string())).collect();
-        crate::logging::write(event, &fields);
+        let at = wall_ms();
         let mut state = self.lock();
+        let (log, left_out) = state.budget.spend(event, at);
+        if let Some(count) = left_out {
+            let note =
+                [("event".to_owned(), event.to_string()), ("count".to_owned(), count.to_string())];
+            crate::logging::write(Event::LinesLeftOut, &note.into_iter().collect());
+        }
+        if log {
+            crate::logging::write(event, &fields);
+        }
         state.clock += 1;
         let entry = Entry {
             clock: state.clock,
-            at_ms: wall_ms(),
+            at_ms: at,
             process: self.process.to_string(),
             number: event.number(),
             event: event.to_string(),
@@ -149,3 +189,7 @@
 pub fn sort(entries: &mut [Entry]) {
     entries.sort_by(|a, b| (a.clock, a.at_ms, &a.process).cmp(&(b.clock, b.at_ms, &b.process)));
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/timeline.rs"]
+mod tests;
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -189,10 +189,13 @@
                 held.owners.contains_key(&cell) || (cell == keys::FLEET && held.fleet.is_some())
             };
             match leases.get(&cell) {
-                Some((version, lease)) if lease.holder == me && lease.term == tenure.term => {
-                    if !held && !self.ctx.stopping.get() {
-                        self.start(Tenure { epoch: *version, ..tenure });
-                    }
+                Some((version, lease))
+                    if lease.holder == me
+                        && lease.term == tenure.term
+                        && !held
+                        && !self.ctx.stopping.get() =>
+                {
+                    self.start(Tenure { epoch: *version, ..tenure });
                 }
                 // It may be applied yet.
                 Some((_, lease)) if lease.term < tenure.term => {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -26,6 +26,7 @@
     };
     base::admin::stop_signal().await;
     process.close().await;
+    log::logger().flush();
     ExitCode::SUCCESS
 }
 
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -29,8 +29,15 @@
             .unwrap_or_else(|error| panic!("{program} can't be started: {error}"));
         let mut line = String::new();
         let stdout = child.stdout.take().unwrap_or_else(|| panic!("{program} has no output"));
-        let read = BufReader::new(stdout).read_line(&mut line);
-        let ready = read.is_ok() && line.starts_with("ready ");
+        let mut reader = BufReader::new(stdout);
+        // Log lines may come before the one that tells the addresses.
+        while !line.starts_with("ready ") {
+            line.clear();
+            if !reader.read_line(&mut line).is_ok_and(|length| length > 0) {
+                break;
+            }
+        }
+        let ready = line.starts_with("ready ");
         assert!(ready, "{program} {args:?} did not get ready: {line}");
         Self { child, addresses: addresses(&line) }
     }
