--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::clock;
+use crate::metrics::{Measured, Metrics};
 use crate::ports::{Dialect, Executors, Machines, Page, Store};
 use crate::rows::{Duty, Load};
 
@@ -66,6 +67,7 @@
     pub settings: Settings,
     pub ports: Ports,
     pub timeline: Timeline,
+    pub metrics: Metrics,
     /// Tells this start of the process from others of the same machine.
     pub start: u64,
     config: RefCell<Option<Rc<Configuration>>>,
@@ -91,8 +93,11 @@
 }
 
 impl Context {
-    pub fn new(settings: Settings, ports: Ports, timeline: Timeline) -> Rc<Self> {
+    pub fn new(settings: Settings, ports: Ports, timeline: Timeline, metrics: Metrics) -> Rc<Self> {
+        let store = Rc::new(Measured::new(Rc::clone(&ports.store), metrics.clone()));
+        let ports = Ports { store, ..ports };
         Rc::new(Self {
+            metrics,
             settings,
             ports,
             timeline,
@@ -133,6 +138,7 @@
             base::Event::ConfigurationInForce,
             &[("version", &config.version), ("queues", &config.queues.len())],
         );
+        self.metrics.version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.changed.notify_waiters();
     }
--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use jobs::admit::{self, Verdict};
@@ -12,6 +13,7 @@
 use crate::context::{Context, pause};
 use crate::intake::{Intake, Stored};
 use crate::keys;
+use crate::metrics::Metrics;
 use crate::ports::{Change, ChangeError};
 use crate::rows::{self, StateRow};
 
@@ -31,7 +33,8 @@
 const LOAD_AGE: u64 = 3_000;
 
 /// Answer to a client.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Reply {
     /// The job is stored.
     Accepted,
@@ -71,6 +74,11 @@
         Rc::new(Self { ctx, intake: Rc::default(), ended: RefCell::default() })
     }
 
+    /// Notes in the metrics how a request was answered.
+    pub fn measure(&self, kind: &str, reply: &Reply, took: Duration) {
+        Metrics::observe(&self.ctx.metrics.requests, &[kind, reply.into()], took);
+    }
+
     /// Largest request body, in bytes; `None` before a configuration is there.
     pub fn body_limit(&self) -> Option<usize> {
         self.ctx.config().map(|config| config.body)
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod intake;
 pub mod keys;
 pub mod member;
+pub mod metrics;
 pub mod node;
 pub mod owner;
 pub mod ports;
@@ -20,4 +21,5 @@
 
 pub use context::{Bounds, Ports, Settings};
 pub use desk::{Desk, Reply};
+pub use metrics::Metrics;
 pub use node::Node;
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -83,7 +83,11 @@
                     self.take(&rows, asked);
                     self.claim().await;
                     let held = self.held.borrow();
-                    self.ctx.holding.set(!held.owners.is_empty() || held.fleet.is_some());
+                    let cells = held.owners.len() + usize::from(held.fleet.is_some());
+                    self.ctx.holding.set(cells > 0);
+                    self.ctx.metrics.cells.set(i64::try_from(cells).unwrap_or(i64::MAX));
+                    let listed = self.ctx.registry.borrow().len();
+                    self.ctx.metrics.executors.set(i64::try_from(listed).unwrap_or(i64::MAX));
                 }
                 Err(error) => self.ctx.set_away(true, &error.to_string()),
             }
--- /dev/null
+++ b/crates/cells/src/metrics.rs
@@ -0,0 +1,192 @@
+//! Counters and latency histograms of a process.
+
+use std::time::{Duration, Instant};
+
+use futures_util::future::LocalBoxFuture;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
+
+use crate::ports::{Change, ChangeError, Committed, Page, Place, ReadError, Store};
+
+/// Upper bounds of the latency buckets, in seconds.
+const BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
+
+/// Metrics of a process; queues, cells and outcomes are their only labels.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Clients' requests by kind and outcome, in seconds.
+    pub requests: HistogramVec,
+    /// Starts by outcome, in seconds from order to answer.
+    pub starts: HistogramVec,
+    /// Calls to the table by call and outcome, in seconds.
+    pub table: HistogramVec,
+    /// Jobs that ended, by queue and state.
+    pub ended: IntCounterVec,
+    /// Jobs from acceptance to their durable end, by state, in seconds.
+    pub jobs: HistogramVec,
+    /// Jobs in a cell.
+    pub waiting: IntGaugeVec,
+    /// Room of a cell's executors and what is in use, in thousandths of a core.
+    pub room: IntGaugeVec,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+    /// Cells held.
+    pub cells: IntGauge,
+    /// Executors that the registry lists.
+    pub executors: IntGauge,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let registry = prometheus::Registry::new();
+    /// let metrics = cells::metrics::Metrics::open(&registry).unwrap();
+    /// metrics.cells.set(2);
+    /// assert!(registry.gather().iter().any(|family| family.name() == "jtally_cells_held"));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// When a name is taken.
+    pub fn open(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let seconds = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let family = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(family.clone()))?;
+            Ok::<_, prometheus::Error>(family)
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let family = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(family.clone()))?;
+            Ok::<_, prometheus::Error>(family)
+        };
+        let gauge = |name: &str, help: &str| {
+            let metric = IntGauge::new(name, help)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let ended = IntCounterVec::new(
+            Opts::new("jtally_jobs_ended_total", "Jobs that ended."),
+            &["queue", "state"],
+        )?;
+        registry.register(Box::new(ended.clone()))?;
+        Ok(Self {
+            requests: seconds(
+                "jtally_request_seconds",
+                "Clients' requests.",
+                &["kind", "outcome"],
+            )?,
+            starts: seconds("jtally_start_seconds", "Starts on executors.", &["outcome"])?,
+            table: seconds("jtally_table_seconds", "Calls to the table.", &["call", "outcome"])?,
+            ended,
+            jobs: seconds(
+                "jtally_job_seconds",
+                "Jobs from acceptance to their durable end.",
+                &["state"],
+            )?,
+            waiting: gauges("jtally_cell_jobs", "Jobs in a cell.", &["cell"])?,
+            room: gauges(
+                "jtally_cell_millicores",
+                "Room of a cell's executors.",
+                &["cell", "part"],
+            )?,
+            version: gauge("jtally_configuration_version", "Configuration in force.")?,
+            cells: gauge("jtally_cells_held", "Cells held by this process.")?,
+            executors: gauge("jtally_executors_listed", "Executors in the registry.")?,
+        })
+    }
+
+    /// Notes how long something took.
+    pub(crate) fn observe(family: &HistogramVec, labels: &[&str], took: Duration) {
+        family.with_label_values(labels).observe(took.as_secs_f64());
+    }
+}
+
+/// A table whose calls are measured.
+pub(crate) struct Measured {
+    store: std::rc::Rc<dyn Store>,
+    metrics: Metrics,
+}
+
+impl Measured {
+    pub fn new(store: std::rc::Rc<dyn Store>, metrics: Metrics) -> Self {
+        Self { store, metrics }
+    }
+
+    fn note(&self, call: &str, outcome: &str, start: Instant) {
+        Metrics::observe(&self.metrics.table, &[call, outcome], start.elapsed());
+    }
+
+    fn note_read<T>(&self, call: &str, result: &Result<T, ReadError>, start: Instant) {
+        let outcome = match result {
+            Ok(_) => "answered",
+            Err(ReadError::Forgotten) => "forgotten",
+            Err(ReadError::Away { .. }) => "away",
+        };
+        self.note(call, outcome, start);
+    }
+}
+
+impl Store for Measured {
+    fn apply<'a>(
+        &'a self,
+        change: &'a Change,
+    ) -> LocalBoxFuture<'a, Result<Committed, ChangeError>> {
+        Box::pin(async move {
+            let start = Instant::now();
+            let result = self.store.apply(change).await;
+            let outcome = match &result {
+                Ok(_) => "committed",
+                Err(ChangeError::Conflict { .. }) => "conflict",
+                Err(ChangeError::Refused { .. }) => "refused",
+                Err(ChangeError::Unknown { .. }) => "unknown",
+            };
+            self.note("apply", outcome, start);
+            result
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        from: &'a Place,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, Result<Page, ReadError>> {
+        Box::pin(async move {
+            let start = Instant::now();
+            let result = self.store.read(from, limit).await;
+            self.note_read("read", &result, start);
+            result
+        })
+    }
+
+    fn parts<'a>(
+        &'a self,
+        table: &'a str,
+        after: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Vec<String>, ReadError>> {
+        Box::pin(async move {
+            let start = Instant::now();
+            let result = self.store.parts(table, after).await;
+            self.note_read("parts", &result, start);
+            result
+        })
+    }
+
+    fn feed<'a>(
+        &'a self,
+        table: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Page, ReadError>> {
+        Box::pin(async move {
+            let start = Instant::now();
+            let result = self.store.feed(table, after, wait).await;
+            self.note_read("feed", &result, start);
+            result
+        })
+    }
+}
--- a/crates/cells/src/node.rs
+++ b/crates/cells/src/node.rs
@@ -11,6 +11,7 @@
 use crate::follow::follow;
 use crate::keys;
 use crate::member::Member;
+use crate::metrics::Metrics;
 use crate::ports::{Instruction, Row};
 use crate::rows::{self, Duty};
 
@@ -32,8 +33,8 @@
 
 impl Node {
     /// Starts following the platform and taking cells.
-    pub fn spawn(settings: Settings, ports: Ports, timeline: Timeline) -> Self {
-        let ctx = Context::new(settings, ports, timeline);
+    pub fn spawn(settings: Settings, ports: Ports, timeline: Timeline, metrics: Metrics) -> Self {
+        let ctx = Context::new(settings, ports, timeline, metrics);
         actix::spawn(follow_instructions(Rc::clone(&ctx)));
         actix::spawn(follow_registry(Rc::clone(&ctx)));
         actix::spawn(follow_duties(Rc::clone(&ctx)));
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -306,6 +306,7 @@
         let mut last = Load::default();
         while self.is_active() {
             let load = self.load();
+            self.show(&load);
             let same = Load { clock: last.clock, ..load.clone() } == last;
             if !same || load.clock > last.clock + REFRESH {
                 let place = keys::load(&self.tenure.cell);
@@ -326,6 +327,16 @@
         }
     }
 
+    /// Shows the load in the metrics.
+    fn show(&self, load: &Load) {
+        let metrics = &self.ctx.metrics;
+        let cell = self.tenure.cell.as_str();
+        let whole = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
+        metrics.waiting.with_label_values(&[cell]).set(whole(load.jobs));
+        metrics.room.with_label_values(&[cell, "room"]).set(whole(load.room));
+        metrics.room.with_label_values(&[cell, "used"]).set(whole(load.used));
+    }
+
     fn load(&self) -> Load {
         let cell = self.cell.borrow();
         let now = clock::now();
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -1,12 +1,14 @@
 //! Sending orders to executors.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use jobs::cell::{Order, StartOutcome};
 use tokio::sync::Semaphore;
 
 use super::Inner;
 use crate::clock;
+use crate::metrics::Metrics;
 use crate::ports::{OrderError, Start};
 
 /// Orders under way to one executor at most; each may take a connection of its own.
@@ -19,8 +21,9 @@
         actix::spawn(async move {
             match order {
                 Order::Start { worker, task, run, payload, expires, saved } => {
+                    let sent = Instant::now();
                     let outcome = inner.start(&worker, &task, run, &payload, expires, &saved).await;
-                    inner.note_start(&worker, &task, run, &saved, outcome);
+                    inner.note_start(&worker, &task, run, &saved, outcome, sent);
                     inner.cell.borrow_mut().started(&worker, &task, run, outcome, clock::now());
                     if !matches!(outcome, StartOutcome::Running(_)) {
                         inner.wake.notify_one();
@@ -105,6 +108,7 @@
         run: u64,
         saved: &str,
         outcome: StartOutcome,
+        sent: Instant,
     ) {
         let outcome = match outcome {
             StartOutcome::Running(_) => "running".to_owned(),
@@ -113,6 +117,7 @@
             StartOutcome::Gone => "gone".to_owned(),
             StartOutcome::Unknown => "unknown".to_owned(),
         };
+        Metrics::observe(&self.ctx.metrics.starts, &[&outcome], sent.elapsed());
         self.ctx.timeline.record(
             base::Event::StartSent,
             &[
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -5,6 +5,7 @@
 //! newer ones, and a write whose answer was lost shows by the mark whether it was applied.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use jobs::Registration;
@@ -16,6 +17,7 @@
 use crate::clock;
 use crate::context::pause;
 use crate::keys;
+use crate::metrics::Metrics;
 use crate::ports::{Change, ChangeError, Row};
 use crate::rows::{self, Fence, Roster, StateRow};
 
@@ -106,6 +108,13 @@
                 continue;
             }
             for change in parts.values().flatten().filter(|c| c.state.is_final()) {
+                let state = change.state.to_string();
+                self.ctx.metrics.ended.with_label_values(&[&change.part, &state]).inc();
+                Metrics::observe(
+                    &self.ctx.metrics.jobs,
+                    &[&state],
+                    Duration::from_millis(clock::now().saturating_sub(change.accepted)),
+                );
                 self.ctx.timeline.record(
                     base::Event::JobEnded,
                     &[("job", &change.id), ("state", &change.state), ("queue", &change.part)],
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -13,6 +13,8 @@
     pub id: String,
     /// Part of the table that holds it.
     pub part: String,
+    /// When it was accepted, by the cell's clock, in milliseconds.
+    pub accepted: u64,
     /// State to show.
     pub state: State,
     /// Whether the state shown is another by now.
@@ -40,6 +42,7 @@
             durable.jobs.push((id.clone(), entry.state));
             changes.push(Change {
                 part: entry.part.clone(),
+                accepted: entry.waiting.accepted,
                 state: entry.state,
                 shows: entry.state != entry.shown,
                 progress: progress(entry),
