Queues whose policy limits the executors of a step are served

Cause: a start on such a queue needs a permission, which nothing asked for.

Change: pure module advice asks once a step for the executors that it would choose; permissions go with the starts.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -81,6 +81,8 @@
     StopSent = 2202,
     /// A change of pace was not taken.
     PaceLost = 2203,
+    /// The adviser was asked which executors may run a step.
+    AdviceTaken = 2204,
     /// An executor answered a cell's holder for the first time.
     ExecutorJoined = 2301,
     /// An executor does not answer, or another incarnation does.
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -12,7 +12,7 @@
 
 use crate::clock;
 use crate::metrics::{Measured, Metrics};
-use crate::ports::{Dialect, Executors, Machines, Page, Store};
+use crate::ports::{Adviser, Dialect, Executors, Machines, Page, Store};
 use crate::rows::{Duty, Load};
 
 /// Bounds that the platform states, all in milliseconds.
@@ -49,6 +49,8 @@
     pub executors: Rc<dyn Executors>,
     /// Orders for machines.
     pub machines: Rc<dyn Machines>,
+    /// Permissions for the executors of a step.
+    pub adviser: Rc<dyn Adviser>,
     /// Forms of the operator's rows and the registry.
     pub dialect: Rc<dyn Dialect>,
 }
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -20,9 +20,17 @@
         let inner = Rc::clone(self);
         actix::spawn(async move {
             match order {
-                Order::Start { worker, task, run, payload, expires, saved } => {
+                Order::Start { worker, task, run, payload, expires, saved, ticket } => {
+                    let start = Start {
+                        task: &task,
+                        run,
+                        payload: &payload,
+                        expires,
+                        saved: &saved,
+                        ticket: &ticket,
+                    };
                     let sent = Instant::now();
-                    let outcome = inner.start(&worker, &task, run, &payload, expires, &saved).await;
+                    let outcome = inner.start(&worker, &start).await;
                     inner.note_start(&worker, &task, run, &saved, outcome, sent);
                     inner.cell.borrow_mut().started(&worker, &task, run, outcome, clock::now());
                     if !matches!(outcome, StartOutcome::Running(_)) {
@@ -60,6 +68,21 @@
                         Err(OrderError::Gone) => cell.bury(&worker, now),
                     }
                 }
+                Order::Advise { step, workers } => {
+                    let answer = inner.ctx.ports.adviser.advise(&step, &workers).await;
+                    inner.ctx.timeline.record(
+                        base::Event::AdviceTaken,
+                        &[
+                            ("step", &step),
+                            ("asked", &workers.len()),
+                            ("allowed", &answer.as_ref().map_or(0, |a| a.allowed.len())),
+                            ("answered", &answer.is_some()),
+                        ],
+                    );
+                    let answer = answer.map(|a| (a.allowed, a.valid));
+                    inner.cell.borrow_mut().advised(&step, &workers, answer, clock::now());
+                    inner.wake.notify_one();
+                }
                 Order::Pace { worker, task, run, percent } => {
                     let Some(executor) = inner.executor(&worker) else { return };
                     let epoch = inner.tenure.epoch;
@@ -77,15 +100,7 @@
         });
     }
 
-    async fn start(
-        &self,
-        worker: &str,
-        task: &jobs::TaskId,
-        run: u64,
-        payload: &str,
-        expires: u64,
-        saved: &str,
-    ) -> StartOutcome {
+    async fn start(&self, worker: &str, start: &Start<'_>) -> StartOutcome {
         let Some(executor) = self.executor(worker) else { return StartOutcome::Gone };
         let gate = Rc::clone(
             self.gates
@@ -97,8 +112,7 @@
         if !self.may_order() {
             return StartOutcome::Unsent;
         }
-        let start = Start { task, run, payload, expires, saved, ticket: "" };
-        self.ctx.ports.executors.start(&executor, self.tenure.epoch, &start).await
+        self.ctx.ports.executors.start(&executor, self.tenure.epoch, start).await
     }
 
     fn note_start(
--- a/crates/cells/src/ports.rs
+++ b/crates/cells/src/ports.rs
@@ -233,6 +233,25 @@
     ) -> LocalBoxFuture<'a, Result<Look, OrderError>>;
 }
 
+/// Permissions for the executors of a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Permissions {
+    /// Permission by executor, for those that may run the step.
+    pub allowed: Vec<(String, String)>,
+    /// How long they are valid, in milliseconds.
+    pub valid: u64,
+}
+
+/// The service that knows which executors a queue's policy allows.
+pub trait Adviser {
+    /// Asks which of some executors may run a step; `None` without a usable answer.
+    fn advise<'a>(
+        &'a self,
+        step: &'a TaskId,
+        executors: &'a [String],
+    ) -> LocalBoxFuture<'a, Option<Permissions>>;
+}
+
 /// A machine of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Machine {
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -63,7 +63,11 @@
                 if states[step].open == 0 || !after.iter().all(|n| states[*n].is_done()) {
                     continue;
                 }
-                if entry.job.steps[step].gang {
+                let gang = entry.job.steps[step].gang;
+                if self.is_advised(&entry.queue) {
+                    self.ask(job, turn, step, open, now);
+                }
+                if gang {
                     self.assign_gang(job, turn, step, open, now, left);
                 } else {
                     self.assign_step(job, turn, step, open, now, left);
@@ -96,7 +100,10 @@
             if *left == 0 {
                 return;
             }
-            let Some(worker) = self.choose(job, step, open, &here, rack.as_deref()) else { return };
+            let Some(worker) = self.choose(job, (turn, step), open, &here, rack.as_deref(), now)
+            else {
+                return;
+            };
             *here.entry(worker.clone()).or_default() += 1;
             let task = TaskId { job: id.clone(), turn, step, index };
             let run = self.jobs[job].turns[&turn][step].tasks[index as usize].run;
@@ -130,7 +137,10 @@
         let need = place::need(&entry.job.steps[step]);
         let mut rack = None;
         for _ in 0..count {
-            let Some(worker) = self.choose(job, step, open, &here, rack.as_deref()) else { break };
+            let Some(worker) = self.choose(job, (turn, step), open, &here, rack.as_deref(), now)
+            else {
+                break;
+            };
             *here.entry(worker.clone()).or_default() += 1;
             let w = &mut self.workers[&worker];
             w.used.add(need);
@@ -172,14 +182,18 @@
     fn choose(
         &self,
         job: usize,
-        step: usize,
+        (turn, step): (u32, usize),
         open: &[usize],
         here: &IndexMap<String, u32>,
         rack: Option<&str>,
+        now: u64,
     ) -> Option<String> {
-        let shape = &self.jobs.get_index(job)?.1.job.steps[step];
+        let (_, entry) = self.jobs.get_index(job)?;
+        let shape = &entry.job.steps[step];
+        let advice = self.is_advised(&entry.queue).then(|| &entry.turns[&turn][step].advice);
         open.iter()
             .filter_map(|n| self.workers.get_index(*n))
+            .filter(|(id, _)| advice.is_none_or(|advice| advice.ticket(id, now).is_some()))
             .filter(|(id, w)| {
                 !w.dead && place::suits(shape, w, here.get(*id).copied().unwrap_or(0))
             })
@@ -206,6 +220,7 @@
         step.open -= 1;
         entry.live += 1;
         let saved = state.saved.clone();
+        let ticket = step.advice.ticket(worker, now).unwrap_or_default().to_owned();
         if entry.state == State::Queued {
             entry.state = State::Running;
             self.dirty.insert(id.clone());
@@ -220,6 +235,7 @@
             payload: entry.payload.clone(),
             expires,
             saved,
+            ticket,
         });
     }
 }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -4,6 +4,7 @@
 //! running somewhere keeps its room and keeps its task from starting again until an executor has
 //! listed its end or its lease has surely run out.
 
+mod advice;
 mod assign;
 mod drain;
 mod look;
@@ -14,6 +15,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use advice::Advice;
 pub use outcome::{Refusal, StartOutcome};
 pub use record::{Change, Durable};
 
@@ -60,6 +62,8 @@
         expires: u64,
         /// Checkpoint to resume from; empty for none.
         saved: String,
+        /// Permission of the adviser; empty where none is needed.
+        ticket: String,
     },
     /// Stop a run.
     Stop {
@@ -70,6 +74,13 @@
         /// Number of the run.
         run: u64,
     },
+    /// Ask the adviser which executors may run a step.
+    Advise {
+        /// First task of the step, which names it.
+        step: TaskId,
+        /// Incarnations to ask for.
+        workers: Vec<String>,
+    },
     /// Let a run work at a share of its speed.
     Pace {
         /// Incarnation of the executor.
@@ -106,6 +117,7 @@
     done: usize,
     /// Tasks that neither are done nor have a run.
     open: usize,
+    advice: Advice,
 }
 
 impl StepState {
@@ -513,6 +525,7 @@
             tasks: vec![Task::default(); step.count as usize],
             done: 0,
             open: step.count as usize,
+            advice: Advice::default(),
         })
         .collect()
 }
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -83,6 +83,12 @@
         if refusal == Refusal::Fenced {
             self.superseded = true;
         }
+        if refusal == Refusal::Ticket
+            && let Some(entry) = self.jobs.get_mut(&task.job)
+            && let Some(step) = entry.turns.get_mut(&task.turn).and_then(|t| t.get_mut(task.step))
+        {
+            step.advice.forget(id);
+        }
         if let Some(worker) = self.workers.get_mut(id) {
             match refusal {
                 Refusal::Busy => {
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -283,3 +283,23 @@
     cell.looked("a", &seen, 13, 20);
     assert_eq!(starts(&cell.tick(21, 0)).len(), 1);
 }
+
+#[test]
+fn a_step_under_advice_runs_only_where_the_adviser_allows_it() {
+    let mut cell = cell(1, &["a", "bb"]);
+    let queue = Queue { name: "q".to_owned(), attempts: 2, advised: true, ..Queue::default() };
+    cell.configure(std::iter::once(&queue));
+    cell.admit(arrival(vec![step(1, 100)], false));
+    for id in ["a", "bb"] {
+        cell.looked(id, &look(100), 0, 1);
+    }
+    let orders = cell.tick(2, 0);
+    let [Order::Advise { step, workers }] = &orders[..] else { panic!("{orders:?}") };
+    assert_eq!(workers.len(), 2);
+    assert!(cell.tick(30, 0).is_empty(), "one question at a time");
+    let answer = (vec![("bb".to_owned(), "t-1".to_owned())], 3_000);
+    cell.advised(step, workers, Some(answer), 40);
+    let orders = cell.tick(41, 0);
+    let [Order::Start { worker, ticket, .. }] = &orders[..] else { panic!("{orders:?}") };
+    assert_eq!((worker.as_str(), ticket.as_str()), ("bb", "t-1"));
+}
