Tasks that stand still start elsewhere; slow executors are avoided

Cause: executors hang, fail all they start or turn slow while their health is good; a task waited for its executor's recovery, and one that failed could be sent to the same executor until its attempts were spent.

Change: progress is watched; a task avoids executors on which it failed; slow executors, against the other tasks of the same jobs, are taken last and left.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -11,6 +11,29 @@
 /// Starts in one pass; bounds the time of a pass and the burst on the connections.
 const STARTS_A_PASS: usize = 256;
 
+/// What holds for one pass.
+struct Pass {
+    /// Positions of the executors that take tasks.
+    open: Vec<usize>,
+    /// Those among them that are much slower than the others.
+    slow: Vec<usize>,
+    /// Starts that are left.
+    left: usize,
+    now: u64,
+}
+
+/// Where a task may go, beside what its step says.
+struct Wish<'a> {
+    turn: u32,
+    step: usize,
+    /// Number of the step's tasks by executor.
+    here: &'a IndexMap<String, u32>,
+    /// Rack of the step's other tasks.
+    rack: Option<&'a str>,
+    /// Executors on which the task has failed.
+    avoid: &'a [String],
+}
+
 /// The next step of a job that has open tasks.
 struct Ready {
     rank: Rank,
@@ -42,16 +65,22 @@
         let open: Vec<usize> = (0..self.workers.len())
             .filter(|n| self.workers.get_index(*n).is_some_and(|(_, w)| w.takes(now)))
             .collect();
-        let mut left = STARTS_A_PASS;
+        let usual = self.usual_lag(now);
+        let slow = |n: &usize| {
+            let id = self.workers.get_index(*n).map(|(id, _)| id);
+            id.is_some_and(|id| self.is_slow(id, usual, now))
+        };
+        let slow = open.iter().copied().filter(slow).collect();
+        let mut pass = Pass { open, slow, left: STARTS_A_PASS, now };
         for item in ready {
-            if left == 0 || open.is_empty() {
+            if pass.left == 0 || pass.open.is_empty() {
                 break;
             }
-            self.assign_job(item.job, &open, now, &mut left);
+            self.assign_job(item.job, &mut pass);
         }
     }
 
-    fn assign_job(&mut self, job: usize, open: &[usize], now: u64, left: &mut usize) {
+    fn assign_job(&mut self, job: usize, pass: &mut Pass) {
         let Some((_, entry)) = self.jobs.get_index(job) else { return };
         let turns: Vec<u32> = entry.turns.keys().copied().collect();
         for turn in turns {
@@ -65,27 +94,20 @@
                 }
                 let gang = entry.job.steps[step].gang;
                 if self.is_advised(&entry.queue) {
-                    self.ask(job, turn, step, open, now);
+                    self.ask(job, turn, step, &pass.open, pass.now);
                 }
                 if gang {
-                    self.assign_gang(job, turn, step, open, now, left);
+                    self.assign_gang(job, turn, step, pass);
                 } else {
-                    self.assign_step(job, turn, step, open, now, left);
+                    self.assign_step(job, turn, step, pass);
                 }
             }
         }
     }
 
     /// Starts the open tasks of a step one by one.
-    fn assign_step(
-        &mut self,
-        job: usize,
-        turn: u32,
-        step: usize,
-        open: &[usize],
-        now: u64,
-        left: &mut usize,
-    ) {
+    fn assign_step(&mut self, job: usize, turn: u32, step: usize, pass: &mut Pass) {
+        let now = pass.now;
         let Some((id, entry)) = self.jobs.get_index(job) else { return };
         let id = id.clone();
         let state = &entry.turns[&turn][step];
@@ -97,31 +119,23 @@
             .map(|(n, _)| n)
             .collect();
         for index in tasks {
-            if *left == 0 {
+            if pass.left == 0 {
                 return;
             }
-            let Some(worker) = self.choose(job, (turn, step), open, &here, rack.as_deref(), now)
-            else {
-                return;
-            };
+            let avoid = &self.jobs[job].turns[&turn][step].tasks[index as usize].avoid;
+            let wish = Wish { turn, step, here: &here, rack: rack.as_deref(), avoid };
+            let Some(worker) = self.choose(job, &wish, pass) else { return };
             *here.entry(worker.clone()).or_default() += 1;
             let task = TaskId { job: id.clone(), turn, step, index };
             let run = self.jobs[job].turns[&turn][step].tasks[index as usize].run;
             self.start(job, &worker, task, self.next_run(run), now);
-            *left -= 1;
+            pass.left -= 1;
         }
     }
 
     /// Starts a whole gang, or nothing.
-    fn assign_gang(
-        &mut self,
-        job: usize,
-        turn: u32,
-        step: usize,
-        open: &[usize],
-        now: u64,
-        left: &mut usize,
-    ) {
+    fn assign_gang(&mut self, job: usize, turn: u32, step: usize, pass: &mut Pass) {
+        let now = pass.now;
         let Some((id, entry)) = self.jobs.get_index(job) else { return };
         let id = id.clone();
         let state = &entry.turns[&turn][step];
@@ -137,10 +151,8 @@
         let need = place::need(&entry.job.steps[step]);
         let mut rack = None;
         for _ in 0..count {
-            let Some(worker) = self.choose(job, (turn, step), open, &here, rack.as_deref(), now)
-            else {
-                break;
-            };
+            let wish = Wish { turn, step, here: &here, rack: rack.as_deref(), avoid: &[] };
+            let Some(worker) = self.choose(job, &wish, pass) else { break };
             *here.entry(worker.clone()).or_default() += 1;
             let w = &mut self.workers[&worker];
             w.used.add(need);
@@ -159,7 +171,7 @@
             entry.turns[&turn][step].tasks[index as usize].saved.clone_from(&saved);
             let task = TaskId { job: id.clone(), turn, step, index };
             self.start(job, &worker, task, run, now);
-            *left = left.saturating_sub(1);
+            pass.left = pass.left.saturating_sub(1);
         }
     }
 
@@ -179,29 +191,25 @@
     }
 
     /// The executor for one more task of a step.
-    fn choose(
-        &self,
-        job: usize,
-        (turn, step): (u32, usize),
-        open: &[usize],
-        here: &IndexMap<String, u32>,
-        rack: Option<&str>,
-        now: u64,
-    ) -> Option<String> {
+    ///
+    /// One on which the task has failed, or that is slow, is taken only where no other suits.
+    fn choose(&self, job: usize, wish: &Wish<'_>, pass: &Pass) -> Option<String> {
         let (_, entry) = self.jobs.get_index(job)?;
-        let shape = &entry.job.steps[step];
-        let advice = self.is_advised(&entry.queue).then(|| &entry.turns[&turn][step].advice);
-        open.iter()
-            .filter_map(|n| self.workers.get_index(*n))
-            .filter(|(id, _)| advice.is_none_or(|advice| advice.ticket(id, now).is_some()))
-            .filter(|(id, w)| {
-                !w.dead && place::suits(shape, w, here.get(*id).copied().unwrap_or(0))
-            })
-            .filter_map(|(id, w)| {
-                Some((place::score(shape, w, rack, shape.lasting && self.settles(w))?, id))
-            })
-            .max_by_key(|(score, _)| *score)
-            .map(|(_, id)| id.clone())
+        let shape = &entry.job.steps[wish.step];
+        let advice =
+            self.is_advised(&entry.queue).then(|| &entry.turns[&wish.turn][wish.step].advice);
+        let rate = |n: &usize| {
+            let (id, worker) = self.workers.get_index(*n)?;
+            let allowed = advice.is_none_or(|advice| advice.ticket(id, pass.now).is_some());
+            let here = wish.here.get(id).copied().unwrap_or(0);
+            if worker.dead || !allowed || !place::suits(shape, worker, here) {
+                return None;
+            }
+            let settled = shape.lasting && self.settles(worker);
+            let score = place::score(shape, worker, wish.rack, settled)?;
+            Some((!wish.avoid.contains(id), !pass.slow.contains(n), score, id))
+        };
+        pass.open.iter().filter_map(rate).max().map(|(.., id)| id.clone())
     }
 
     /// Whether an executor has lasting tasks.
@@ -225,8 +233,17 @@
             entry.state = State::Running;
             self.dirty.insert(id.clone());
         }
-        let slot =
-            Slot { run, room, phase: Phase::Sent, since: now, ordered: now, pace: 100, percent: 0 };
+        let slot = Slot {
+            run,
+            room,
+            phase: Phase::Sent,
+            since: now,
+            ordered: now,
+            pace: 100,
+            percent: 0,
+            moved: now,
+            resumed: saved.clone(),
+        };
         self.workers[worker].occupy(task.clone(), slot);
         self.orders.push(Order::Start {
             worker: worker.to_owned(),
--- a/crates/jobs/src/cell/look.rs
+++ b/crates/jobs/src/cell/look.rs
@@ -103,6 +103,7 @@
                     state.failed.push(end.run);
                 }
                 state.after = now + AGAIN;
+                state.avoid.push(id.to_owned());
                 let spent = !state.done && state.failed.len() >= attempts;
                 self.dirty.insert(task.job.clone());
                 if spent {
@@ -130,14 +131,16 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.runs.get_mut(task) else { return };
-        slot.percent = run.percent;
         if slot.phase == Phase::Sent {
             slot.phase = Phase::Running;
             slot.since = now;
+            slot.moved = now;
         }
         if !wanted {
             stop(&mut self.orders, id, task, slot, now);
+            return;
         }
+        self.progress(id, run, now);
     }
 
     /// Takes in a run that this holder has not started; false when the end is known already.
@@ -180,6 +183,9 @@
             ordered: now,
             pace: 100,
             percent: run.percent,
+            moved: now,
+            // How long it has run before is not known.
+            resumed: "unknown".to_owned(),
         };
         worker.occupy(task.clone(), slot);
         true
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -10,6 +10,7 @@
 mod look;
 mod outcome;
 mod record;
+mod stall;
 
 use std::rc::Rc;
 
@@ -107,6 +108,8 @@
     saved: String,
     /// Earliest time of the next start, in milliseconds.
     after: u64,
+    /// Executors on which it has failed.
+    avoid: Vec<String>,
 }
 
 /// One step of an occurrence.
@@ -145,6 +148,8 @@
     turns: IndexMap<u32, Vec<StepState>>,
     /// Runs that it has or may have.
     live: usize,
+    /// How long its tasks take against their estimates: number of samples and mean in percent.
+    pace: (u64, u64),
 }
 
 /// A job to take into a cell.
@@ -259,6 +264,7 @@
             begun: arrival.progress.past,
             turns: IndexMap::new(),
             live: 0,
+            pace: (0, 0),
             job: arrival.job,
         };
         for (turn, steps) in &arrival.progress.turns {
@@ -403,6 +409,7 @@
         self.expire(now);
         self.empty_leaving(now);
         self.repeat_stops(now);
+        self.leave_slow(now);
         self.assign(now, wall);
         std::mem::take(&mut self.orders)
     }
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -58,6 +58,7 @@
                 if let Some(slot) = sent {
                     slot.phase = Phase::Running;
                     slot.since = now;
+                    slot.moved = now;
                 }
                 worker.answered(clock, now);
                 let unwanted = self.jobs.get(&task.job).is_none_or(|e| e.state.is_final());
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -12,6 +12,8 @@
 const FRESH: u64 = 2_500;
 /// Failures in a row, with no success between, that set an executor aside.
 const STRIKES: u32 = 3;
+/// Age up to which a worker's speed counts, in milliseconds; after it the worker is tried again.
+const LAG_AGE: u64 = 6_000;
 /// How long an executor stays aside at first, in milliseconds; doubles up to eight times.
 const ASIDE: u64 = 2_000;
 
@@ -159,8 +161,12 @@
     pub ordered: u64,
     /// Share of the full speed that it runs at, in percent.
     pub pace: u64,
-    /// Share of the full speed that it was seen at work with, in percent.
+    /// Progress when it was last seen, in percent; for lasting tasks the share of full speed.
     pub percent: u64,
+    /// When the progress last changed, in milliseconds.
+    pub moved: u64,
+    /// Checkpoint that it has resumed from; empty for none.
+    pub resumed: String,
 }
 
 /// What a cell knows of one executor.
@@ -192,6 +198,10 @@
     pub clock: u64,
     /// Latest lease end that it was given, by its own clock.
     pub granted: u64,
+    /// How long its tasks take against others of their jobs, in percent; 0 while unknown.
+    pub lag: u64,
+    /// When that was last seen, in milliseconds.
+    pub lagged: u64,
     /// Failures since the last success.
     pub strikes: u32,
     /// Until when it gets no new tasks.
@@ -217,6 +227,8 @@
             heard: 0,
             clock: 0,
             granted: 0,
+            lag: 0,
+            lagged: 0,
             strikes: 0,
             aside: 0,
             silent: 0,
@@ -277,6 +289,17 @@
         Some(slot)
     }
 
+    /// Takes in how long a task is going to take against others of its job, in percent.
+    pub fn observe_lag(&mut self, lag: u64, now: u64) {
+        self.lag = if self.lag == 0 { lag } else { (self.lag * 4 + lag) / 5 };
+        self.lagged = now;
+    }
+
+    /// How long its tasks take against others of their jobs, where that was seen lately.
+    pub fn recent_lag(&self, now: u64) -> Option<u64> {
+        (self.lag > 0 && now < self.lagged + LAG_AGE).then_some(self.lag)
+    }
+
     /// Counts the end of a run towards its health.
     pub fn judge(&mut self, good: bool, now: u64) {
         if good {
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -303,3 +303,67 @@
     let [Order::Start { worker, ticket, .. }] = &orders[..] else { panic!("{orders:?}") };
     assert_eq!((worker.as_str(), ticket.as_str()), ("bb", "t-1"));
 }
+
+#[test]
+fn a_task_without_progress_starts_elsewhere() {
+    let mut cell = cell(1, &["a", "bb"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    for id in ["a", "bb"] {
+        cell.looked(id, &look(100), 0, 1);
+    }
+    let (first, task, run) = starts(&cell.tick(2, 0))[0].clone();
+    cell.started(&first, &task, run, StartOutcome::Running(101), 3);
+    let mut stopped = false;
+    for now in (100..1_200).step_by(100) {
+        let mut seen = look(100 + now);
+        seen.present = vec![Present { percent: 7, ..present(task.clone(), run) }];
+        cell.looked(&first, &seen, now - 5, now);
+        stopped |= cell.tick(now, 0).iter().any(|o| matches!(o, Order::Stop { .. }));
+    }
+    assert!(stopped);
+}
+
+#[test]
+fn a_task_that_failed_on_an_executor_is_tried_on_another() {
+    let mut cell = cell(1, &["a", "bb"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    for id in ["a", "bb"] {
+        cell.looked(id, &look(100), 0, 1);
+    }
+    let (first, task, run) = starts(&cell.tick(2, 0))[0].clone();
+    cell.started(&first, &task, run, StartOutcome::Running(101), 3);
+    let mut seen = look(150);
+    seen.ended = vec![end(1, task, run, How::Failed)];
+    cell.looked(&first, &seen, 4, 10);
+    let (second, ..) = starts(&cell.tick(200, 0))[0].clone();
+    assert_ne!(first, second);
+}
+
+#[test]
+fn an_executor_much_slower_than_the_others_gets_no_task_while_others_have_room() {
+    let ids = ["a", "bb", "ccc", "dddd"];
+    let mut cell = cell(1, &ids);
+    cell.admit(arrival(vec![Step { spread: 1, ..step(4, 100) }], false));
+    for id in ids {
+        cell.looked(id, &look(100), 0, 1);
+    }
+    let first = starts(&cell.tick(2, 0));
+    for (worker, task, run) in &first {
+        cell.started(worker, task, *run, StartOutcome::Running(101), 3);
+    }
+    for now in (250..700).step_by(100) {
+        for (worker, task, run) in &first {
+            let percent = if worker == "a" { now / 50 } else { now / 5 };
+            let mut seen = look(100 + now);
+            seen.present =
+                vec![Present { percent: percent.min(99), ..present(task.clone(), *run) }];
+            cell.looked(worker, &seen, now - 20, now);
+        }
+    }
+    let later = Arrival { id: "00000000000000cc".to_owned(), ..arrival(vec![step(8, 100)], false) };
+    cell.admit(later);
+    let chosen = starts(&cell.tick(660, 0));
+    let chosen: Vec<_> = chosen.into_iter().filter(|(_, t, _)| t.job != JOB).collect();
+    assert_eq!(chosen.len(), 8);
+    assert!(chosen.iter().all(|(worker, ..)| worker != "a"), "{chosen:?}");
+}
