Begun jobs are finished first, ranked by the work that is left

Change: begun jobs first, by the chain that is left; fresh ones count as timely only with 40 % to spare. Cells change hands in shorter steps.

--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -16,8 +16,8 @@
 pub const SUSPECT: u64 = 2_600;
 /// Gap between reads after which earlier observations say nothing, in milliseconds.
 const BLIND: u64 = 1_500;
-/// Head start of each candidate over the next, in milliseconds; a poll and a transaction.
-const RANK: u64 = 800;
+/// Head start of each candidate over the next, in milliseconds; a transaction and some delay.
+const RANK: u64 = 300;
 /// Starts within such a time count as one, in milliseconds.
 const SAME_START: u64 = 4_000;
 /// How long a new process only observes, in milliseconds; machines start within 0.3 s.
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -16,9 +16,9 @@
 use crate::ports::{Change, ChangeError, Place, Row};
 use crate::rows::{self, Beat, Lease, Load};
 
-/// Time between heartbeats and reads of the shared rows, in milliseconds; five fit in the silence
+/// Time between heartbeats and reads of the shared rows, in milliseconds; six fit in the silence
 /// after which a process counts as gone.
-const BEAT: u64 = 500;
+const BEAT: u64 = 400;
 
 /// The cells that this process holds.
 #[derive(Default)]
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -4,7 +4,7 @@
 
 use super::{Cell, Entry, Order, StepState, blank_steps};
 use crate::job::{State, TaskId};
-use crate::order::Rank;
+use crate::order::{Rank, Waiting};
 use crate::place;
 use crate::worker::{Phase, Slot, Worker};
 
@@ -55,7 +55,12 @@
             }
             begin_turns(entry, wall + early);
             if entry.turns.values().any(|turn| turn.iter().any(|step| step.open > 0)) {
-                ready.push(Ready { rank: entry.waiting.rank(now), job });
+                let waiting = Waiting {
+                    begun: entry.state == State::Running,
+                    chain: remaining(entry),
+                    ..entry.waiting
+                };
+                ready.push(Ready { rank: waiting.rank(now), job });
             }
         }
         if ready.is_empty() {
@@ -257,6 +262,18 @@
     }
 }
 
+/// Longest chain of estimated work that is left of a job's first open occurrence, in milliseconds.
+fn remaining(entry: &Entry) -> u64 {
+    let Some((_, states)) = entry.turns.get_index(0) else { return entry.waiting.chain };
+    let mut ends: Vec<u64> = Vec::with_capacity(states.len());
+    for (state, shape) in states.iter().zip(&entry.job.steps) {
+        let ready = shape.after.iter().filter_map(|n| ends.get(*n)).max().copied().unwrap_or(0);
+        let own = if state.is_done() { 0 } else { shape.estimate };
+        ends.push(ready.saturating_add(own));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
+
 /// Begins the occurrences that are due at `wall`.
 fn begin_turns(entry: &mut Entry, wall: u64) {
     let last = match entry.job.schedule {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -540,5 +540,12 @@
 fn waiting(queue: &Queue, job: &Job, accepted: u64) -> Waiting {
     let chain = job.chain();
     let objective = accepted + chain.saturating_mul(queue.stretch) / 1_000 + queue.target;
-    Waiting { lasting: job.is_lasting(), priority: queue.priority, accepted, objective, chain }
+    Waiting {
+        lasting: job.is_lasting(),
+        begun: false,
+        priority: queue.priority,
+        accepted,
+        objective,
+        chain,
+    }
 }
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -2,27 +2,32 @@
 //!
 //! Load pattern: a queue's turn brings several times what its pool holds. A job that ends after
 //! its objective is worth a small part of one that ends in time, so jobs that can still be in time
-//! go first, the one with the least time to spare before the others, and late ones fill what is
-//! left in the order of their arrival. Lasting jobs go before all of them, because every moment
+//! go first, and late ones fill what is left in the order of their arrival. Among the former, those
+//! that have begun go first: little more work brings their whole worth. One that has not begun
+//! needs time to spare, since estimates are wrong; the one with the least goes first. Lasting jobs go before all of them, because every moment
 //! without their tasks is lost for good.
 
 /// What a job's steps take beyond their own work, in milliseconds: orders, looks and the record.
 const OVERHEAD: u64 = 250;
-/// Part by which chains are taken to be longer than estimated, in percent.
+/// Part by which chains are taken to be longer than estimated once a job has begun, in percent.
 const DOUBT: u64 = 15;
+/// The same for a job that has not begun, in percent.
+const FRESH_DOUBT: u64 = 40;
 
 /// What decides a job's place in the order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Waiting {
     /// Whether its tasks last until it is cancelled.
     pub lasting: bool,
+    /// Whether a task has started.
+    pub begun: bool,
     /// Priority of its queue; 0 goes first.
     pub priority: u32,
     /// When it was accepted, in milliseconds.
     pub accepted: u64,
     /// When it should be completed, in milliseconds.
     pub objective: u64,
-    /// Estimated time that its remaining chain takes, in milliseconds.
+    /// Estimated time that its chain takes, in milliseconds.
     pub chain: u64,
 }
 
@@ -37,7 +42,8 @@
 impl Waiting {
     /// When it has to start to be in time, in milliseconds.
     pub fn latest(&self) -> u64 {
-        self.objective.saturating_sub(self.chain + self.chain * DOUBT / 100 + OVERHEAD)
+        let doubt = if self.begun { DOUBT } else { FRESH_DOUBT };
+        self.objective.saturating_sub(self.chain + self.chain * doubt / 100 + OVERHEAD)
     }
 
     /// Its place at a moment.
@@ -46,7 +52,14 @@
     ///
     /// ```
     /// use jobs::order::Waiting;
-    /// let early = Waiting { lasting: false, priority: 0, accepted: 0, objective: 1_900, chain: 600 };
+    /// let early = Waiting {
+    ///     lasting: false,
+    ///     begun: false,
+    ///     priority: 0,
+    ///     accepted: 0,
+    ///     objective: 1_900,
+    ///     chain: 600,
+    /// };
     /// let late = Waiting { objective: 900, ..early };
     /// assert!(early.rank(100) < late.rank(100));
     /// ```
@@ -54,8 +67,9 @@
         let latest = self.latest();
         let (class, time) = match () {
             () if self.lasting => (0, self.accepted),
-            () if now <= latest => (1, latest),
-            () => (2, self.accepted),
+            () if now <= latest && self.begun => (1, latest),
+            () if now <= latest => (2, latest),
+            () => (3, self.accepted),
         };
         Rank { class, time, priority: self.priority }
     }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -367,3 +367,22 @@
     assert_eq!(chosen.len(), 8);
     assert!(chosen.iter().all(|(worker, ..)| worker != "a"), "{chosen:?}");
 }
+
+#[test]
+fn a_job_that_has_begun_is_finished_before_a_fresh_one_begins() {
+    let mut cell = cell(1, &["a"]);
+    let second = Step { after: vec![0], ..step(1, 4_000) };
+    cell.admit(arrival(vec![step(1, 4_000), second], false));
+    cell.looked("a", &look(100), 0, 1);
+    let (worker, task, run) = starts(&cell.tick(2, 0))[0].clone();
+    cell.started(&worker, &task, run, StartOutcome::Running(101), 3);
+    cell.admit(Arrival {
+        id: "00000000000000bb".to_owned(),
+        ..arrival(vec![step(1, 4_000)], false)
+    });
+    let mut seen = look(700);
+    seen.ended = vec![end(1, task, run, How::Done)];
+    cell.looked("a", &seen, 590, 600);
+    let next = starts(&cell.tick(601, 0));
+    assert_eq!(next.iter().map(|(_, t, _)| t.job.as_str()).collect::<Vec<_>>(), [JOB]);
+}
