The fleet's duties keep pace on large fleets; strong machines hold cells

Ruled out: processor (0.06 of a core at most); the platform's orders (30 ms).

Change: older changes do not replace newer ones and a conflict brings the rows; duties are sorted once a round; beats, leases, loads and duties have parts of their own; stronger machines take cells first; looks of a cell are bounded.

--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -107,17 +107,19 @@
 
     /// Place of a candidate in the order of those that may take a cell; smaller goes first.
     ///
-    /// A process that started later goes first, as in a series of planned restarts it is the one
+    /// Stronger machines go first. Among equals, a process that started later goes first, as in a series of planned restarts it is the one
     /// that does not stop soon; but no process takes many cells while others have few.
     fn preference(
         &self,
         holder: &str,
         count: usize,
         cell: &str,
-    ) -> (usize, Reverse<u64>, usize, u64) {
+    ) -> (usize, Reverse<u64>, Reverse<u64>, usize, u64) {
         let start = holder.rsplit_once('~').and_then(|(_, start)| start.parse::<u64>().ok());
         let start = start.unwrap_or(0) / SAME_START;
-        (count / 2, Reverse(start), count, mix(cell, holder))
+        let name = holder.rsplit_once('~').map_or(holder, |(name, _)| name);
+        let power = self.beats.get(name).map_or(0, |seen| seen.beat.power);
+        (count / 2, Reverse(power), Reverse(start), count, mix(cell, holder))
     }
 
     /// Cells that `me` should claim now.
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -12,8 +12,8 @@
 
 use crate::clock;
 use crate::metrics::{Measured, Metrics};
-use crate::ports::{Adviser, Dialect, Executors, Machines, Page, Store};
-use crate::rows::{Duty, Load};
+use crate::ports::{Adviser, Dialect, Executors, Machines, Page, Row, Store};
+use crate::rows::{self, Duty, Load};
 
 /// Bounds that the platform states, all in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +35,8 @@
     pub name: String,
     /// Data centre.
     pub centre: String,
+    /// Processor that the process may use, in thousandths of a core.
+    pub power: u64,
     /// Bounds of the platform.
     pub bounds: Bounds,
 }
@@ -76,6 +78,8 @@
     pub changed: Notify,
     pub waves: RefCell<IndexMap<u64, SeenWave>>,
     pub registry: RefCell<IndexMap<String, Registration>>,
+    /// Rises with each change of the registry.
+    pub registry_version: Cell<u64>,
     /// Whether the registry has been read since this process began to follow it.
     pub listed: Cell<bool>,
     pub loads: RefCell<IndexMap<String, Load>>,
@@ -108,6 +112,7 @@
             changed: Notify::new(),
             waves: RefCell::default(),
             registry: RefCell::default(),
+            registry_version: Cell::new(0),
             listed: Cell::new(false),
             loads: RefCell::default(),
             duties: RefCell::default(),
@@ -145,6 +150,31 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes in a duty's row unless a newer one is known; a row of version 0 is not there.
+    ///
+    /// The holder of the duties knows its own writes before the feed does, so that the feed may
+    /// bring an older change after a newer one.
+    pub fn take_duty(&self, row: &Row, fresh: bool) {
+        let key = &row.place.key;
+        let mut duties = self.duties.borrow_mut();
+        let newer = duties.get(key).is_none_or(|(version, _)| *version < row.version);
+        if !newer && !fresh {
+            return;
+        }
+        match row.value.as_deref().map(rows::decode::<Duty>) {
+            Some(Ok(duty)) => {
+                duties.insert(key.clone(), (row.version, duty));
+            }
+            None => {
+                duties.swap_remove(key);
+            }
+            Some(Err(error)) => {
+                self.timeline
+                    .record(base::Event::RowUnreadable, &[("row", key), ("error", &error)]);
+            }
+        }
+    }
+
     /// Notes the table's clock.
     pub fn saw_clock(&self, table: u64) {
         self.table_clock.set((table, clock::now()));
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 
 use futures_util::future::join_all;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jobs::share::Shares;
 use jobs::wave::Stage;
 
@@ -29,6 +29,15 @@
 /// Rows in one transaction; each takes two of the hundred entries allowed.
 const BATCH: usize = 40;
 
+/// Machines that can't be ordered now.
+#[derive(Default)]
+struct Engaged {
+    /// Machines with a duty that takes them away.
+    taken: IndexSet<String>,
+    /// Machines that an earlier holder may have given an order for just now.
+    fresh: IndexSet<String>,
+}
+
 /// Handle of the fleet's duties.
 pub(crate) struct Fleet {
     inner: Rc<Inner>,
@@ -50,6 +59,7 @@
     /// Loads of the cells, as last read.
     loads: RefCell<IndexMap<String, Load>>,
     shares: RefCell<Shares>,
+    engaged: RefCell<Engaged>,
     /// Machines on their way to another pool, with the pool and the time of the order.
     moving: RefCell<IndexMap<String, (String, u64)>>,
 }
@@ -68,6 +78,7 @@
             starts: RefCell::default(),
             loads: RefCell::default(),
             shares: RefCell::default(),
+            engaged: RefCell::default(),
             moving: RefCell::default(),
         });
         actix::spawn(Rc::clone(&inner).run());
@@ -126,6 +137,7 @@
         *self.machines.borrow_mut() =
             machines.into_iter().map(|machine| (machine.name.clone(), machine)).collect();
         self.read_loads().await?;
+        self.sort_engaged();
         let waves: Vec<SeenWave> = self.ctx.waves.borrow().values().cloned().collect();
         for seen in waves {
             if self.reported.borrow().get(&seen.wave.number) != Some(&true) {
@@ -142,8 +154,30 @@
 
     /// Whether a machine has a duty that takes it away.
     fn has_duty(&self, machine: &str) -> bool {
+        self.engaged.borrow().taken.contains(machine)
+    }
+
+    /// Whether an earlier holder may have given an order for a machine so lately that another one
+    /// would come too close.
+    fn is_fresh(&self, machine: &str) -> bool {
+        self.engaged.borrow().fresh.contains(machine)
+    }
+
+    /// Sorts the machines by their duties, once a round, as there may be thousands of each.
+    fn sort_engaged(&self) {
         let duties = self.ctx.duties.borrow();
-        duties.values().any(|(_, duty)| duty.machine == machine && duty.takes_away())
+        let now = self.ctx.table_now();
+        let handover = self.ctx.settings.bounds.handover;
+        let mut engaged = Engaged::default();
+        for (_, duty) in duties.values() {
+            if duty.takes_away() {
+                engaged.taken.insert(duty.machine.clone());
+            }
+            if duty.epoch != self.tenure.epoch && now < duty.at + handover {
+                engaged.fresh.insert(duty.machine.clone());
+            }
+        }
+        *self.engaged.borrow_mut() = engaged;
     }
 
     /// Writes several duties; `None` removes a row.
@@ -168,6 +202,9 @@
                 for (place, duty) in batch {
                     match duty {
                         Some(duty) => {
+                            if duty.takes_away() {
+                                self.engaged.borrow_mut().taken.insert(duty.machine.clone());
+                            }
                             known.insert(place.key.clone(), (done.version, duty.clone()));
                         }
                         None => {
@@ -177,23 +214,14 @@
                 }
                 Ok(())
             }
-            Err(ChangeError::Conflict { .. }) => Err("a machine's row has changed".to_owned()),
+            Err(ChangeError::Conflict { rows }) => {
+                rows.iter().for_each(|row| self.ctx.take_duty(row, true));
+                Err("a machine's row has changed".to_owned())
+            }
             Err(error) => Err(error.to_string()),
         }
     }
 
-    /// Whether an earlier holder may have given an order for a machine so lately that another one
-    /// would come too close.
-    fn is_fresh(&self, machine: &str) -> bool {
-        let duties = self.ctx.duties.borrow();
-        let now = self.ctx.table_now();
-        duties.values().any(|(_, duty)| {
-            duty.machine == machine
-                && duty.epoch != self.tenure.epoch
-                && now < duty.at + self.ctx.settings.bounds.handover
-        })
-    }
-
     /// A duty whose order is about to go out.
     fn ordered(&self, duty: Duty) -> Duty {
         let (at, epoch) = (self.ctx.table_now(), self.tenure.epoch);
--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -9,7 +9,7 @@
 use crate::clock;
 use crate::follow::read_all;
 use crate::keys;
-use crate::ports::{Machine, MachineError, Place};
+use crate::ports::{Machine, MachineError};
 use crate::rows::{self, Duty, Load};
 
 /// Orders in one round; the platform takes some dozens a second.
@@ -89,18 +89,17 @@
 
     /// Reads the loads of the cells.
     pub(super) async fn read_loads(&self) -> Result<(), String> {
-        let from = Place { key: "load/".to_owned(), ..keys::load("") };
+        let from = keys::load("");
         let (rows, _) = read_all(&self.ctx, from).await.map_err(|error| error.to_string())?;
         let now = self.ctx.table_now();
         let mut loads = IndexMap::new();
         for row in rows {
-            let Some(cell) = row.place.key.strip_prefix("load/") else { continue };
             // The reader of the shared rows reports those that can't be read.
             let load = rows::decode::<Load>(row.value.as_deref().unwrap_or_default());
             if let Ok(load) = load
                 && now < load.clock + LOAD_AGE
             {
-                loads.insert(cell.to_owned(), load);
+                loads.insert(row.place.key, load);
             }
         }
         *self.loads.borrow_mut() = loads;
--- a/crates/cells/src/follow.rs
+++ b/crates/cells/src/follow.rs
@@ -32,12 +32,12 @@
     }
 }
 
-/// Follows the part without a name of a table for as long as `go` says, and hands over each row:
+/// Follows a table whose rows are all in one part, for as long as `go` says, and hands over each row:
 /// first all that are there, then all that change. Rows that vanish while the history is lost are
 /// handed over without value.
 pub(crate) async fn follow(
     ctx: Rc<Context>,
-    table: String,
+    (table, part): (String, &str),
     gap: u64,
     go: impl Fn() -> bool,
     mut take: impl FnMut(&Row),
@@ -47,7 +47,7 @@
     let mut version = None;
     while go() {
         let Some(after) = version else {
-            match read_all(&ctx, Place::new(&table, "", "")).await {
+            match read_all(&ctx, Place::new(&table, part, "")).await {
                 Ok((rows, at)) => {
                     ctx.set_away(false, &table);
                     let now: HashSet<Place> = rows.iter().map(|row| row.place.clone()).collect();
--- a/crates/cells/src/keys.rs
+++ b/crates/cells/src/keys.rs
@@ -4,27 +4,36 @@
 
 /// Table of what every process has to know: leases, heartbeats and loads.
 pub const SHARED: &str = "shared";
+/// Part of the leases and rosters, which are written under the leases' conditions.
+pub const LEASES: &str = "lease";
+/// Part of the heartbeats. A part takes a limited number of transactions, so that what every
+/// process writes often is apart from what few write.
+pub const BEATS: &str = "beat";
+/// Part of the loads.
+pub const LOADS: &str = "load";
+/// Part of the duties.
+pub const DUTY_PART: &str = "duty";
 /// Cell of the fleet's own duties; pools can't have this name, as it is no name for a service.
 pub const FLEET: &str = "!fleet";
 
 /// Lease of a cell.
 pub fn lease(cell: &str) -> Place {
-    Place::new(SHARED, "", &format!("lease/{cell}"))
+    Place::new(SHARED, LEASES, cell)
 }
 
 /// Heartbeat of a process.
 pub fn beat(process: &str) -> Place {
-    Place::new(SHARED, "", &format!("beat/{process}"))
+    Place::new(SHARED, BEATS, process)
 }
 
 /// Load of a cell.
 pub fn load(cell: &str) -> Place {
-    Place::new(SHARED, "", &format!("load/{cell}"))
+    Place::new(SHARED, LOADS, cell)
 }
 
 /// Executors that holders of a cell have given orders to.
 pub fn roster(cell: &str) -> Place {
-    Place::new("roster", "", cell)
+    Place::new("roster", LEASES, cell)
 }
 
 /// Mark of the holder of a cell in a part of the jobs.
@@ -57,17 +66,17 @@
 
 /// A machine's maintenance in a wave.
 pub fn upkeep(wave: u64, machine: &str) -> Place {
-    Place::new(DUTIES, "", &format!("wave/{wave}/{machine}"))
+    Place::new(DUTIES, DUTY_PART, &format!("wave/{wave}/{machine}"))
 }
 
 /// When a wave was first seen, by the table's clock.
 pub fn wave_start(wave: u64) -> Place {
-    Place::new(SHARED, "", &format!("wave/{wave}"))
+    Place::new(SHARED, DUTY_PART, &format!("wave/{wave}"))
 }
 
 /// A machine's move to another pool.
 pub fn shift(machine: &str) -> Place {
-    Place::new(DUTIES, "", &format!("move/{machine}"))
+    Place::new(DUTIES, DUTY_PART, &format!("move/{machine}"))
 }
 
 /// Part of the table that holds the jobs of a queue.
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -13,13 +13,20 @@
 use crate::follow::read_all;
 use crate::keys;
 use crate::owner::{Owner, Tenure};
-use crate::ports::{Change, ChangeError, Place, Row};
+use crate::ports::{Change, ChangeError, Place, ReadError};
 use crate::rows::{self, Beat, Lease, Load};
 
 /// Time between heartbeats and reads of the shared rows, in milliseconds; six fit in the silence
 /// after which a process counts as gone.
 const BEAT: u64 = 400;
 
+/// Rows that every process has to know, by name and with their versions.
+struct Shared {
+    beats: IndexMap<String, (u64, Beat)>,
+    leases: IndexMap<String, (u64, Lease)>,
+    loads: IndexMap<String, (u64, Load)>,
+}
+
 /// The cells that this process holds.
 #[derive(Default)]
 struct Held {
@@ -63,7 +70,8 @@
         let place = keys::beat(&self.ctx.settings.name);
         for count in 1.. {
             let open = !self.ctx.stopping.get();
-            let beat = Beat { count, start: self.ctx.start, open };
+            let power = self.ctx.settings.power;
+            let beat = Beat { count, start: self.ctx.start, open, power };
             let change =
                 Change { writes: vec![(place.clone(), rows::encode(&beat))], ..Change::default() };
             if let Err(error) = self.ctx.ports.store.apply(&change).await {
@@ -75,12 +83,11 @@
 
     async fn poll(self: Rc<Self>) {
         loop {
-            let from = Place::new(keys::SHARED, "", "");
             let asked = clock::now();
-            match read_all(&self.ctx, from).await {
-                Ok((rows, _)) => {
+            match self.read_shared().await {
+                Ok(shared) => {
                     self.ctx.set_away(false, "shared rows were read");
-                    self.take(&rows, asked);
+                    self.take(shared, asked);
                     self.claim().await;
                     let held = self.held.borrow();
                     let cells = held.owners.len() + usize::from(held.fleet.is_some());
@@ -96,11 +103,10 @@
     }
 
     /// Takes in the shared rows, and gives up cells that others hold by now.
-    fn take(&self, rows: &[Row], asked: u64) {
+    fn take(&self, shared: Shared, asked: u64) {
         let now = clock::now();
-        let loads = self.read::<Load>(rows, "load/");
+        let Shared { beats, leases, loads } = shared;
         *self.ctx.loads.borrow_mut() = loads.into_iter().map(|(n, (_, load))| (n, load)).collect();
-        let leases = self.read::<Lease>(rows, "lease/");
         let me = self.ctx.holder();
         let mut held = self.held.borrow_mut();
         let is_mine = |cell: &str, tenure: &Tenure| {
@@ -126,17 +132,31 @@
         }
         drop(held);
         self.adopt(&leases);
-        self.seen.borrow_mut().observe(self.read::<Beat>(rows, "beat/"), leases, now);
+        self.seen.borrow_mut().observe(beats, leases, now);
+    }
+
+    /// Reads what every process has to know.
+    async fn read_shared(&self) -> Result<Shared, ReadError> {
+        let (beats, leases, loads) = futures_util::future::try_join3(
+            self.read(keys::beat("")),
+            self.read(keys::lease("")),
+            self.read(keys::load("")),
+        )
+        .await?;
+        Ok(Shared { beats, leases, loads })
     }
 
-    fn read<T: DeserializeOwned>(&self, rows: &[Row], prefix: &str) -> IndexMap<String, (u64, T)> {
+    async fn read<T: DeserializeOwned>(
+        &self,
+        from: Place,
+    ) -> Result<IndexMap<String, (u64, T)>, ReadError> {
+        let (rows, _) = read_all(&self.ctx, from).await?;
         let mut all = IndexMap::new();
         for row in rows {
-            let Some(name) = row.place.key.strip_prefix(prefix) else { continue };
             let Some(value) = &row.value else { continue };
             match rows::decode(value) {
                 Ok(value) => {
-                    all.insert(name.to_owned(), (row.version, value));
+                    all.insert(row.place.key, (row.version, value));
                 }
                 Err(error) => self.ctx.timeline.record(
                     base::Event::RowUnreadable,
@@ -144,7 +164,7 @@
                 ),
             }
         }
-        all
+        Ok(all)
     }
 
     /// Claims the cells that are this process's to take.
--- a/crates/cells/src/node.rs
+++ b/crates/cells/src/node.rs
@@ -13,7 +13,6 @@
 use crate::member::Member;
 use crate::metrics::Metrics;
 use crate::ports::{Instruction, Row};
-use crate::rows::{self, Duty};
 
 /// Least time between two reads of the registry's changes, in milliseconds; executors write there
 /// about every second and a half each.
@@ -86,7 +85,7 @@
             .timeline
             .record(base::Event::RowUnreadable, &[("row", &row.place.key), ("error", &error)]),
     };
-    follow(ctx, table, 0, || true, take, || {}).await;
+    follow(ctx, (table, ""), 0, || true, take, || {}).await;
 }
 
 /// Follows the registry whenever this process holds something.
@@ -100,6 +99,7 @@
         let mut bad: IndexSet<String> = IndexSet::new();
         let take = move |row: &Row| {
             let id = &row.place.key;
+            taker.registry_version.set(taker.registry_version.get() + 1);
             if row.value.is_none() {
                 taker.registry.borrow_mut().swap_remove(id);
                 return;
@@ -122,8 +122,9 @@
         let (whole, holding) = (Rc::clone(&ctx), Rc::clone(&ctx));
         let go = move || holding.holding.get();
         let done = move || whole.listed.set(true);
-        follow(Rc::clone(&ctx), table.clone(), REGISTRY_GAP, go, take, done).await;
+        follow(Rc::clone(&ctx), (table.clone(), ""), REGISTRY_GAP, go, take, done).await;
         ctx.listed.set(false);
+        ctx.registry_version.set(ctx.registry_version.get() + 1);
         ctx.registry.borrow_mut().clear();
     }
 }
@@ -136,29 +137,11 @@
             pause(IDLE).await;
         }
         let taker = Rc::clone(&ctx);
-        let take = move |row: &Row| {
-            let key = &row.place.key;
-            let Some(value) = &row.value else {
-                taker.duties.borrow_mut().swap_remove(key);
-                return;
-            };
-            match rows::decode::<Duty>(value) {
-                Ok(duty) => {
-                    let mut duties = taker.duties.borrow_mut();
-                    // The holder of the duties knows its own writes before the feed does.
-                    if duties.get(key).is_none_or(|(version, _)| *version < row.version) {
-                        duties.insert(key.clone(), (row.version, duty));
-                    }
-                }
-                Err(error) => taker
-                    .timeline
-                    .record(base::Event::RowUnreadable, &[("row", key), ("error", &error)]),
-            }
-        };
+        let take = move |row: &Row| taker.take_duty(row, false);
         let (whole, holding) = (Rc::clone(&ctx), Rc::clone(&ctx));
         let go = move || holding.holding.get();
         let done = move || whole.duties_known.set(true);
-        follow(Rc::clone(&ctx), table.clone(), DUTY_GAP, go, take, done).await;
+        follow(Rc::clone(&ctx), (table.clone(), keys::DUTY_PART), DUTY_GAP, go, take, done).await;
         ctx.duties_known.set(false);
         ctx.duties.borrow_mut().clear();
     }
--- a/crates/cells/src/owner/duty.rs
+++ b/crates/cells/src/owner/duty.rs
@@ -39,7 +39,7 @@
     }
 
     async fn report_empty(self: Rc<Self>, key: String, version: u64, duty: Duty) {
-        let place = Place::new(keys::DUTIES, "", &key);
+        let place = Place::new(keys::DUTIES, keys::DUTY_PART, &key);
         let machine = duty.machine.clone();
         let executor = duty.executor.clone();
         let row = rows::encode(&Duty { empty: true, ..duty });
--- a/crates/cells/src/owner/look.rs
+++ b/crates/cells/src/owner/look.rs
@@ -17,6 +17,9 @@
 /// Pause between looks at an executor with work, in milliseconds; delays the end of a step by half
 /// of it on average.
 const BUSY: u64 = 100;
+/// Executors with work up to which that pause holds; beyond, it grows with their number, so that
+/// the looks of a cell stay bounded.
+const BUSY_LOOKED: u64 = 32;
 /// Pause between looks at an executor without work, in milliseconds.
 const IDLE: u64 = 1_400;
 /// Pause after a look without answer, in milliseconds.
@@ -74,7 +77,7 @@
                     if ends {
                         self.wake.notify_one();
                     }
-                    if busy || ends { BUSY } else { self.idle_rest(&id) }
+                    if busy || ends { self.busy_rest() } else { self.idle_rest(&id) }
                 }
                 Err(OrderError::Fenced) => {
                     self.cell.borrow_mut().supersede();
@@ -110,6 +113,12 @@
         );
     }
 
+    fn busy_rest(&self) -> u64 {
+        let cell = self.cell.borrow();
+        let busy = cell.workers().values().filter(|w| !w.runs.is_empty()).count() as u64;
+        BUSY.max(BUSY * busy / BUSY_LOOKED)
+    }
+
     fn idle_rest(&self, id: &str) -> u64 {
         let cell = self.cell.borrow();
         let busy = cell.workers().get(id).is_some_and(|w| !w.runs.is_empty() || w.seen > w.durable);
@@ -119,7 +128,7 @@
     /// Waits until the next look, less long when the executor gets work meanwhile.
     async fn rest(&self, id: &str, ms: u64) {
         let until = clock::now() + ms;
-        pause(ms.min(BUSY)).await;
+        pause(if ms < IDLE { ms } else { BUSY }).await;
         while self.is_active() && clock::now() < until && self.idle_rest(id) == IDLE {
             pause(BUSY).await;
         }
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -62,6 +62,8 @@
     /// Executors that look loops run for.
     pub looked: RefCell<indexmap::IndexSet<String>>,
     pub inflow: RefCell<Inflow>,
+    /// Version of the registry that the scheduler knows.
+    pub synced: Cell<u64>,
     /// Versions of duties whose executors were reported as empty, by the duty's key.
     pub reported: RefCell<IndexMap<String, u64>>,
     /// Version at which each part was read whole.
@@ -99,6 +101,7 @@
             gates: RefCell::default(),
             looked: RefCell::default(),
             inflow: RefCell::default(),
+            synced: Cell::new(u64::MAX),
             reported: RefCell::default(),
             read: RefCell::default(),
             ledgers: RefCell::default(),
@@ -310,16 +313,10 @@
             let same = Load { clock: last.clock, ..load.clone() } == last;
             if !same || load.clock > last.clock + REFRESH {
                 let place = keys::load(&self.tenure.cell);
-                let change = Change {
-                    expect: vec![(keys::lease(&self.tenure.cell), self.tenure.epoch)],
-                    writes: vec![(place, rows::encode(&load))],
-                    removes: Vec::new(),
-                };
+                let change =
+                    Change { writes: vec![(place, rows::encode(&load))], ..Change::default() };
                 match self.ctx.ports.store.apply(&change).await {
                     Ok(_) => last = load,
-                    Err(ChangeError::Conflict { .. }) => {
-                        self.lose("the lease has changed");
-                    }
                     Err(error) => self.ctx.set_away(true, &error.to_string()),
                 }
             }
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -163,7 +163,8 @@
 
     /// Brings the scheduler's executors up to the registry; new ones are put on the roster first.
     pub(super) async fn sync_workers(&self) {
-        if !self.ctx.listed.get() {
+        let version = self.ctx.registry_version.get();
+        if !self.ctx.listed.get() || self.synced.get() == version {
             return;
         }
         let listed: Vec<Registration> = self
@@ -182,6 +183,9 @@
         };
         let fresh: Vec<&Registration> = listed.iter().filter(|e| !known.contains(&e.id)).collect();
         let durable = fresh.is_empty() || self.enroll(&fresh).await;
+        if durable {
+            self.synced.set(version);
+        }
         let mut cell = self.cell.borrow_mut();
         for id in gone {
             cell.unlist(&id);
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -29,6 +29,9 @@
     /// Whether it takes cells.
     #[serde(rename = "o")]
     pub open: bool,
+    /// Processor that it may use, in thousandths of a core.
+    #[serde(rename = "p", default)]
+    pub power: u64,
 }
 
 /// Load of a cell.
