Time limits towards the table follow its answers

Ruled out: a lost table; reads were answered within 250 ms all the while.

Change: pure module patience; the limit follows the mean of recent answers, between 1.2 and 2 s.

--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod node;
 pub mod owner;
+pub mod patience;
 pub mod ports;
 pub mod rows;
 
