--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -37,6 +37,8 @@
     pub centre: String,
     /// Processor that the process may use, in thousandths of a core.
     pub power: u64,
+    /// Orders for machines that the platform takes a second; 0 where it is not known.
+    pub orders: u64,
     /// Bounds of the platform.
     pub bounds: Bounds,
 }
--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -12,8 +12,10 @@
 use crate::ports::{Machine, MachineError};
 use crate::rows::{self, Duty, Load};
 
-/// Orders in one round; the platform takes some dozens a second.
-const ORDERS: usize = 12;
+/// Least number of orders in one round.
+const ORDERS: u64 = 4;
+/// Rounds a second at most, so that all their orders stay within what the platform takes.
+const ROUNDS: u64 = 4;
 /// How long a machine counts as on its way to a pool, in milliseconds; over twice a move.
 const ON_THE_WAY: u64 = 4_000;
 /// How long a machine may take to become empty for a move, in milliseconds.
@@ -106,6 +108,12 @@
         Ok(())
     }
 
+    /// Orders for moves in one round.
+    fn orders(&self) -> usize {
+        let orders = (self.ctx.settings.orders / ROUNDS).max(ORDERS);
+        usize::try_from(orders).unwrap_or(usize::MAX)
+    }
+
     /// Forgets moves that have arrived or taken too long.
     fn settle_moves(&self) {
         let machines = self.machines.borrow();
@@ -156,7 +164,7 @@
                 }
             }
         }
-        ready.truncate(ORDERS);
+        ready.truncate(self.orders());
         self.announce(&ready).await?;
         let orders = ready.iter().map(|(name, pool)| self.order_move(name, pool));
         let taken = join_all(orders).await;
@@ -176,7 +184,7 @@
         let mut direct = Vec::new();
         for shift in shifts {
             let off = standby == Some(shift.from.as_str());
-            if off && direct.len() >= ORDERS {
+            if off && direct.len() >= self.orders() {
                 continue;
             }
             self.moving.borrow_mut().insert(shift.machine.clone(), (shift.to.clone(), now));
