A refusal is true for every try of its job; jobs explained from logs

A refusal for load had only read that the job was not there, while an earlier write of it could still be under way.

Ruled out: telling first tries by the time that clients have left; a job comes again with its whole time.

Change: a refusal for load leaves a tombstone under the condition of the acceptance; without the table the answer is 'not known', with the time to ask again.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -83,6 +83,8 @@
     PaceLost = 2203,
     /// The adviser was asked which executors may run a step.
     AdviceTaken = 2204,
+    /// A run ended without success.
+    RunEnded = 2205,
     /// An executor answered a cell's holder for the first time.
     ExecutorJoined = 2301,
     /// An executor does not answer, or another incarnation does.
@@ -106,9 +108,9 @@
     /// The operator was told how far a wave is.
     WaveReported = 2504,
     /// A machine was ordered into another pool.
-    MoveOrdered = 2506,
+    MoveOrdered = 2505,
     /// A round of the fleet's duties could not be finished.
-    DutyDelayed = 2505,
+    DutyDelayed = 2506,
 }
 
 impl Event {
--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -57,8 +57,11 @@
         /// When to come back, in milliseconds.
         after: u64,
     },
-    /// It may have been done.
-    Unknown,
+    /// It may have been done; when to ask again, in milliseconds.
+    Unknown {
+        /// When to ask again, in milliseconds.
+        after: u64,
+    },
 }
 
 /// Takes requests for the life of the process.
@@ -101,20 +104,20 @@
         }
         let cell = queue.pool.clone();
         let part = keys::part(&queue.name);
+        let until = clock::now() + STORE_PATIENCE.min(left * TRY_SHARE / 100);
         if let Some(after) = self.overload(queue, &cell, job) {
-            // A job that came before and was accepted stays accepted.
-            match self.find(&part, id, clock::now() + STORE_PATIENCE).await {
-                Ok(Some(_)) => return Reply::Accepted,
-                Ok(None) => {
-                    self.refused(id, "load", after);
-                    return Reply::Refused { busy: true, after };
+            return match self.intake.store(&self.ctx, &part, id, &cell, None, until).await {
+                // A job that came before and was accepted stays accepted.
+                Stored::Yes => Reply::Accepted,
+                Stored::Never => {
+                    self.refused_for_load(id, queue, &cell, job, after);
+                    Reply::Refused { busy: true, after }
                 }
-                Err(()) => return Reply::Unknown,
-            }
+                Stored::Unknown => self.unsettled(id),
+            };
         }
         let row = JobRow::new(&queue.name, self.ctx.table_now(), job);
-        let until = clock::now() + STORE_PATIENCE.min(left * TRY_SHARE / 100);
-        match self.intake.store(&self.ctx, &part, id, &cell, &row, until).await {
+        match self.intake.store(&self.ctx, &part, id, &cell, Some(&row), until).await {
             Stored::Yes => {
                 self.ctx.timeline.record(
                     base::Event::JobAccepted,
@@ -122,22 +125,40 @@
                 );
                 Reply::Accepted
             }
-            Stored::No => {
-                self.refused(id, "table away", AWAY_RETRY);
-                Reply::Refused { busy: false, after: AWAY_RETRY }
-            }
-            Stored::Unknown => {
-                self.ctx.timeline.record(base::Event::WriteUnsettled, &[("job", &id)]);
-                Reply::Unknown
-            }
+            Stored::Never | Stored::Unknown => self.unsettled(id),
         }
     }
 
-    fn refused(&self, id: &str, why: &str, after: u64) {
+    /// Answers a request about which the table could not be asked.
+    ///
+    /// An earlier try of the same job, at any process, may be stored yet, so that "not accepted"
+    /// could be false.
+    fn unsettled(&self, id: &str) -> Reply {
         let age = self.ctx.table_age();
+        self.ctx
+            .timeline
+            .record(base::Event::WriteUnsettled, &[("job", &id), ("table_age_ms", &age)]);
+        Reply::Unknown { after: AWAY_RETRY }
+    }
+
+    /// Logs a refusal with the load that decided it and its age.
+    fn refused_for_load(&self, id: &str, queue: &Queue, cell: &str, job: &Job, after: u64) {
+        let load = self.ctx.loads.borrow().get(cell).cloned().unwrap_or_default();
+        let age = self.ctx.table_now().saturating_sub(load.clock);
         self.ctx.timeline.record(
             base::Event::JobRefused,
-            &[("job", &id), ("why", &why), ("after_ms", &after), ("table_age_ms", &age)],
+            &[
+                ("job", &id),
+                ("why", &"load"),
+                ("queue", &queue.name),
+                ("cell", &cell),
+                ("after_ms", &after),
+                ("chain_ms", &job.chain()),
+                ("backlog", &load.backlog),
+                ("room", &load.room),
+                ("jobs", &load.jobs),
+                ("load_age_ms", &age),
+            ],
         );
     }
 
@@ -199,7 +220,7 @@
             let (version, row) = match self.find(&part, id, until).await {
                 Ok(None) => return Reply::NoJob,
                 Ok(Some(found)) => found,
-                Err(()) => return Reply::Unknown,
+                Err(()) => return Reply::Unknown { after: AWAY_RETRY },
             };
             if row.state().is_some_and(State::is_final) {
                 return Reply::Cancelled;
@@ -229,7 +250,7 @@
                 }
             }
             if clock::now() >= until {
-                return Reply::Unknown;
+                return Reply::Unknown { after: AWAY_RETRY };
             }
         }
     }
@@ -274,7 +295,8 @@
                         return Ok(None);
                     };
                     let Some(value) = row.value else { return Ok(None) };
-                    return match rows::decode(&value) {
+                    return match rows::decode::<StateRow>(&value) {
+                        Ok(state) if state.is_refused() => Ok(None),
                         Ok(state) => Ok(Some((row.version, state))),
                         Err(error) => {
                             self.ctx.timeline.record(
--- a/crates/cells/src/intake.rs
+++ b/crates/cells/src/intake.rs
@@ -1,4 +1,8 @@
-//! Accepting jobs: several that come at the same time share a transaction.
+//! Accepting and refusing jobs: several that come at the same time share a transaction.
+//!
+//! A refusal says that the job never runs. An earlier try, at any process, may still be on its way
+//! to the table, so that a refusal leaves a tombstone under the same condition as an acceptance;
+//! whichever is first wins. A job that comes again after its refusal takes the tombstone's place.
 //!
 //! Load pattern: a queue's turn brings more jobs a second than a part of the table takes
 //! transactions; jobs that arrive while one is under way go together in the next.
@@ -14,7 +18,7 @@
 use crate::clock;
 use crate::context::{Context, pause};
 use crate::keys;
-use crate::ports::{Change, ChangeError};
+use crate::ports::{Change, ChangeError, Place};
 use crate::rows::{self, StateRow};
 
 /// Jobs in one transaction; each takes a condition and two writes of the hundred entries allowed.
@@ -29,8 +33,8 @@
 pub(crate) enum Stored {
     /// It is stored, now or earlier.
     Yes,
-    /// It is not stored and will not be.
-    No,
+    /// It is not stored, and no earlier try can store it any more.
+    Never,
     /// Not known.
     Unknown,
 }
@@ -38,11 +42,12 @@
 struct Item {
     id: String,
     cell: String,
-    value: Vec<u8>,
+    /// Row of the job; none for a refusal.
+    value: Option<Vec<u8>>,
+    /// Version of the tombstone that it takes the place of; 0 for none.
+    over: u64,
     /// When to give up, in milliseconds.
     until: u64,
-    /// Whether a transaction with it may have been applied.
-    doubt: bool,
     answer: oneshot::Sender<Stored>,
 }
 
@@ -53,23 +58,23 @@
 }
 
 impl Intake {
-    /// Stores a job; gives up at `until`.
+    /// Stores a job, or its refusal where there is none; gives up at `until`.
     pub async fn store(
         self: &Rc<Self>,
         ctx: &Rc<Context>,
         part: &str,
         id: &str,
         cell: &str,
-        job: &JobRow,
+        job: Option<&JobRow>,
         until: u64,
     ) -> Stored {
         let (answer, done) = oneshot::channel();
         let item = Item {
             id: id.to_owned(),
             cell: cell.to_owned(),
-            value: rows::encode(job),
+            value: job.map(rows::encode),
+            over: 0,
             until,
-            doubt: false,
             answer,
         };
         let first = {
@@ -96,8 +101,9 @@
                 }
                 let mut bytes = 0;
                 let fits = items.iter().take(BATCH).take_while(|item| {
-                    bytes += item.value.len();
-                    bytes <= BATCH_BYTES || bytes == item.value.len()
+                    let own = item.value.as_ref().map_or(0, Vec::len);
+                    bytes += own;
+                    bytes <= BATCH_BYTES || bytes == own
                 });
                 let count = fits.count();
                 items.drain(..count).collect::<Vec<Item>>()
@@ -125,12 +131,17 @@
             again.push(item);
             continue;
         }
-        let state = StateRow::new(&item.cell, State::Queued);
-        change.expect.push((keys::state(part, &item.id), 0));
-        change.writes.push((keys::state(part, &item.id), rows::encode(&state)));
-        let mut place = keys::state(part, &item.id);
-        place.table = keys::jobs(&item.cell);
-        change.writes.push((place, item.value.clone()));
+        let place = keys::state(part, &item.id);
+        change.expect.push((place.clone(), item.over));
+        let state = match &item.value {
+            Some(_) => StateRow::new(&item.cell, State::Queued),
+            None => StateRow::refused(),
+        };
+        change.writes.push((place.clone(), rows::encode(&state)));
+        if let Some(value) = &item.value {
+            let row = Place { table: keys::jobs(&item.cell), ..place };
+            change.writes.push((row, value.clone()));
+        }
         sent.push(item);
     }
     let outcome = ctx.ports.store.apply(&change).await;
@@ -139,26 +150,32 @@
         Ok(done) => {
             ctx.set_away(false, "jobs are stored");
             ctx.saw_clock(done.clock);
-            sent.into_iter().for_each(|item| settle(item, Stored::Yes));
-        }
-        Err(ChangeError::Conflict { rows }) => {
             for item in sent {
-                let there = rows.iter().any(|row| row.place.key == item.id && row.version > 0);
-                if there {
-                    settle(item, Stored::Yes);
-                } else {
-                    again.push(item);
+                let stored = if item.value.is_some() { Stored::Yes } else { Stored::Never };
+                settle(item, stored);
+            }
+        }
+        Err(ChangeError::Conflict { rows: now_there }) => {
+            for mut item in sent {
+                let row = now_there.iter().find(|row| row.place.key == item.id && row.version > 0);
+                let refused = row
+                    .and_then(|row| rows::decode::<StateRow>(row.value.as_deref()?).ok())
+                    .is_some_and(|state| state.is_refused());
+                match row {
+                    Some(_) if !refused => settle(item, Stored::Yes),
+                    Some(_) if item.value.is_none() => settle(item, Stored::Never),
+                    row => {
+                        item.over = row.map_or(0, |row| row.version);
+                        again.push(item);
+                    }
                 }
             }
         }
         Err(error) => {
             ctx.set_away(true, &error.to_string());
-            let doubt = matches!(error, ChangeError::Unknown { .. });
-            for mut item in sent {
-                item.doubt |= doubt;
+            for item in sent {
                 if now >= item.until {
-                    let stored = if item.doubt { Stored::Unknown } else { Stored::No };
-                    settle(item, stored);
+                    settle(item, Stored::Unknown);
                 } else {
                     again.push(item);
                 }
--- a/crates/cells/src/owner/look.rs
+++ b/crates/cells/src/owner/look.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jobs::{How, Look};
+
 use super::Inner;
 use crate::clock;
 use crate::context::pause;
@@ -72,8 +74,10 @@
                             ],
                         );
                     }
+                    let seen = cell.workers().get(&id).map_or(0, |w| w.seen);
                     cell.looked(&id, &look, sent, now);
                     drop(cell);
+                    self.note_ends(&id, &look, seen);
                     if ends {
                         self.wake.notify_one();
                     }
@@ -113,6 +117,22 @@
         );
     }
 
+    /// Logs the new ends other than successes; those show in the end of their job.
+    fn note_ends(&self, id: &str, look: &Look, seen: u64) {
+        for end in look.ended.iter().filter(|e| e.number > seen && e.how != How::Done) {
+            self.ctx.timeline.record(
+                base::Event::RunEnded,
+                &[
+                    ("task", &end.task),
+                    ("run", &end.run),
+                    ("executor", &id),
+                    ("how", &end.how),
+                    ("saved", &!end.saved.is_empty()),
+                ],
+            );
+        }
+    }
+
     fn busy_rest(&self) -> u64 {
         let cell = self.cell.borrow();
         let busy = cell.workers().values().filter(|w| !w.runs.is_empty()).count() as u64;
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -83,6 +83,9 @@
     pub count: u64,
 }
 
+/// Stands in the place of a state for a job that was refused.
+const REFUSED: &str = "refused";
+
 /// State of a job.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct StateRow {
@@ -100,6 +103,16 @@
         Self { cell: cell.to_owned(), state: state.to_string() }
     }
 
+    /// The row that keeps a refused job from being stored by an earlier, delayed write.
+    pub fn refused() -> Self {
+        Self { cell: String::new(), state: REFUSED.to_owned() }
+    }
+
+    /// Whether the job was refused and has not come again.
+    pub fn is_refused(&self) -> bool {
+        self.state == REFUSED
+    }
+
     /// The state, where it can be read.
     pub fn state(&self) -> Option<State> {
         self.state.parse().ok()
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -11,6 +11,7 @@
     ///   jtally --at 127.0.0.1:7101 drain boards-3 --reason "kernel update"
     ///   jtally --at 127.0.0.1:7101 why boards-3
     ///   jtally --at 127.0.0.1:7101 timeline --filter boards-3
+    ///   jtally explain 5c0e7a21d94b36f8 --logs node-1.log --logs node-2.log
     ///
     /// Exit codes: 0 done, 1 internal fault, 2 wrong command line, 3 refused, 4 stale or in the
     /// way of another change, 5 not there, 6 out of reach, 7 not known whether it was written.
@@ -65,6 +66,12 @@
             /// Shows only events that contain this text.
             optional --filter filter: String
         }
+        /// Tells the story of one job from the processes' logs, and its cause in a sentence.
+        cmd explain {
+            required job: String
+            /// Log file; may be given several times; standard input when none is given.
+            repeated --logs logs: PathBuf
+        }
         /// Shows the process asked and the others that it knows.
         cmd status { }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod contract;
 mod error;
+mod explain;
 mod instance;
 mod plan;
 mod print;
@@ -28,8 +29,11 @@
 }
 
 async fn run(flags: Jtally) -> Result<(), Error> {
-    let control = Control::open(flags.at.as_deref())?;
     let json = flags.json;
+    if let JtallyCmd::Explain(ask) = &flags.subcommand {
+        return explain::show(&ask.job, &ask.logs, json);
+    }
+    let control = Control::open(flags.at.as_deref())?;
     match flags.subcommand {
         JtallyCmd::Contract(contract) => match contract.subcommand {
             ContractCmd::Apply(ask) => {
@@ -51,6 +55,8 @@
             instance::order(&control, &ask.instance, Some(ask.pool), ask.reason, json).await
         }
         JtallyCmd::Timeline(ask) => timeline::show(&control, ask.filter.as_deref(), json).await,
+        // Answered above, as it asks no process.
+        JtallyCmd::Explain(_) => Ok(()),
         JtallyCmd::Status(_) => instance::status(&control, json).await,
     }
 }
