--- /dev/null
+++ b/crates/cells/tests/claim.rs
@@ -0,0 +1,110 @@
+//! Which process takes which cell, replayed from what the table showed.
+
+use cells::claim::Observations;
+use cells::rows::{Beat, Lease};
+use indexmap::IndexMap;
+
+const POLL: u64 = 400;
+
+struct World {
+    seen: Observations,
+    beats: IndexMap<String, (u64, Beat)>,
+    leases: IndexMap<String, (u64, Lease)>,
+    now: u64,
+}
+
+impl World {
+    fn new(processes: &[&str]) -> Self {
+        let beat = |(n, name): (usize, &&str)| {
+            let beat = Beat { count: 1, start: 1, open: true, power: 250 };
+            ((*name).to_owned(), (n as u64 + 1, beat))
+        };
+        Self {
+            seen: Observations::default(),
+            beats: processes.iter().enumerate().map(beat).collect(),
+            leases: IndexMap::new(),
+            now: 1_000,
+        }
+    }
+
+    /// Lets the processes named beat, and reads the table.
+    fn poll(&mut self, alive: &[&str]) {
+        self.now += POLL;
+        for name in alive {
+            let (version, beat) = &mut self.beats[*name];
+            *version += 100;
+            beat.count += 1;
+        }
+        self.seen.observe(self.beats.clone(), self.leases.clone(), self.now);
+    }
+
+    fn hold(&mut self, cell: &str, holder: &str) {
+        let lease = Lease { holder: holder.to_owned(), term: 1 };
+        self.leases.insert(cell.to_owned(), (9, lease));
+    }
+
+    fn claims(&mut self, me: &str) -> Vec<String> {
+        self.seen.claims(&["x".to_owned()], me, self.now)
+    }
+}
+
+#[test]
+fn a_holder_that_beats_keeps_its_cell() {
+    let mut world = World::new(&["a", "b"]);
+    world.hold("x", "a~1");
+    for _ in 0..20 {
+        world.poll(&["a", "b"]);
+        assert!(world.claims("b~1").is_empty());
+    }
+}
+
+#[test]
+fn the_cell_of_a_silent_holder_is_taken() {
+    let mut world = World::new(&["a", "b"]);
+    world.hold("x", "a~1");
+    (0..5).for_each(|_| world.poll(&["a", "b"]));
+    let taken = (0..20).any(|_| {
+        world.poll(&["b"]);
+        world.claims("b~1") == ["x"]
+    });
+    assert!(taken);
+}
+
+#[test]
+fn nobody_is_judged_by_time_in_which_the_table_was_away() {
+    let mut world = World::new(&["a", "b"]);
+    world.hold("x", "a~1");
+    (0..5).for_each(|_| world.poll(&["a", "b"]));
+    // No read for five seconds: neither could write its heartbeat.
+    world.now += 5_000;
+    world.poll(&[]);
+    assert!(world.claims("b~1").is_empty());
+    world.poll(&["a", "b"]);
+    assert!(world.claims("b~1").is_empty());
+}
+
+#[test]
+fn a_holder_whose_machine_has_restarted_is_known_to_have_ended() {
+    let mut world = World::new(&["a", "b"]);
+    world.hold("x", "a~1");
+    world.poll(&["a", "b"]);
+    assert!(!world.seen.ended("a~1"));
+    world.beats["a"].1.start = 2;
+    world.poll(&["a", "b"]);
+    assert!(world.seen.ended("a~1"));
+}
+
+#[test]
+fn a_cell_that_was_handed_over_goes_to_one_process_at_a_time() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.hold("x", "");
+    (0..5).for_each(|_| world.poll(&["a", "b", "c"]));
+    world.seen = Observations::default();
+    let mut first = Vec::new();
+    while first.is_empty() {
+        world.poll(&["a", "b", "c"]);
+        first =
+            ["a~1", "b~1", "c~1"].into_iter().filter(|me| !world.claims(me).is_empty()).collect();
+    }
+    assert_eq!(first.len(), 1, "{first:?} claim at once");
+}
--- /dev/null
+++ b/crates/jobs/tests/decisions.rs
@@ -0,0 +1,133 @@
+//! Replays of loads against the decisions on capacity: shares of pools, waves, admission.
+
+use indexmap::IndexMap;
+use jobs::admit::{Load, Verdict, judge};
+use jobs::share::{Demand, Inflow, Shares, need};
+use jobs::wave::{Stage, Wave, next};
+
+const SIZE: u64 = 16_000;
+
+fn names(prefix: &str, count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("{prefix}{n}")).collect()
+}
+
+fn pool(machines: usize, arriving: u64, spares: Vec<String>) -> Demand {
+    Demand { machines, arriving, spares, ..Demand::default() }
+}
+
+#[test]
+fn the_pool_whose_turn_begins_gets_standby_first_and_then_what_others_can_spare() {
+    let mut pools = IndexMap::new();
+    pools.insert("idle".to_owned(), pool(9, 1_000, names("i", 8)));
+    pools.insert("turn".to_owned(), pool(9, 300_000, Vec::new()));
+    let off = names("s", 4);
+    let shifts = Shares::default().next(&pools, Some(("off", &off)), 22, SIZE, 0);
+    // 300 cores and a quarter more are 24 machines: 15 are missing, 4 stand by, 6 can be spared.
+    assert_eq!(need(&pools["turn"], SIZE), 24);
+    assert!(shifts.iter().all(|s| s.to == "turn"), "{shifts:?}");
+    assert_eq!(shifts.iter().filter(|s| s.from == "off").count(), 4);
+    assert_eq!(shifts.iter().filter(|s| s.from == "idle").count(), 6);
+    assert!(shifts[..4].iter().all(|s| s.from == "off"), "standby goes first");
+}
+
+#[test]
+fn a_pool_gives_machines_back_only_after_it_was_too_large_for_a_while() {
+    let mut pools = IndexMap::new();
+    pools.insert("after".to_owned(), pool(20, 1_000, names("a", 18)));
+    let off = Vec::new();
+    let mut shares = Shares::default();
+    assert!(shares.next(&pools, Some(("off", &off)), 20, SIZE, 0).is_empty());
+    assert!(shares.next(&pools, Some(("off", &off)), 20, SIZE, 900).is_empty());
+    let back = shares.next(&pools, Some(("off", &off)), 20, SIZE, 1_300);
+    assert_eq!(back.len(), 10, "half of all machines is the even share of one pool");
+    assert!(back.iter().all(|s| s.to == "off"));
+}
+
+#[test]
+fn lasting_tasks_keep_the_machines_that_they_stand_on() {
+    let demand = Demand { floor: 7, lasting: 9_000, ..Demand::default() };
+    assert_eq!(need(&demand, SIZE), 8, "one more, so that one may be down");
+}
+
+#[test]
+fn a_rise_of_the_inflow_is_carried_on_over_the_time_of_a_move() {
+    let (mut steady, mut rising) = (Inflow::default(), Inflow::default());
+    for at in (0..2_000).step_by(20) {
+        steady.add(at, 1_000_000);
+        if at >= 1_000 || at % 100 == 0 {
+            rising.add(at, 1_000_000);
+        }
+    }
+    let (steady, rising) = (steady.rate(2_000), rising.rate(2_000));
+    assert!(rising > steady * 2, "{rising} against {steady}");
+}
+
+fn play_wave(wave: &Wave, stop: u64) -> (u64, usize) {
+    let mut stages: IndexMap<String, Stage> = IndexMap::new();
+    let mut since: IndexMap<String, u64> = IndexMap::new();
+    let mut most = 0;
+    for now in (0..).step_by(100) {
+        for (machine, stage) in &mut stages {
+            if *stage == Stage::Down && now >= since[machine] + stop {
+                *stage = Stage::Done;
+            }
+        }
+        let steps = next(wave, &stages, now, &|m| now >= since[m] + 500, &|_| 0);
+        if steps.complete {
+            return (now, most);
+        }
+        for machine in steps.empty {
+            since.insert(machine.clone(), now);
+            stages.insert(machine, Stage::Emptying);
+        }
+        for machine in steps.down {
+            since.insert(machine.clone(), now);
+            stages.insert(machine, Stage::Down);
+        }
+        let down = stages.values().filter(|s| **s == Stage::Down).count();
+        assert!(down <= wave.most, "{down} are down");
+        most = most.max(down);
+        assert!(now < 10 * wave.within, "the wave does not end");
+    }
+    unreachable!("the loop ends by its checks")
+}
+
+#[test]
+fn a_wave_ends_in_time_with_no_more_machines_down_than_that_takes() {
+    let wave = Wave { number: 1, machines: names("m", 21), most: 9, within: 26_000 };
+    let (ended, most) = play_wave(&wave, 2_000);
+    assert!(ended < wave.within, "ended after {ended} ms");
+    assert!(most < wave.most, "{most} at once, though there was time");
+}
+
+#[test]
+fn a_short_wave_uses_its_whole_limit() {
+    let wave = Wave { number: 1, machines: names("m", 21), most: 3, within: 22_000 };
+    let (ended, most) = play_wave(&wave, 2_000);
+    assert!(ended < wave.within, "ended after {ended} ms");
+    assert_eq!(most, 3);
+}
+
+#[test]
+fn the_machines_that_cost_least_go_first() {
+    let wave = Wave { number: 1, machines: names("m", 4), most: 1, within: 60_000 };
+    let steps = next(&wave, &IndexMap::new(), 0, &|_| false, &|m| u64::from(m != "m2"));
+    assert_eq!(steps.empty, ["m2"]);
+}
+
+#[test]
+fn jobs_come_in_while_their_results_are_of_use() {
+    let mut load = Load { jobs: 100, backlog: 0, room: 144_000 };
+    // In a turn, 310 cores of work arrive each second at a pool of 144.
+    let mut accepted = 0;
+    for _ in 0..100 {
+        load.backlog += 166_000 * 100;
+        if judge(&load, 2_200, 1_000) == Verdict::Accept {
+            accepted += 1;
+        }
+    }
+    // Three objectives less the own work are 5.6 s of backlog, reached after 4.9 s.
+    assert_eq!(accepted, 48);
+    let Verdict::Refuse(after) = judge(&load, 2_200, 1_000) else { panic!("refused by then") };
+    assert_eq!(after, load.backlog / load.room - 5_600);
+}
