Machines in use are no surplus of a pool

Ruled out: the forecast; the rate itself swung.

Change: what is in use counts as needed. Decisions on shares are logged.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -111,6 +111,8 @@
     MoveOrdered = 2505,
     /// A round of the fleet's duties could not be finished.
     DutyDelayed = 2506,
+    /// Machines are to move, as pools have fewer or more than they need.
+    SharesChanged = 2507,
 }
 
 impl Event {
--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::join_all;
 use indexmap::IndexMap;
-use jobs::share::{Demand, Shift};
+use jobs::share::{self, Demand, Shift};
 use jobs::wave::Stage;
 
 use super::{Inner, duty};
@@ -51,11 +51,33 @@
                 .collect();
             let size = machines.values().map(|m| m.cpu).max().unwrap_or(0);
             let off = standby.as_deref().map(|pool| (pool, off.as_slice()));
-            self.shares.borrow_mut().next(&pools, off, machines.len(), size, clock::now())
+            let shifts =
+                self.shares.borrow_mut().next(&pools, off, machines.len(), size, clock::now());
+            if !shifts.is_empty() {
+                self.note_shares(&pools, size, shifts.len());
+            }
+            shifts
         };
         self.begin(&shifts, standby.as_deref()).await
     }
 
+    fn note_shares(&self, pools: &IndexMap<String, Demand>, size: u64, moves: usize) {
+        let share = |(name, demand): (&String, &Demand)| {
+            format!("{name} {} of {}", demand.machines, share::need(demand, size))
+        };
+        let work = |demand: &Demand| (demand.arriving / 1_000).to_string();
+        let pools_text: Vec<String> = pools.iter().map(share).collect();
+        let arriving: Vec<String> = pools.values().map(work).collect();
+        self.ctx.timeline.record(
+            base::Event::SharesChanged,
+            &[
+                ("moves", &moves),
+                ("pools", &pools_text.join(", ")),
+                ("arriving", &arriving.join(", ")),
+            ],
+        );
+    }
+
     /// Whether a machine is in a wave's hands or on its way.
     fn is_engaged(&self, machine: &str) -> bool {
         self.moving.borrow().contains_key(machine)
@@ -83,6 +105,7 @@
             arriving: load.arriving,
             waiting: load.waiting,
             lasting: load.lasting,
+            used: load.used,
             floor: load.floor,
             machines: here + coming.count(),
             spares,
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -86,6 +86,8 @@
     pub waiting: u64,
     /// Room of lasting tasks, in thousandths of a core.
     pub lasting: u64,
+    /// Room in use, in thousandths of a core.
+    pub used: u64,
     /// Fewest machines on which its lasting tasks can stand.
     pub floor: usize,
     /// Machines that are in it or on their way, without those that leave.
@@ -121,7 +123,9 @@
 /// assert_eq!(need(&demand, 16_000), 9);
 /// ```
 pub fn need(demand: &Demand, size: u64) -> usize {
-    let cpu = demand.lasting + demand.arriving * HEADROOM / 100 + demand.waiting / CLEAR;
+    // Large jobs come in bursts: between two of them, what the last one uses is still needed.
+    let flow = (demand.lasting + demand.arriving * HEADROOM / 100).max(demand.used);
+    let cpu = flow + demand.waiting / CLEAR;
     let machines = cpu.div_ceil(size.max(1));
     usize::try_from(machines).unwrap_or(usize::MAX).max(demand.floor + 1).max(LEAST)
 }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -131,3 +131,16 @@
     let Verdict::Refuse(after) = judge(&load, 2_200, 1_000) else { panic!("refused by then") };
     assert_eq!(after, load.backlog / load.room - 5_600);
 }
+
+#[test]
+fn a_pool_keeps_the_machines_that_large_jobs_use_between_two_arrivals() {
+    let mut pools = IndexMap::new();
+    let busy = Demand { used: 19 * SIZE, ..pool(20, 0, names("a", 18)) };
+    pools.insert("bursts".to_owned(), busy);
+    let off = Vec::new();
+    let mut shares = Shares::default();
+    for now in [0, 2_000, 4_000] {
+        let back = shares.next(&pools, Some(("off", &off)), 20, SIZE, now);
+        assert!(back.len() <= 1, "at {now} ms: {back:?}");
+    }
+}
