--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -105,7 +105,7 @@
             arriving: load.arriving,
             waiting: load.waiting,
             lasting: load.lasting,
-            used: load.used,
+            used: load.useful,
             floor: load.floor,
             machines: here + coming.count(),
             spares,
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -351,6 +351,7 @@
             backlog,
             room,
             used,
+            useful: cell.useful(now),
             arriving: self.inflow.borrow_mut().rate(now),
             lasting: standing.cpu,
             floor: standing.floor,
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -55,6 +55,9 @@
     /// Room that is in use, in thousandths of a core.
     #[serde(rename = "u", default)]
     pub used: u64,
+    /// Part of it for lasting tasks and jobs in time, in thousandths of a core.
+    #[serde(rename = "v", default)]
+    pub useful: u64,
     /// Rate at which work arrives, in thousandths of a core.
     #[serde(rename = "a", default)]
     pub arriving: u64,
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -371,6 +371,18 @@
         (timely, all)
     }
 
+    /// Room in use by lasting tasks and by jobs that have not passed their objective, in thousandths
+    /// of a core. Late jobs are to end as well, but keep no machines from jobs in time elsewhere.
+    pub fn useful(&self, now: u64) -> u64 {
+        let useful = |task: &TaskId| {
+            self.jobs
+                .get(&task.job)
+                .is_some_and(|e| e.waiting.lasting || now <= e.waiting.objective)
+        };
+        let runs = self.workers.values().flat_map(|worker| &worker.runs);
+        runs.filter(|(task, _)| useful(task)).map(|(_, slot)| slot.room.cpu).sum()
+    }
+
     /// What the lasting tasks need, and the executors that could leave at little cost.
     pub fn standing(&self) -> Standing {
         let mut standing = Standing::default();
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -86,7 +86,7 @@
     pub waiting: u64,
     /// Room of lasting tasks, in thousandths of a core.
     pub lasting: u64,
-    /// Room in use, in thousandths of a core.
+    /// Room in use by work in time, in thousandths of a core.
     pub used: u64,
     /// Fewest machines on which its lasting tasks can stand.
     pub floor: usize,
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -386,3 +386,14 @@
     let next = starts(&cell.tick(601, 0));
     assert_eq!(next.iter().map(|(_, t, _)| t.job.as_str()).collect::<Vec<_>>(), [JOB]);
 }
+
+#[test]
+fn late_jobs_keep_no_machines_for_their_pool() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![step(2, 1_000)], false));
+    cell.looked("a", &look(100), 0, 1);
+    assert_eq!(cell.tick(2, 0).len(), 2);
+    // The objective is 1.6 times 500 ms and 600 ms more.
+    assert_eq!(cell.useful(1_400), 2_000);
+    assert_eq!(cell.useful(1_401), 0);
+}
