--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -100,11 +100,6 @@
         })
     }
 
-    /// Number of processes that are alive.
-    pub fn live(&self, now: u64) -> usize {
-        self.beats.values().filter(|seen| now < seen.changed + SUSPECT).count()
-    }
-
     /// Place of a candidate in the order of those that may take a cell; smaller goes first.
     ///
     /// Stronger machines go first. Among equals, a process that started later goes first, as in a series of planned restarts it is the one
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -8,7 +8,6 @@
 use indexmap::IndexMap;
 use jobs::wave::Wave;
 use jobs::{Configuration, Registration};
-use tokio::sync::Notify;
 
 use crate::clock;
 use crate::metrics::{Measured, Metrics};
@@ -59,15 +58,6 @@
     pub dialect: Rc<dyn Dialect>,
 }
 
-/// A wave that was seen.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SeenWave {
-    /// The wave.
-    pub wave: Wave,
-    /// When it was first seen, in milliseconds.
-    pub since: u64,
-}
-
 /// State that lives as long as the process.
 pub(crate) struct Context {
     pub settings: Settings,
@@ -77,8 +67,7 @@
     /// Tells this start of the process from others of the same machine.
     pub start: u64,
     config: RefCell<Option<Rc<Configuration>>>,
-    pub changed: Notify,
-    pub waves: RefCell<IndexMap<u64, SeenWave>>,
+    pub waves: RefCell<IndexMap<u64, Wave>>,
     pub registry: RefCell<IndexMap<String, Registration>>,
     /// Rises with each change of the registry.
     pub registry_version: Cell<u64>,
@@ -111,7 +100,6 @@
             timeline,
             start: clock::wall(),
             config: RefCell::default(),
-            changed: Notify::new(),
             waves: RefCell::default(),
             registry: RefCell::default(),
             registry_version: Cell::new(0),
@@ -149,7 +137,6 @@
         );
         self.metrics.version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
         *self.config.borrow_mut() = Some(Rc::new(config));
-        self.changed.notify_waiters();
     }
 
     /// Takes in a duty's row unless a newer one is known; a row of version 0 is not there.
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -13,10 +13,10 @@
 use futures_util::future::join_all;
 use indexmap::{IndexMap, IndexSet};
 use jobs::share::Shares;
-use jobs::wave::Stage;
+use jobs::wave::{Stage, Wave};
 
 use crate::clock;
-use crate::context::{Context, SeenWave, pause};
+use crate::context::{Context, pause};
 use crate::owner::{self, Tenure};
 use crate::ports::{Change, ChangeError, Machine, Place};
 use crate::rows::{self, Duty, Load};
@@ -138,10 +138,10 @@
             machines.into_iter().map(|machine| (machine.name.clone(), machine)).collect();
         self.read_loads().await?;
         self.sort_engaged();
-        let waves: Vec<SeenWave> = self.ctx.waves.borrow().values().cloned().collect();
-        for seen in waves {
-            if self.reported.borrow().get(&seen.wave.number) != Some(&true) {
-                self.wave(&seen.wave).await?;
+        let waves: Vec<Wave> = self.ctx.waves.borrow().values().cloned().collect();
+        for wave in waves {
+            if self.reported.borrow().get(&wave.number) != Some(&true) {
+                self.wave(&wave).await?;
             }
         }
         self.shift_machines().await
--- a/crates/cells/src/node.rs
+++ b/crates/cells/src/node.rs
@@ -5,8 +5,7 @@
 use base::Timeline;
 use indexmap::IndexSet;
 
-use crate::clock;
-use crate::context::{Context, Ports, SeenWave, Settings, pause};
+use crate::context::{Context, Ports, Settings, pause};
 use crate::desk::Desk;
 use crate::follow::follow;
 use crate::keys;
@@ -66,7 +65,7 @@
         Ok(Some(Instruction::Configuration(config))) => taker.set_config(config),
         Ok(Some(Instruction::Wave(wave))) => {
             let mut waves = taker.waves.borrow_mut();
-            let same = waves.get(&wave.number).is_some_and(|seen| seen.wave == wave);
+            let same = waves.get(&wave.number).is_some_and(|seen| *seen == wave);
             if !same {
                 taker.timeline.record(
                     base::Event::WaveSeen,
@@ -77,7 +76,7 @@
                         ("within_ms", &wave.within),
                     ],
                 );
-                waves.insert(wave.number, SeenWave { since: clock::now(), wave });
+                waves.insert(wave.number, wave);
             }
         }
         Ok(None) => {}
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -231,7 +231,6 @@
         state.run = run;
         state.live = Some(worker.to_owned());
         step.open -= 1;
-        entry.live += 1;
         let saved = state.saved.clone();
         let ticket = step.advice.ticket(worker, now).unwrap_or_default().to_owned();
         if entry.state == State::Queued {
--- a/crates/jobs/src/cell/look.rs
+++ b/crates/jobs/src/cell/look.rs
@@ -166,7 +166,6 @@
                 if !state.done && state.live.is_none() {
                     state.live = Some(id.to_owned());
                     step.open -= 1;
-                    entry.live += 1;
                     if entry.state == State::Queued {
                         entry.state = State::Running;
                         self.dirty.insert(task.job.clone());
