--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -4,17 +4,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jobs::admit::{self, Verdict};
 use jobs::row::JobRow;
 use jobs::{Job, Queue, State};
 
 use crate::clock;
 use crate::context::{Context, pause};
+use crate::follow::read_all;
 use crate::intake::{Intake, Stored};
 use crate::keys;
 use crate::metrics::Metrics;
-use crate::ports::{Change, ChangeError};
+use crate::ports::{Change, ChangeError, Place, ReadError};
 use crate::rows::{self, StateRow};
 
 /// How long a job may wait for the table before its client is told to come back, in milliseconds;
@@ -29,6 +30,9 @@
 const TRY_SHARE: u64 = 80;
 /// Ended jobs whose state is kept in memory; it can't change any more.
 const KEPT: usize = 20_000;
+/// Age up to which a holder's count of waiting jobs is given to clients, in milliseconds; over the
+/// longest time between two publications.
+const COUNT_AGE: u64 = 1_600;
 /// Age up to which a cell's published load counts, in milliseconds.
 const LOAD_AGE: u64 = 3_000;
 
@@ -268,9 +272,19 @@
                     let row = page.rows.iter().find(|row| row.place == place);
                     let load: Option<rows::Load> =
                         row.and_then(|r| r.value.as_deref()).and_then(|v| rows::decode(v).ok());
-                    let count =
-                        load.and_then(|load| load.pending.get(&queue.name).copied()).unwrap_or(0);
-                    return Reply::Pending(count);
+                    let fresh = load.filter(|load| page.clock < load.clock + COUNT_AGE);
+                    if let Some(load) = fresh {
+                        let count = load.pending.get(&queue.name).copied().unwrap_or(0);
+                        return Reply::Pending(count);
+                    }
+                    // The cell has no holder that counts.
+                    if let Ok(count) = self.count(queue).await {
+                        return Reply::Pending(count);
+                    }
+                    if clock::now() >= until {
+                        return self.unavailable();
+                    }
+                    pause(RETRY).await;
                 }
                 Err(error) => {
                     self.ctx.set_away(true, &error.to_string());
@@ -283,6 +297,23 @@
         }
     }
 
+    /// Counts the jobs of a queue in the table that have no progress.
+    async fn count(&self, queue: &Queue) -> Result<u64, ReadError> {
+        let part = keys::part(&queue.name);
+        let place = |table: &str| Place::new(table, &part, "");
+        let (jobs, _) = read_all(&self.ctx, place(&keys::jobs(&queue.pool))).await?;
+        let (begun, _) = read_all(&self.ctx, place(&keys::progress(&queue.pool))).await?;
+        let begun: IndexSet<String> = begun.into_iter().map(|row| row.place.key).collect();
+        let mut waiting: IndexSet<String> = jobs.into_iter().map(|row| row.place.key).collect();
+        let cancelled: Vec<String> =
+            waiting.iter().filter_map(|key| key.strip_suffix('!')).map(str::to_owned).collect();
+        waiting.retain(|key| !key.ends_with('!') && !begun.contains(key));
+        for id in cancelled {
+            waiting.swap_remove(&id);
+        }
+        Ok(waiting.len() as u64)
+    }
+
     /// Reads a job's state row, with its version; tries until `until`.
     async fn find(&self, part: &str, id: &str, until: u64) -> Result<Option<(u64, StateRow)>, ()> {
         let place = keys::state(part, id);
