One longest chain, one way to give orders for moves; dead flag removed

Cause: read once more: the chain that is left of a job was worked out by a copy of Job::chain; moves from standby and from pools each announced, ordered and marked in the same way; a count that failed had two equal ends; a flag of the holder was set and never read.

Change: Job::chain_without, order_moves and one end serve both; the flag is gone. Behaviour is as before; tests keep their assertions.

--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -281,19 +281,13 @@
                     if let Ok(count) = self.count(queue).await {
                         return Reply::Pending(count);
                     }
-                    if clock::now() >= until {
-                        return self.unavailable();
-                    }
-                    pause(RETRY).await;
-                }
-                Err(error) => {
-                    self.ctx.set_away(true, &error.to_string());
-                    if clock::now() >= until {
-                        return self.unavailable();
-                    }
-                    pause(RETRY).await;
                 }
+                Err(error) => self.ctx.set_away(true, &error.to_string()),
+            }
+            if clock::now() >= until {
+                return self.unavailable();
             }
+            pause(RETRY).await;
         }
     }
 
--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -188,17 +188,8 @@
             }
         }
         ready.truncate(self.orders());
-        self.announce(&ready).await?;
-        let orders = ready.iter().map(|(name, pool)| self.order_move(name, pool));
-        let taken = join_all(orders).await;
         // The cells need not wait for the leases of executors that have surely ended.
-        let gone = ready.iter().zip(taken).filter(|(_, taken)| *taken);
-        let gone = gone.filter_map(|((name, _), _)| {
-            let place = keys::shift(name);
-            let duty = self.duty(&place)?;
-            Some((place, Some(Duty { gone: true, stage: Stage::Done.to_string(), ..duty })))
-        });
-        self.write(gone.collect()).await
+        self.order_moves(&ready, true).await
     }
 
     async fn begin(&self, shifts: &[Shift], standby: Option<&str>) -> Result<(), String> {
@@ -221,13 +212,19 @@
         if !writes.is_empty() {
             self.write(writes).await?;
         }
-        self.announce(&direct).await?;
-        let taken = join_all(direct.iter().map(|(name, pool)| self.order_move(name, pool))).await;
-        let over = direct.iter().zip(taken).filter(|(_, taken)| *taken);
+        self.order_moves(&direct, false).await
+    }
+
+    /// Orders machines into their pools and marks those duties as done whose orders were taken;
+    /// `gone` says that the machines' executors end by it.
+    async fn order_moves(&self, moves: &[(String, String)], gone: bool) -> Result<(), String> {
+        self.announce(moves).await?;
+        let taken = join_all(moves.iter().map(|(name, pool)| self.order_move(name, pool))).await;
+        let over = moves.iter().zip(taken).filter(|(_, taken)| *taken);
         let over = over.filter_map(|((name, _), _)| {
             let place = keys::shift(name);
             let duty = self.duty(&place)?;
-            Some((place, Some(Duty { stage: Stage::Done.to_string(), ..duty })))
+            Some((place, Some(Duty { gone, stage: Stage::Done.to_string(), ..duty })))
         });
         self.write(over.collect()).await
     }
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -76,7 +76,6 @@
     pub trimmed: Cell<u64>,
     confirmed: Cell<u64>,
     lost: Cell<bool>,
-    pub ready: Cell<bool>,
     pub wake: Notify,
 }
 
@@ -110,7 +109,6 @@
             trimmed: Cell::new(0),
             confirmed: Cell::new(now),
             lost: Cell::new(false),
-            ready: Cell::new(false),
             wake: Notify::new(),
             tenure,
         });
@@ -219,7 +217,6 @@
         if !self.recover().await {
             return;
         }
-        self.ready.set(true);
         let count = self.cell.borrow().count();
         self.ctx
             .timeline
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -264,13 +264,7 @@
 /// Longest chain of estimated work that is left of a job's first open occurrence, in milliseconds.
 fn remaining(entry: &Entry) -> u64 {
     let Some((_, states)) = entry.turns.get_index(0) else { return entry.waiting.chain };
-    let mut ends: Vec<u64> = Vec::with_capacity(states.len());
-    for (state, shape) in states.iter().zip(&entry.job.steps) {
-        let ready = shape.after.iter().filter_map(|n| ends.get(*n)).max().copied().unwrap_or(0);
-        let own = if state.is_done() { 0 } else { shape.estimate };
-        ends.push(ready.saturating_add(own));
-    }
-    ends.into_iter().max().unwrap_or(0)
+    entry.job.chain_without(|n| states[n].is_done())
 }
 
 /// Begins the occurrences that are due at `wall`.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -154,10 +154,16 @@
 
     /// Longest chain of estimated work, in milliseconds.
     pub fn chain(&self) -> u64 {
+        self.chain_without(|_| false)
+    }
+
+    /// Longest chain of estimated work without the steps that are done, in milliseconds.
+    pub fn chain_without(&self, done: impl Fn(usize) -> bool) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (n, step) in self.steps.iter().enumerate() {
             let ready = step.after.iter().filter_map(|n| ends.get(*n)).max().copied().unwrap_or(0);
-            ends.push(ready.saturating_add(step.estimate));
+            let own = if done(n) { 0 } else { step.estimate };
+            ends.push(ready.saturating_add(own));
         }
         ends.into_iter().max().unwrap_or(0)
     }
