A new holder waits out its predecessor's stops before it stops lasting tasks

A stop takes up to the platform's stop time, in which the executor still lists the run as present. A process that took the cell within that time counted the other task as at work and stopped one more of the step. The order of the recorded times fits: .0.0.2 stopped at 11.51 s, .0.0.4 started again at 11.61 s, both by the new holder.

Ruled out: the order of a maintenance wave (both tasks were started again by the cell's holder under its own numbers, and the stop came from it); two stops of one pass (the second sees the first).

Change: a lasting task counts as at work only in an answer that is later than its take-over by the stop time.

Before: the new test failed at its first check. After: it passes.

--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -21,6 +21,8 @@
     pub lease: u64,
     /// Time between the orders of two holders of the fleet's duties.
     pub handover: u64,
+    /// Longest time from a stop to the end of the run.
+    pub stop: u64,
     /// How long before its due time an occurrence may start.
     pub early: u64,
     /// Time from SIGTERM to SIGKILL.
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -91,6 +91,7 @@
         let rules = Rules {
             lease,
             legacy: if tenure.ended { lease + lease / 20 } else { VALID + lease + lease / 20 },
+            stop: ctx.settings.bounds.stop,
             early: ctx.settings.bounds.early / 2,
             term: tenure.term,
         };
--- a/crates/jobs/src/cell/drain.rs
+++ b/crates/jobs/src/cell/drain.rs
@@ -6,7 +6,7 @@
 
 use super::{Cell, look};
 use crate::job::TaskId;
-use crate::worker::Phase;
+use crate::worker::{Phase, Slot, Worker};
 
 /// How long a task without checkpoints may go on, in milliseconds; over the longest run of the
 /// usual kinds of job.
@@ -63,10 +63,18 @@
             .filter(|(index, state)| {
                 let id = TaskId { index: *index, ..task.clone() };
                 let worker = state.live.as_ref().and_then(|worker| self.workers.get(worker));
-                let slot = worker.filter(|w| now < w.heard + SEEN).and_then(|w| w.runs.get(&id));
-                slot.is_none_or(|s| s.phase != Phase::Running || s.percent < AT_WORK)
+                let Some(worker) = worker.filter(|w| now < w.heard + SEEN) else { return true };
+                worker.runs.get(&id).is_none_or(|slot| !self.is_at_work(worker, slot))
             })
             .count();
         away < shape.spare as usize
     }
+
+    /// Whether a lasting task surely works on: a run that has just been taken over may be ending by
+    /// a stop of the former holder, which its executor does not show.
+    fn is_at_work(&self, worker: &Worker, slot: &Slot) -> bool {
+        slot.phase == Phase::Running
+            && slot.percent >= AT_WORK
+            && worker.heard >= slot.since + self.rules.stop
+    }
 }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -41,6 +41,8 @@
     pub lease: u64,
     /// Longest time for which a former holder's leases can go on, in milliseconds.
     pub legacy: u64,
+    /// Longest time from a stop to the end of the run, in milliseconds.
+    pub stop: u64,
     /// How long before its due time an occurrence may start, in milliseconds.
     pub early: u64,
     /// Number of this holder, counted from 1.
@@ -199,7 +201,7 @@
     ///
     /// ```
     /// use jobs::{Cell, Rules};
-    /// let rules = Rules { lease: 6_000, legacy: 16_000, early: 0, term: 1 };
+    /// let rules = Rules { lease: 6_000, legacy: 16_000, stop: 900, early: 0, term: 1 };
     /// let mut cell = Cell::new(rules, 0);
     /// assert!(cell.tick(10, 0).is_empty());
     /// ```
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -5,10 +5,11 @@
 use jobs::{Cell, How, Job, Look, Progress, Queue, Registration, Room, Rules, Step, TaskId};
 
 const LEASE: u64 = 6_000;
+const STOP: u64 = 900;
 const JOB: &str = "00000000000000aa";
 
 fn rules(term: u64) -> Rules {
-    Rules { lease: LEASE, legacy: 16_000, early: 0, term }
+    Rules { lease: LEASE, legacy: 16_000, stop: STOP, early: 0, term }
 }
 
 fn executor(id: &str) -> Registration {
@@ -267,6 +268,28 @@
     assert!(stops(cell.tick(4_040, 0)));
 }
 
+#[test]
+fn a_new_holder_stops_no_lasting_task_while_its_predecessor_may_have_stopped_another() {
+    let mut cell = cell(2, &["a", "bb"]);
+    let pair = Step { lasting: true, spread: 1, spare: 1, ..step(2, 100) };
+    cell.admit(arrival(vec![pair], true));
+    cell.set_leaving(std::iter::once("a".to_owned()).collect());
+    let both = |cell: &mut jobs::Cell, sent: u64| {
+        for (id, index) in [("a", 0), ("bb", 1)] {
+            let mut seen = look(1_000 + sent);
+            seen.present = vec![present(task(0, index), 1)];
+            cell.looked(id, &seen, sent, sent + 5);
+        }
+    };
+    let stops = |orders: Vec<Order>| orders.iter().any(|o| matches!(o, Order::Stop { .. }));
+    both(&mut cell, 0);
+    assert!(!stops(cell.tick(10, 0)), "a stop of the other task may be under way");
+    both(&mut cell, STOP - 10);
+    assert!(!stops(cell.tick(STOP, 0)));
+    both(&mut cell, STOP + 10);
+    assert!(stops(cell.tick(STOP + 20, 0)), "the other task is surely at work");
+}
+
 #[test]
 fn a_run_of_an_unknown_job_takes_its_executor_whole_until_it_has_ended() {
     let mut cell = cell(2, &["a"]);
