Counts of waiting jobs carry the age of what the holder knows

A holder whose feed of new jobs gives no answer while its writes go through went on to publish its count with a current time, so that jobs accepted elsewhere were missing from it.

Ruled out: a holder that stands still (mended before, with a test); a count of an earlier holder that arrives late (its time is old).

Change: the published load says up to when new jobs are known, and the count is taken from the table where that is too long ago.

--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -33,6 +33,9 @@
 /// Age up to which a holder's count of waiting jobs is given to clients, in milliseconds; over the
 /// longest time between two publications.
 const COUNT_AGE: u64 = 1_600;
+/// Age up to which the jobs that such a count is about are recent enough, in milliseconds; twice
+/// the time in which a holder's feed answers while nothing changes.
+const KNOWN_AGE: u64 = 3_000;
 /// Age up to which a cell's published load counts, in milliseconds.
 const LOAD_AGE: u64 = 3_000;
 
@@ -272,7 +275,9 @@
                     let row = page.rows.iter().find(|row| row.place == place);
                     let load: Option<rows::Load> =
                         row.and_then(|r| r.value.as_deref()).and_then(|v| rows::decode(v).ok());
-                    let fresh = load.filter(|load| page.clock < load.clock + COUNT_AGE);
+                    let fresh = load.filter(|load| {
+                        page.clock < load.clock + COUNT_AGE && page.clock < load.known + KNOWN_AGE
+                    });
                     if let Some(load) = fresh {
                         let count = load.pending.get(&queue.name).copied().unwrap_or(0);
                         return Reply::Pending(count);
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -62,6 +62,8 @@
     /// Executors that look loops run for.
     pub looked: RefCell<indexmap::IndexSet<String>>,
     pub inflow: RefCell<Inflow>,
+    /// The table's clock up to which new jobs are known, in milliseconds.
+    pub known: Cell<u64>,
     /// Version of the registry that the scheduler knows.
     pub synced: Cell<u64>,
     /// Versions of duties whose executors were reported as empty, by the duty's key.
@@ -101,6 +103,7 @@
             gates: RefCell::default(),
             looked: RefCell::default(),
             inflow: RefCell::default(),
+            known: Cell::new(0),
             synced: Cell::new(u64::MAX),
             reported: RefCell::default(),
             read: RefCell::default(),
@@ -308,7 +311,7 @@
         while self.is_active() {
             let load = self.load();
             self.show(&load);
-            let same = Load { clock: last.clock, ..load.clone() } == last;
+            let same = Load { clock: last.clock, known: last.known, ..load.clone() } == last;
             if !same || load.clock > last.clock + REFRESH {
                 let place = keys::load(&self.tenure.cell);
                 let change =
@@ -355,6 +358,7 @@
             floor: standing.floor,
             spares: standing.spares.into_iter().take(SPARES).collect(),
             clock: self.ctx.table_now(),
+            known: self.known.get(),
         }
     }
 
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -63,6 +63,7 @@
         for part in parts {
             self.recover_part(&part).await?;
         }
+        self.known.set(start.clock);
         Ok(version)
     }
 
@@ -109,6 +110,9 @@
                         page.rows.into_iter().filter(|r| r.version > version).collect();
                     let last = rows.last().map_or(page.version, |row| row.version);
                     if self.take_rows(&rows).await {
+                        if !page.more {
+                            self.known.set(page.clock);
+                        }
                         version = if page.more { last } else { page.version.max(last) };
                     }
                     pause(GAP).await;
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -73,6 +73,9 @@
     /// The table's clock when it was written, in milliseconds.
     #[serde(rename = "c")]
     pub clock: u64,
+    /// The table's clock up to which the cell knows of new jobs, in milliseconds.
+    #[serde(rename = "k", default)]
+    pub known: u64,
 }
 
 /// Mark of a holder in a part.
