A machine with another executor is emptied before its order is repeated

A machine whose row says that its stop was ordered, and of which this holder knows no answer, was ordered again at once. Where the first order was never given and another executor had come up meanwhile, that ended its tasks without a look at what the step may miss.

Ruled out: ordering only what the cell calls empty, since the cell does not report on machines in that stage.

Change: the decision is a pure function of what is known; another executor is emptied first. An order that was carried out without answer costs one more emptying.

--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::join_all;
 use indexmap::IndexMap;
-use jobs::wave::{self, Stage, Wave};
+use jobs::wave::{self, Listed, Next, Stage, Wave};
 
 use super::{Inner, duty};
 use crate::clock;
@@ -117,36 +117,37 @@
         self.duty(&keys::upkeep(wave, name)).map_or(Stage::Due, |duty| duty.stage())
     }
 
-    /// Notes machines that are up again after an order that was taken.
-    ///
-    /// An order without answer is given again: it is taken at once if it was done before.
+    /// Goes on with machines that were ordered down, or may have been, and are listed as up.
     async fn note_returns(&self, wave: &Wave) -> Result<(), String> {
-        let (mut back, mut unsure) = (Vec::new(), Vec::new());
+        let (mut back, mut again, mut writes) = (Vec::new(), Vec::new(), Vec::new());
         {
             let machines = self.machines.borrow();
-            let taken = self.taken.borrow();
             for machine in wave.machines.iter().filter_map(|name| machines.get(name)) {
-                let down = self.stage(wave.number, &machine.name) == Stage::Down;
-                if !down || !machine.up {
+                let place = keys::upkeep(wave.number, &machine.name);
+                let Some(known) = self.duty(&place) else { continue };
+                if known.stage() != Stage::Down || !machine.up {
                     continue;
                 }
-                match taken.get(&(wave.number, machine.name.clone())) {
-                    Some(at) if self.listed.get() > *at => back.push(machine.clone()),
-                    Some(_) => {}
-                    None if self.is_fresh(&machine.name) => {}
-                    None => unsure.push(machine.name.clone()),
+                match self.listed(wave.number, machine, &known.executor).next() {
+                    Next::Wait => {}
+                    Next::Done => back.push(machine.clone()),
+                    Next::Order => again.push(machine.name.clone()),
+                    Next::Empty => {
+                        let next = duty(machine, wave.number, "", Stage::Emptying);
+                        writes.push((place, Some(next)));
+                    }
                 }
             }
+            writes.extend(back.iter().map(|machine: &Machine| {
+                let next = duty(machine, wave.number, "", Stage::Done);
+                (keys::upkeep(wave.number, &machine.name), Some(next))
+            }));
         }
-        join_all(unsure.iter().map(|name| self.order_down(name, wave.number))).await;
-        if back.is_empty() {
+        join_all(again.iter().map(|name| self.order_down(name, wave.number))).await;
+        if writes.is_empty() {
             return Ok(());
         }
-        let done = |m: &Machine| {
-            let next = duty(m, wave.number, "", Stage::Done);
-            (keys::upkeep(wave.number, &m.name), Some(next))
-        };
-        self.write(back.iter().map(done).collect()).await?;
+        self.write(writes).await?;
         for machine in back {
             self.ctx.timeline.record(
                 base::Event::MachineBack,
@@ -156,6 +157,16 @@
         Ok(())
     }
 
+    /// What is known of a machine whose order is out; `emptied` is the executor that it had then.
+    fn listed(&self, wave: u64, machine: &Machine, emptied: &str) -> Listed {
+        let taken = self.taken.borrow().get(&(wave, machine.name.clone())).copied();
+        Listed {
+            taken: taken.map(|at| self.listed.get() > at),
+            fresh: self.is_fresh(&machine.name),
+            empty: machine.executor == emptied || self.is_off(machine),
+        }
+    }
+
     async fn take_down(&self, names: &[String], wave: u64) -> Result<(), String> {
         if names.is_empty() {
             return Ok(());
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -45,6 +45,53 @@
     pub complete: bool,
 }
 
+/// What is known of a machine that was ordered down, or may have been, and is listed as up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Listed {
+    /// Whether an order of this holder was taken, and if so, whether the list is later.
+    pub taken: Option<bool>,
+    /// Whether an earlier holder may have ordered it just now.
+    pub fresh: bool,
+    /// Whether its executor is the one that was emptied, or it has none.
+    pub empty: bool,
+}
+
+/// What follows for such a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing for now.
+    Wait,
+    /// It is done.
+    Done,
+    /// The order goes out again: it is taken at once if it was carried out before.
+    Order,
+    /// Whether its stop is over is not known, and another executor may have work by now.
+    Empty,
+}
+
+impl Listed {
+    /// Decides what follows.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use jobs::wave::{Listed, Next};
+    /// let seen = Listed { taken: None, fresh: false, empty: true };
+    /// assert_eq!(seen.next(), Next::Order);
+    /// assert_eq!(Listed { empty: false, ..seen }.next(), Next::Empty);
+    /// assert_eq!(Listed { taken: Some(true), ..seen }.next(), Next::Done);
+    /// ```
+    pub fn next(self) -> Next {
+        match self.taken {
+            Some(true) => Next::Done,
+            Some(false) => Next::Wait,
+            None if self.fresh => Next::Wait,
+            None if self.empty => Next::Order,
+            None => Next::Empty,
+        }
+    }
+}
+
 /// Time that a machine's emptying and stop take, in milliseconds; the stop itself is about half.
 const CYCLE: u64 = 4_000;
 /// Part of the time from the order to the deadline that is planned with, in percent; the rest is
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use jobs::admit::{Load, Verdict, judge};
 use jobs::share::{Demand, Inflow, Shares, need};
-use jobs::wave::{Stage, Wave, next};
+use jobs::wave::{Listed, Next, Stage, Wave, next};
 
 const SIZE: u64 = 16_000;
 
@@ -144,3 +144,15 @@
         assert!(back.len() <= 1, "at {now} ms: {back:?}");
     }
 }
+
+#[test]
+fn an_order_is_not_repeated_to_a_machine_that_has_another_executor() {
+    let emptied = Listed { taken: None, fresh: false, empty: true };
+    assert_eq!(emptied.next(), Next::Order);
+    // Tasks may have begun on the new executor, and whether the first order was taken is not known.
+    assert_eq!(Listed { empty: false, ..emptied }.next(), Next::Empty);
+    // The order of an earlier holder may still be on its way.
+    assert_eq!(Listed { fresh: true, ..emptied }.next(), Next::Wait);
+    assert_eq!(Listed { taken: Some(false), ..emptied }.next(), Next::Wait);
+    assert_eq!(Listed { taken: Some(true), empty: false, ..emptied }.next(), Next::Done);
+}
