All tasks go first to executors that have lasting ones

Cause: an executor with lasting tasks leaves its pool only after they have moved, so short tasks on the others are what holds machines back.

Change: lasting tasks on an executor count before its free room, for short tasks too.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -210,7 +210,7 @@
             if worker.dead || !allowed || !place::suits(shape, worker, here) {
                 return None;
             }
-            let settled = shape.lasting && self.settles(worker);
+            let settled = self.settles(worker);
             let score = place::score(shape, worker, wish.rack, settled)?;
             Some((!wish.avoid.contains(id), !pass.slow.contains(n), score, id))
         };
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -3,8 +3,8 @@
 //! Load pattern: demand that moves from pool to pool within seconds, in many small tasks and some
 //! large ones that come in groups. A task goes where least processor stays free, so that whole
 //! executors are idle while a pool has less work than it holds, and can leave at once when another
-//! pool's turn begins; the rack that holds its data goes before that. Lasting tasks go to executors
-//! that have some already, for the same reason.
+//! pool's turn begins; the rack that holds its data goes before that. For the same reason all tasks
+//! go first to executors that have lasting tasks, which can't leave so soon.
 
 use crate::job::Step;
 use crate::worker::{Room, Worker};
@@ -41,6 +41,5 @@
     };
     let most = u64::from(u32::MAX);
     let full = most - worker.free().less(need).cpu.min(most);
-    let joins = settled && step.lasting;
-    Some((u64::from(near) << 41) | (u64::from(joins) << 40) | full)
+    Some((u64::from(near) << 41) | (u64::from(settled) << 40) | full)
 }
