Late jobs ask for no machines, also when they have begun

Jobs whose first step was lost with its executor were past their objective; the work of their second steps counted as work in time because they had begun.

Change: a job that has begun counts until its objective.

--- a/crates/jobs/src/cell/survey.rs
+++ b/crates/jobs/src/cell/survey.rs
@@ -40,7 +40,9 @@
         for entry in self.jobs.values().filter(|e| !e.state.is_final() && !e.waiting.lasting) {
             let work = open_work(entry);
             all += work;
-            if entry.state == State::Running || now <= entry.waiting.latest() {
+            let begun = entry.state == State::Running;
+            let until = if begun { entry.waiting.objective } else { entry.waiting.latest() };
+            if now <= until {
                 timely += work;
             }
         }
