The platform's list of machines tells which silent executors have ended

Ruled out: shorter leases (they have to outlast a silent connection and a change of holder); the registry (its entries go after three beats).

Change: while tasks wait for silent executors, the holder asks for the list; an executor that was known before the question and is on no machine any more is buried. Cut-off executors stay on their machines in the list.

The new test needs functions that did not exist before.

--- a/crates/cells/src/owner/look.rs
+++ b/crates/cells/src/owner/look.rs
@@ -26,6 +26,9 @@
 const IDLE: u64 = 1_400;
 /// Pause after a look without answer, in milliseconds.
 const RETRY: u64 = 250;
+/// Least time between two lists of machines, in milliseconds; as long as between two tries of a
+/// silent executor, so that one list serves all of them.
+const LIST_PAUSE: u64 = 250;
 
 impl Inner {
     /// Starts the look loops of executors that have none.
@@ -102,6 +105,7 @@
                     if first {
                         self.note_gone(&id, &what);
                     }
+                    self.ask_for_lives().await;
                     RETRY
                 }
             };
@@ -110,6 +114,40 @@
         self.looked.borrow_mut().swap_remove(&id);
     }
 
+    /// Asks the platform which executors live, where tasks wait for silent ones.
+    ///
+    /// The answer comes seconds before the lease of a lost executor has surely ended.
+    async fn ask_for_lives(&self) {
+        let asked = clock::now();
+        let due = asked >= self.listed.get() + LIST_PAUSE;
+        if !due || !self.cell.borrow().asks_for_lives() {
+            return;
+        }
+        self.listed.set(asked);
+        let machines = match self.ctx.ports.machines.list().await {
+            Ok(machines) => machines,
+            // The leases tell in the end; the log says since when executors are silent.
+            Err(error) => {
+                self.ctx.timeline.record(
+                    base::Event::DutyDelayed,
+                    &[("what", &format!("no list of machines for {}: {error}", self.tenure.cell))],
+                );
+                return;
+            }
+        };
+        if !self.is_active() {
+            return;
+        }
+        let living = machines.into_iter().map(|machine| machine.executor).collect();
+        let ended = self.cell.borrow_mut().bury_unnamed(&living, asked, clock::now());
+        for id in &ended {
+            self.note_gone(id, "no machine has it any more");
+        }
+        if !ended.is_empty() {
+            self.wake.notify_one();
+        }
+    }
+
     fn note_gone(&self, id: &str, what: &str) {
         self.ctx.timeline.record(
             base::Event::ExecutorSilent,
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -62,6 +62,8 @@
     /// Executors that look loops run for.
     pub looked: RefCell<indexmap::IndexSet<String>>,
     pub inflow: RefCell<Inflow>,
+    /// When the list of machines was last asked for, in milliseconds.
+    pub listed: Cell<u64>,
     /// The table's clock up to which new jobs are known, in milliseconds.
     pub known: Cell<u64>,
     /// Version of the registry that the scheduler knows.
@@ -103,6 +105,7 @@
             gates: RefCell::default(),
             looked: RefCell::default(),
             inflow: RefCell::default(),
+            listed: Cell::new(0),
             known: Cell::new(0),
             synced: Cell::new(u64::MAX),
             reported: RefCell::default(),
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -378,6 +378,36 @@
         self.clear(id, now);
     }
 
+    /// Whether it would help to know which silent executors have ended: their tasks wait.
+    pub fn asks_for_lives(&self) -> bool {
+        let waits = |id: &String, w: &Worker| !w.runs.is_empty() || self.inherited.contains(id);
+        self.workers.iter().any(|(id, w)| w.silent > 0 && !w.dead && waits(id, w))
+    }
+
+    /// Buries the silent executors that a whole list of living ones, asked for at `asked`, does not
+    /// name, and gives them.
+    ///
+    /// An executor that was there before the list was asked for stays on it as long as it lives. A
+    /// list that names no executor of the cell tells nothing about them.
+    pub fn bury_unnamed(&mut self, living: &IndexSet<String>, asked: u64, now: u64) -> Vec<String> {
+        if !self.workers.keys().any(|id| living.contains(id)) {
+            return Vec::new();
+        }
+        let before = |id: &String, w: &Worker| {
+            (w.joined && w.heard < asked) || (self.inherited.contains(id) && self.since < asked)
+        };
+        let ended: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(id, w)| w.silent > 0 && !w.dead && before(id, w) && !living.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &ended {
+            self.bury(id, now);
+        }
+        ended
+    }
+
     /// Ends all runs of an executor without word from it.
     fn clear(&mut self, id: &str, now: u64) {
         let Some(worker) = self.workers.get(id) else { return };
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -219,6 +219,28 @@
     assert!(cell.workers()["a"].runs.is_empty());
 }
 
+#[test]
+fn a_silent_executor_that_no_machine_has_any_more_gives_its_tasks_back_at_once() {
+    let mut cell = cell(1, &["a", "bb"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    cell.looked("a", &look(100), 0, 1);
+    let first = starts(&cell.tick(2, 0));
+    assert_eq!(first.len(), 1);
+    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    cell.looked("bb", &look(100), 4, 5);
+    let list = |ids: &[&str]| ids.iter().map(|id| (*id).to_owned()).collect();
+    assert!(!cell.asks_for_lives());
+    assert!(cell.bury_unnamed(&list(&["bb"]), 50, 60).is_empty(), "it answers");
+    cell.unheard("a");
+    assert!(cell.asks_for_lives());
+    assert!(cell.bury_unnamed(&list(&["a", "bb"]), 1_000, 1_010).is_empty(), "it lives");
+    assert!(cell.bury_unnamed(&list(&["z"]), 1_000, 1_010).is_empty(), "not about this cell");
+    assert!(cell.bury_unnamed(&list(&["bb"]), 2, 1_010).is_empty(), "asked before it answered");
+    assert!(starts(&cell.tick(1_020, 0)).is_empty());
+    assert_eq!(cell.bury_unnamed(&list(&["bb"]), 1_000, 1_030), ["a"]);
+    assert_eq!(starts(&cell.tick(1_040, 0)), [("bb".to_owned(), task(0, 0), 2)]);
+}
+
 #[test]
 fn a_holder_that_is_cut_off_does_not_take_a_lease_for_ended() {
     let mut cell = cell(1, &["a"]);
