--- a/crates/jobs/src/cell/survey.rs
+++ b/crates/jobs/src/cell/survey.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use super::{Cell, Entry};
-use crate::job::{State, TaskId};
+use crate::job::{State, Step, TaskId};
 use crate::place;
 use crate::worker::Worker;
 
@@ -33,8 +33,11 @@
         counts
     }
 
-    /// Estimated work of tasks that wait for room, in thousandths of a core times milliseconds: of
-    /// jobs that can still be in time, and of all.
+    /// Estimated work of tasks that have not started, in thousandths of a core times milliseconds:
+    /// of jobs that can still be in time, and of all.
+    ///
+    /// The former leaves out what has to wait for a task on a silent executor, which may take as
+    /// long as its lease: no machine is needed for that now.
     pub fn backlog(&self, now: u64) -> (u64, u64) {
         let (mut timely, mut all) = (0, 0);
         for entry in self.jobs.values().filter(|e| !e.state.is_final() && !e.waiting.lasting) {
@@ -43,12 +46,29 @@
             let begun = entry.state == State::Running;
             let until = if begun { entry.waiting.objective } else { entry.waiting.latest() };
             if now <= until {
-                timely += work;
+                timely += work - self.stuck_work(entry);
             }
         }
         (timely, all)
     }
 
+    /// The part of a job's open work that comes after a task on a silent executor.
+    fn stuck_work(&self, entry: &Entry) -> u64 {
+        let Some((_, turn)) = entry.turns.get_index(0) else { return 0 };
+        let silent = |id: &String| self.workers.get(id).is_some_and(|w| w.silent > 0);
+        let mut stuck: Vec<bool> = Vec::with_capacity(turn.len());
+        let mut work = 0;
+        // Steps come after steps with lower numbers only.
+        for (state, shape) in turn.iter().zip(&entry.job.steps) {
+            let waits = shape.after.iter().any(|n| stuck.get(*n).copied().unwrap_or(false));
+            if waits {
+                work += step_work(state.open as u64, shape);
+            }
+            stuck.push(waits || state.tasks.iter().filter_map(|t| t.live.as_ref()).any(silent));
+        }
+        work
+    }
+
     /// Room in use by lasting tasks and by jobs that have not passed their objective, in thousandths
     /// of a core. Late jobs are to end as well, but keep no machines from jobs in time elsewhere.
     pub fn useful(&self, now: u64) -> u64 {
@@ -95,7 +115,8 @@
     }
 }
 
-/// Estimated work of a job's tasks that wait, in thousandths of a core times milliseconds.
+/// Estimated work of a job's tasks that have not started, in thousandths of a core times
+/// milliseconds.
 fn open_work(entry: &Entry) -> u64 {
     match entry.turns.get_index(0) {
         None if entry.job.schedule.is_none() => entry.job.work(),
@@ -103,8 +124,12 @@
         Some((_, turn)) => turn
             .iter()
             .zip(&entry.job.steps)
-            .filter(|(_, shape)| !shape.filler)
-            .map(|(state, shape)| state.open as u64 * shape.room.cpu * shape.estimate)
+            .map(|(state, shape)| step_work(state.open as u64, shape))
             .sum(),
     }
 }
+
+/// Estimated work of so many tasks of a step; fillers use only what the others leave.
+fn step_work(tasks: u64, shape: &Step) -> u64 {
+    if shape.filler { 0 } else { tasks * shape.room.cpu * shape.estimate }
+}
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -465,17 +465,19 @@
 }
 
 #[test]
-fn work_that_waits_for_a_lost_task_asks_for_no_machines_once_it_is_late() {
+fn work_that_is_late_or_waits_for_a_silent_executor_asks_for_no_machines() {
     let mut cell = cell(1, &["a"]);
     let second = Step { after: vec![0], ..step(100, 4_000) };
     cell.admit(arrival(vec![step(1, 100), second], false));
     cell.looked("a", &look(100), 0, 1);
     assert_eq!(starts(&cell.tick(2, 0)).len(), 1);
-    // The objective is 2.2 s. The executor of the first task is silent, so the second step can't
-    // begin before its lease has ended.
     let work = 100 * 4_000 * 500;
     assert_eq!(cell.backlog(2_000), (work, work));
+    // The objective is 2.2 s.
     assert_eq!(cell.backlog(2_500), (0, work));
+    // Once its executor is silent, the second step can't begin before the lease has ended.
+    cell.unheard("a");
+    assert_eq!(cell.backlog(2_000), (0, work));
 }
 
 #[test]
