A pass of the scheduler looks at a full pool once, not once for each task

Each waiting job compared all executors, and each comparison went through all runs of the executor to see whether one lasts.

Ruled out: the number of starts in a pass (256, not reached); starts and looks themselves (the holder's core was busy in the pass).

Change: an executor counts its lasting runs; a need that found no room is remembered for the rest of the pass.

--- a/crates/jobs/src/cell/advice.rs
+++ b/crates/jobs/src/cell/advice.rs
@@ -55,7 +55,7 @@
         let shape = &entry.job.steps[step];
         let free = |n: &usize| {
             let (id, worker) = self.workers.get_index(*n)?;
-            let score = place::score(shape, worker, None, false)?;
+            let score = place::score(shape, worker, None)?;
             place::suits(shape, worker, 0).then_some((score, id))
         };
         let mut candidates: Vec<(u64, &String)> = open.iter().filter_map(free).collect();
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -6,7 +6,7 @@
 use crate::job::{State, TaskId};
 use crate::order::{Rank, Waiting};
 use crate::place;
-use crate::worker::{Phase, Slot, Worker};
+use crate::worker::{Phase, Room, Slot};
 
 /// Starts in one pass; bounds the time of a pass and the burst on the connections.
 const STARTS_A_PASS: usize = 256;
@@ -19,9 +19,23 @@
     slow: Vec<usize>,
     /// Starts that are left.
     left: usize,
+    /// Needs for which no executor had room.
+    full: Vec<Room>,
+    /// Executors that were compared so far.
+    rated: usize,
     now: u64,
 }
 
+impl Pass {
+    /// Whether it is known that no executor has so much room.
+    ///
+    /// With a long backlog nearly every task meets a full pool, and a pass would go through all
+    /// executors for each.
+    fn is_full(&self, need: Room) -> bool {
+        self.full.iter().any(|full| need.fits(*full))
+    }
+}
+
 /// Where a task may go, beside what its step says.
 struct Wish<'a> {
     turn: u32,
@@ -76,13 +90,14 @@
             id.is_some_and(|id| self.is_slow(id, usual, now))
         };
         let slow = open.iter().copied().filter(slow).collect();
-        let mut pass = Pass { open, slow, left: STARTS_A_PASS, now };
+        let mut pass = Pass { open, slow, left: STARTS_A_PASS, full: Vec::new(), rated: 0, now };
         for item in ready {
             if pass.left == 0 || pass.open.is_empty() {
                 break;
             }
             self.assign_job(item.job, &mut pass);
         }
+        self.rated = pass.rated;
     }
 
     fn assign_job(&mut self, job: usize, pass: &mut Pass) {
@@ -114,6 +129,9 @@
     fn assign_step(&mut self, job: usize, turn: u32, step: usize, pass: &mut Pass) {
         let now = pass.now;
         let Some((id, entry)) = self.jobs.get_index(job) else { return };
+        if pass.is_full(place::need(&entry.job.steps[step])) {
+            return;
+        }
         let id = id.clone();
         let state = &entry.turns[&turn][step];
         let mut here = self.spread(state);
@@ -154,6 +172,7 @@
         let mut here = IndexMap::new();
         let mut chosen: Vec<String> = Vec::with_capacity(count);
         let need = place::need(&entry.job.steps[step]);
+        let full = pass.full.clone();
         let mut rack = None;
         for _ in 0..count {
             let wish = Wish { turn, step, here: &here, rack: rack.as_deref(), avoid: &[] };
@@ -169,6 +188,8 @@
             w.used = w.used.less(need);
         }
         if chosen.len() < count {
+            // The room that was only tried is free for others.
+            pass.full = full;
             return;
         }
         for (index, worker) in (0u32..).zip(chosen) {
@@ -198,28 +219,34 @@
     /// The executor for one more task of a step.
     ///
     /// One on which the task has failed, or that is slow, is taken only where no other suits.
-    fn choose(&self, job: usize, wish: &Wish<'_>, pass: &Pass) -> Option<String> {
+    fn choose(&self, job: usize, wish: &Wish<'_>, pass: &mut Pass) -> Option<String> {
         let (_, entry) = self.jobs.get_index(job)?;
         let shape = &entry.job.steps[wish.step];
+        let need = place::need(shape);
+        let mut room = false;
         let advice =
             self.is_advised(&entry.queue).then(|| &entry.turns[&wish.turn][wish.step].advice);
         let rate = |n: &usize| {
             let (id, worker) = self.workers.get_index(*n)?;
+            if !worker.free().fits(need) {
+                return None;
+            }
+            room = true;
             let allowed = advice.is_none_or(|advice| advice.ticket(id, pass.now).is_some());
             let here = wish.here.get(id).copied().unwrap_or(0);
             if worker.dead || !allowed || !place::suits(shape, worker, here) {
                 return None;
             }
-            let settled = self.settles(worker);
-            let score = place::score(shape, worker, wish.rack, settled)?;
+            let score = place::score(shape, worker, wish.rack)?;
             Some((!wish.avoid.contains(id), !pass.slow.contains(n), score, id))
         };
-        pass.open.iter().filter_map(rate).max().map(|(.., id)| id.clone())
-    }
-
-    /// Whether an executor has lasting tasks.
-    fn settles(&self, worker: &Worker) -> bool {
-        worker.runs.keys().any(|task| self.lasts(task))
+        pass.rated += pass.open.len();
+        let best = pass.open.iter().filter_map(rate).max().map(|(.., id)| id.clone());
+        if !room {
+            pass.full.retain(|full| !full.fits(need));
+            pass.full.push(need);
+        }
+        best
     }
 
     fn start(&mut self, job: usize, worker: &str, task: TaskId, run: u64, now: u64) {
@@ -247,6 +274,7 @@
             percent: 0,
             moved: now,
             resumed: saved.clone(),
+            lasting: entry.job.steps[task.step].lasting,
         };
         self.workers[worker].occupy(task.clone(), slot);
         self.orders.push(Order::Start {
--- a/crates/jobs/src/cell/look.rs
+++ b/crates/jobs/src/cell/look.rs
@@ -148,6 +148,7 @@
         let task = &run.task;
         // What an unknown run takes is unknown as well: it may be the whole executor.
         let Some(mut room) = self.workers.get(id).map(|w| w.entry.room) else { return false };
+        let lasting = self.lasts(task);
         let entry = self.jobs.get_mut(&task.job).filter(|entry| task.turn >= entry.past);
         if let Some(entry) = entry {
             if let Some(shape) = entry.job.steps.get(task.step) {
@@ -185,6 +186,7 @@
             moved: now,
             // How long it has run before is not known.
             resumed: "unknown".to_owned(),
+            lasting,
         };
         worker.occupy(task.clone(), slot);
         true
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -192,6 +192,8 @@
     /// Jobs whose end is durable.
     ended: IndexSet<String>,
     superseded: bool,
+    /// Executors that the last pass compared for its tasks.
+    rated: usize,
 }
 
 impl Cell {
@@ -219,6 +221,7 @@
             leaving: IndexSet::new(),
             ended: IndexSet::new(),
             superseded: false,
+            rated: 0,
         }
     }
 
--- a/crates/jobs/src/cell/survey.rs
+++ b/crates/jobs/src/cell/survey.rs
@@ -96,7 +96,7 @@
             .workers
             .iter()
             .filter(|(_, w)| w.joined && w.listed && !w.dead && !w.leaving && w.entry.ready)
-            .filter(|(_, w)| !w.runs.keys().any(|task| self.lasts(task)))
+            .filter(|(_, w)| w.lasting == 0)
             .map(|(id, w)| (w.used.cpu, id))
             .collect();
         spares.sort();
@@ -109,6 +109,11 @@
         step.is_none_or(|step| step.lasting)
     }
 
+    /// Executors that the last pass compared for its tasks: what a pass costs.
+    pub fn rated(&self) -> usize {
+        self.rated
+    }
+
     /// Number of jobs that have not ended.
     pub fn count(&self) -> usize {
         self.jobs.len()
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -27,9 +27,8 @@
 
 /// How good a worker is for a step; larger is better, `None` when it has no room.
 ///
-/// `rack` is where the other tasks of a step that wants to stay together stand; `settled` tells
-/// whether the worker has lasting tasks.
-pub fn score(step: &Step, worker: &Worker, rack: Option<&str>, settled: bool) -> Option<u64> {
+/// `rack` is where the other tasks of a step that wants to stay together stand.
+pub fn score(step: &Step, worker: &Worker, rack: Option<&str>) -> Option<u64> {
     let need = need(step);
     if !worker.free().fits(need) {
         return None;
@@ -41,5 +40,5 @@
     };
     let most = u64::from(u32::MAX);
     let full = most - worker.free().less(need).cpu.min(most);
-    Some((u64::from(near) << 41) | (u64::from(settled) << 40) | full)
+    Some((u64::from(near) << 41) | (u64::from(worker.lasting > 0) << 40) | full)
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -167,6 +167,8 @@
     pub moved: u64,
     /// Checkpoint that it has resumed from; empty for none.
     pub resumed: String,
+    /// Whether it lasts until its job is cancelled, or may.
+    pub lasting: bool,
 }
 
 /// What a cell knows of one executor.
@@ -186,6 +188,8 @@
     pub used: Room,
     /// Runs that it has or may have.
     pub runs: IndexMap<TaskId, Slot>,
+    /// Number of those that last.
+    pub lasting: usize,
     /// Pace of the fillers on it, in percent.
     pub pace: u64,
     /// Highest number among the ends that were taken in.
@@ -221,6 +225,7 @@
             leaving: false,
             used: Room::default(),
             runs: IndexMap::new(),
+            lasting: 0,
             pace: 100,
             seen: 0,
             durable: 0,
@@ -279,6 +284,7 @@
     pub fn occupy(&mut self, task: TaskId, slot: Slot) {
         self.vacate(&task);
         self.used.add(slot.room);
+        self.lasting += usize::from(slot.lasting);
         self.runs.insert(task, slot);
     }
 
@@ -286,6 +292,7 @@
     pub fn vacate(&mut self, task: &TaskId) -> Option<Slot> {
         let slot = self.runs.swap_remove(task)?;
         self.used = self.used.less(slot.room);
+        self.lasting -= usize::from(slot.lasting);
         Some(slot)
     }
 
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -480,6 +480,42 @@
     assert_eq!(cell.backlog(2_000), (0, work));
 }
 
+#[test]
+fn a_gang_that_finds_no_room_keeps_none_from_smaller_tasks() {
+    let mut cell = cell(1, &["a"]);
+    let gang = Step { gang: true, ..step(3, 1_500) };
+    cell.admit(arrival(vec![gang], false));
+    let small =
+        Arrival { id: "00000000000000bb".to_owned(), ..arrival(vec![step(4, 1_000)], false) };
+    cell.admit(small);
+    cell.looked("a", &look(100), 0, 1);
+    let started = starts(&cell.tick(2, 0));
+    assert_eq!(started.len(), 4, "the gang needs 4.5 cores of 4: {started:?}");
+}
+
+#[test]
+fn a_long_backlog_is_passed_over_quickly() {
+    let ids: Vec<String> = (0..250).map(|n| format!("i-{n}")).collect();
+    let mut cell = cell(1, &ids.iter().map(String::as_str).collect::<Vec<_>>());
+    for n in 0..600 {
+        let mut job =
+            arrival(vec![step(8, 1_500), Step { after: vec![0], ..step(8, 1_500) }], false);
+        job.id = format!("{n:016x}");
+        cell.admit(job);
+    }
+    for id in &ids {
+        cell.looked(id, &look(100), 0, 1);
+    }
+    let mut count = 0;
+    for now in 2..8 {
+        count += starts(&cell.tick(now, 0)).len();
+    }
+    assert_eq!(count, 500, "two tasks on each of 250 executors");
+    // Another pass has nothing to give and need not look at each executor for each task.
+    assert!(starts(&cell.tick(10, 0)).is_empty());
+    assert_eq!(cell.rated(), 250, "executors looked at in the last pass");
+}
+
 #[test]
 fn late_jobs_keep_no_machines_for_their_pool() {
     let mut cell = cell(1, &["a"]);
