Rounds of the fleet's duties follow one another sooner, with more spares

A debug print showed rounds of 200 ms for the table's answers with 120 ms of pause after each, and a cell named at most 64 executors that could leave.

Ruled out: the list of 350 machines (35 ms); the platform's rate. Waves and moves one after the other take 100 ms of a round; doing both at once would let them pick the same machine.

Change: the pause is what is left of a round's time, and a cell names up to 200 executors.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -23,6 +23,8 @@
 
 /// Time between rounds, in milliseconds; a fraction of a machine's stop.
 const ROUND: u64 = 120;
+/// Least pause between rounds, in milliseconds; leaves the processor to others.
+const LULL: u64 = 20;
 /// Time for which the holder gives orders after its lease was last confirmed, in milliseconds;
 /// less than the silence after which another process takes the lease.
 const VALID: u64 = 2_000;
@@ -120,13 +122,15 @@
     async fn run(self: Rc<Self>) {
         self.ctx.holding.set(true);
         while !self.lost.get() {
+            let begun = clock::now();
             if self.may_order()
                 && self.ctx.duties_known.get()
                 && let Err(what) = self.round().await
             {
                 self.ctx.timeline.record(base::Event::DutyDelayed, &[("what", &what)]);
             }
-            pause(ROUND).await;
+            let took = clock::now() - begun;
+            pause(ROUND.saturating_sub(took).max(LULL)).await;
         }
     }
 
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -33,7 +33,7 @@
 /// Longest time without a publication, in milliseconds; half of the age that clients may see.
 const REFRESH: u64 = 1_000;
 /// Executors that are published as ready to leave; keeps the row small.
-const SPARES: usize = 64;
+const SPARES: usize = 200;
 /// Longest part of the stop that is spent on making the last ends durable, in milliseconds.
 const FLUSH: u64 = 600;
 /// Longest part of the stop that is spent on giving a lease up, in milliseconds.
