Requests that the table kept from an answer are all in the log

A request that got a 504 was in no log: only submissions had a line when the table did not answer, reads of a state and cancels had none.

Ruled out: lines left out by the bound (E1005 names other events); lines lost at the process's end (the process ran on).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -75,6 +75,8 @@
     JobEnded = 2103,
     /// A client's cancel is durable.
     CancelTaken = 2104,
+    /// A job's state could not be read from the table in time.
+    StateUnread = 2105,
     /// A start was sent to an executor and answered, or not.
     StartSent = 2201,
     /// A stop was sent to an executor and answered, or not.
--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Answers a request about which the table could not be asked.
+    /// Answers a request of which the table has not said what became of it.
     ///
     /// An earlier try of the same job, at any process, may be stored yet, so that "not accepted"
     /// could be false.
@@ -205,12 +205,19 @@
                     }
                     Reply::State(state)
                 }
-                None => self.unavailable(),
+                None => self.unread(id),
             },
-            Err(()) => self.unavailable(),
+            Err(()) => self.unread(id),
         }
     }
 
+    /// Answers a question that the table has not answered.
+    fn unread(&self, id: &str) -> Reply {
+        let age = self.ctx.table_age();
+        self.ctx.timeline.record(base::Event::StateUnread, &[("job", &id), ("table_age_ms", &age)]);
+        self.unavailable()
+    }
+
     fn keep(&self, key: (String, String), state: State) {
         let mut ended = self.ended.borrow_mut();
         if ended.len() >= KEPT {
@@ -227,7 +234,7 @@
             let (version, row) = match self.find(&part, id, until).await {
                 Ok(None) => return Reply::NoJob,
                 Ok(Some(found)) => found,
-                Err(()) => return Reply::Unknown { after: AWAY_RETRY },
+                Err(()) => return self.unsettled(id),
             };
             if row.state().is_some_and(State::is_final) {
                 return Reply::Cancelled;
@@ -257,7 +264,7 @@
                 }
             }
             if clock::now() >= until {
-                return Reply::Unknown { after: AWAY_RETRY };
+                return self.unsettled(id);
             }
         }
     }
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -151,7 +151,13 @@
             line.field("why"),
             line.field("table_age_ms")
         ),
-        None => "not in these logs".to_owned(),
+        None => match of("state-unread").next_back() {
+            Some(line) => format!(
+                "its state could not be read, the table was last heard {} ms before",
+                line.field("table_age_ms")
+            ),
+            None => "not in these logs".to_owned(),
+        },
     }
 }
 
