Fillers go where others leave most room

Cause: read over the diff. Since tasks fill executors one after the other, fillers, which take none of the room, went to the fullest executor, beside tasks that serve.

Change: for fillers, the executor with most room left, and none with lasting tasks where another suits.

Before: the new test found the filler beside the serving task. After: it passes.

--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -4,7 +4,8 @@
 //! large ones that come in groups. A task goes where least processor stays free, so that whole
 //! executors are idle while a pool has less work than it holds, and can leave at once when another
 //! pool's turn begins; the rack that holds its data goes before that. For the same reason all tasks
-//! go first to executors that have lasting tasks, which can't leave so soon.
+//! go first to executors that have lasting tasks, which can't leave so soon. Fillers go the other
+//! way, to where most is left for them.
 
 use crate::job::Step;
 use crate::worker::{Room, Worker};
@@ -39,6 +40,9 @@
         _ => true,
     };
     let most = u64::from(u32::MAX);
-    let full = most - worker.free().less(need).cpu.min(most);
-    Some((u64::from(near) << 41) | (u64::from(worker.lasting > 0) << 40) | full)
+    let left = worker.free().less(need).cpu.min(most);
+    // Fillers live on what others leave, and disturb those that serve.
+    let (settled, rest) =
+        if step.filler { (worker.lasting == 0, left) } else { (worker.lasting > 0, most - left) };
+    Some((u64::from(near) << 41) | (u64::from(settled) << 40) | rest)
 }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -516,6 +516,22 @@
     assert_eq!(cell.rated(), 250, "executors looked at in the last pass");
 }
 
+#[test]
+fn a_filler_goes_where_others_leave_most_room() {
+    let mut cell = cell(1, &["a", "bb"]);
+    let serving = Step { lasting: true, target: 100, ..step(1, 2_000) };
+    cell.admit(arrival(vec![serving], false));
+    for id in ["a", "bb"] {
+        cell.looked(id, &look(100), 0, 1);
+    }
+    let served = starts(&cell.tick(2, 0));
+    let filler = Step { filler: true, ..step(1, 2_000) };
+    let id = "00000000000000bb".to_owned();
+    cell.admit(Arrival { id, ..arrival(vec![filler], false) });
+    let filled = starts(&cell.tick(3, 0));
+    assert_ne!(served[0].0, filled[0].0, "it would disturb the task that serves");
+}
+
 #[test]
 fn late_jobs_keep_no_machines_for_their_pool() {
     let mut cell = cell(1, &["a"]);
