A lasting task whose start was not answered is looked at before it is stopped

A holder on a small machine took over 1,359 jobs; the answers of its starts waited for its processor until they counted as lost (outcome unknown at 19.40 s). A stop followed each, as for any start that may begin late, and ended lasting tasks that were at work while others of their step were away.

Ruled out: the former holder (all runs and stops are the new holder's own, run 2001); emptying for the wave (it counts the others).

Change: the next look tells whether such a run has begun; only one that a later look does not show is stopped.

--- a/crates/cells/src/owner/look.rs
+++ b/crates/cells/src/owner/look.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jobs::worker::Phase;
 use jobs::{How, Look};
 
 use super::Inner;
@@ -197,7 +198,8 @@
         let worker = cell.workers().get(id).filter(|w| !w.dead)?;
         let acked = worker.durable;
         let quiet = worker.runs.is_empty() || worker.seen > worker.durable || !worker.joined;
-        let hurried = worker.runs.values().any(|slot| slot.phase == jobs::worker::Phase::Stopped);
+        let hurried =
+            worker.runs.values().any(|slot| matches!(slot.phase, Phase::Stopped | Phase::Unsure));
         let wait = if quiet || hurried { 0 } else { WAIT };
         let expires = if worker.runs.is_empty() { None } else { cell.grant(id, clock::now()) };
         Some(Ask { expires, acked, wait: Duration::from_millis(wait) })
--- a/crates/jobs/src/cell/look.rs
+++ b/crates/jobs/src/cell/look.rs
@@ -55,6 +55,7 @@
         }
         if look.ended.len() < ENDS_A_LOOK {
             self.vanished(id, look, sent, now);
+            self.stop_unsure(id, sent, now);
         }
         self.pace(id, look);
     }
@@ -131,7 +132,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.runs.get_mut(task) else { return };
-        if slot.phase == Phase::Sent {
+        if matches!(slot.phase, Phase::Sent | Phase::Unsure) {
             slot.phase = Phase::Running;
             slot.since = now;
             slot.moved = now;
@@ -223,6 +224,17 @@
         }
     }
 
+    /// Stops starts without answer that a later look does not show: a stop keeps them from beginning
+    /// late.
+    fn stop_unsure(&mut self, id: &str, sent: u64, now: u64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        for (task, slot) in &mut worker.runs {
+            if slot.phase == Phase::Unsure && slot.since < sent {
+                stop(&mut self.orders, id, task, slot, now);
+            }
+        }
+    }
+
     /// Sets the pace of the fillers on an executor by the tails of the tasks that serve there.
     fn pace(&mut self, id: &str, look: &Look) {
         let tail = |p: &Present| {
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -73,9 +73,16 @@
             }
             StartOutcome::Gone => self.bury(id, now),
             StartOutcome::Unknown => {
-                worker.silent += 1;
-                // A stop makes sure that the run will not begin later.
-                self.stop_run(id, task, now);
+                // A lasting task may be at work by now, and others of its step may be away.
+                match sent {
+                    Some(slot) if slot.lasting => {
+                        slot.phase = Phase::Unsure;
+                        slot.since = now;
+                    }
+                    // A stop makes sure that the run will not begin later.
+                    _ => self.stop_run(id, task, now),
+                }
+                self.unheard(id);
             }
         }
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -138,6 +138,8 @@
 pub enum Phase {
     /// The start is on its way.
     Sent,
+    /// The start was not answered; the next look tells whether it has begun.
+    Unsure,
     /// The executor confirmed the start.
     Running,
     /// A stop is wanted, its answer is missing.
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -150,6 +150,34 @@
     assert_eq!(starts(&cell.tick(1_000, 0)), [("a".to_owned(), task(0, 0), 2)]);
 }
 
+#[test]
+fn a_lasting_start_without_answer_is_stopped_only_if_it_has_not_begun() {
+    let begin = || {
+        let mut cell = cell(1, &["a"]);
+        let lasting = Step { lasting: true, spare: 1, ..step(1, 1_000) };
+        cell.admit(arrival(vec![lasting], false));
+        cell.looked("a", &look(100), 0, 1);
+        assert_eq!(starts(&cell.tick(2, 0)).len(), 1);
+        cell.started("a", &task(0, 0), 1, StartOutcome::Unknown, 900);
+        assert!(cell.tick(901, 0).is_empty(), "a look tells first whether it runs");
+        cell
+    };
+    // The answer was only slow: a stop would end a task at work.
+    let mut slow = begin();
+    let mut seen = look(1_010);
+    seen.present = vec![present(task(0, 0), 1)];
+    slow.looked("a", &seen, 910, 915);
+    assert!(slow.tick(916, 0).is_empty());
+    // A look from before the answer was given up tells nothing yet.
+    let mut lost = begin();
+    lost.looked("a", &look(1_000), 890, 905);
+    assert!(lost.tick(906, 0).is_empty());
+    // The start may arrive late, so that a stop keeps it from beginning beside another run.
+    lost.looked("a", &look(1_010), 910, 915);
+    let orders = lost.tick(916, 0);
+    assert!(matches!(orders[..], [Order::Stop { run: 1, .. }]), "{orders:?}");
+}
+
 #[test]
 fn ends_are_acknowledged_only_when_they_are_durable() {
     let mut cell = cell(1, &["a"]);
