--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -102,8 +102,9 @@
 
     /// Place of a candidate in the order of those that may take a cell; smaller goes first.
     ///
-    /// Stronger machines go first. Among equals, a process that started later goes first, as in a series of planned restarts it is the one
-    /// that does not stop soon; but no process takes many cells while others have few.
+    /// Stronger machines go first. Among equals, a process that started later goes first, as in a
+    /// series of planned restarts it is the one that does not stop soon; but no process takes many
+    /// cells while others have few.
     fn preference(
         &self,
         holder: &str,
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -4,8 +4,8 @@
 //! its objective is worth a small part of one that ends in time, so jobs that can still be in time
 //! go first, and late ones fill what is left in the order of their arrival. Among the former, those
 //! that have begun go first: little more work brings their whole worth. One that has not begun
-//! needs time to spare, since estimates are wrong; the one with the least goes first. Lasting jobs go before all of them, because every moment
-//! without their tasks is lost for good.
+//! needs time to spare, since estimates are wrong; the one with the least goes first. Lasting jobs
+//! go before all of them, because every moment without their tasks is lost for good.
 
 /// What a job's steps take beyond their own work, in milliseconds: orders, looks and the record.
 const OVERHEAD: u64 = 250;
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -81,6 +81,20 @@
     Ended { number, task, run, how, saved: String::new() }
 }
 
+/// Starts the first task of the job on its only executor.
+fn begin(cell: &mut Cell) {
+    cell.looked("a", &look(100), 0, 1);
+    cell.tick(2, 0);
+    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+}
+
+/// Lets the first task of the job end.
+fn finish(cell: &mut Cell) {
+    let mut seen = look(110);
+    seen.ended = vec![end(1, task(0, 0), 1, How::Done)];
+    cell.looked("a", &seen, 4, 10);
+}
+
 #[test]
 fn runs_of_an_earlier_holder_keep_their_room_until_their_lease_has_ended() {
     let mut cell = cell(2, &["a"]);
@@ -182,12 +196,8 @@
 fn ends_are_acknowledged_only_when_they_are_durable() {
     let mut cell = cell(1, &["a"]);
     cell.admit(arrival(vec![step(1, 100)], false));
-    cell.looked("a", &look(100), 0, 1);
-    cell.tick(2, 0);
-    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
-    let mut seen = look(110);
-    seen.ended = vec![end(1, task(0, 0), 1, How::Done)];
-    cell.looked("a", &seen, 4, 10);
+    begin(&mut cell);
+    finish(&mut cell);
     assert_eq!(cell.workers()["a"].durable, 0);
     let (changes, durable) = cell.take_changes();
     assert_eq!(changes[0].state, jobs::State::Completed);
@@ -200,12 +210,8 @@
 fn a_job_whose_end_is_durable_does_not_come_back_by_an_older_read() {
     let mut cell = cell(1, &["a"]);
     cell.admit(arrival(vec![step(1, 100)], false));
-    cell.looked("a", &look(100), 0, 1);
-    cell.tick(2, 0);
-    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
-    let mut seen = look(110);
-    seen.ended = vec![end(1, task(0, 0), 1, How::Done)];
-    cell.looked("a", &seen, 4, 10);
+    begin(&mut cell);
+    finish(&mut cell);
     let (_, durable) = cell.take_changes();
     cell.made_durable(&durable);
     cell.admit(arrival(vec![step(1, 100)], true));
@@ -235,9 +241,7 @@
 fn an_executor_that_falls_silent_gives_its_tasks_back_after_its_lease() {
     let mut cell = cell(1, &["a"]);
     cell.admit(arrival(vec![Step { lasting: true, ..step(1, 100) }], false));
-    cell.looked("a", &look(100), 0, 1);
-    cell.tick(2, 0);
-    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    begin(&mut cell);
     for now in (1_000..8_000).step_by(250) {
         assert!(cell.grant("a", now).is_none() || now == 1_000);
         cell.unheard("a");
@@ -273,9 +277,7 @@
 fn a_holder_that_is_cut_off_does_not_take_a_lease_for_ended() {
     let mut cell = cell(1, &["a"]);
     cell.admit(arrival(vec![step(1, 100)], false));
-    cell.looked("a", &look(100), 0, 1);
-    cell.tick(2, 0);
-    cell.started("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    begin(&mut cell);
     cell.unheard("a");
     cell.tick(8_000, 0);
     // A later holder may have renewed the lease meanwhile.
