--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -101,6 +101,8 @@
     CellLost = 2403,
     /// A cell was handed over.
     CellReleased = 2404,
+    /// What a cell's room was used for, once a second while there are jobs.
+    CellLoad = 2405,
     /// A maintenance wave was ordered by the operator.
     WaveSeen = 2501,
     /// A machine was ordered down for its maintenance.
--- a/crates/cells/src/metrics.rs
+++ b/crates/cells/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    CounterVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
 };
 
 use crate::ports::{Change, ChangeError, Committed, Page, Place, ReadError, Store};
@@ -29,6 +29,8 @@
     pub waiting: IntGaugeVec,
     /// Room of a cell's executors and what is in use, in thousandths of a core.
     pub room: IntGaugeVec,
+    /// Processor time of ended jobs by queue and result, in core seconds.
+    pub work: CounterVec,
     /// Version of the configuration in force.
     pub version: IntGauge,
     /// Cells held.
@@ -74,6 +76,11 @@
             &["queue", "state"],
         )?;
         registry.register(Box::new(ended.clone()))?;
+        let work = CounterVec::new(
+            Opts::new("jtally_work_core_seconds_total", "Processor time of ended jobs."),
+            &["queue", "result"],
+        )?;
+        registry.register(Box::new(work.clone()))?;
         Ok(Self {
             requests: seconds(
                 "jtally_request_seconds",
@@ -94,6 +101,7 @@
                 "Room of a cell's executors.",
                 &["cell", "part"],
             )?,
+            work,
             version: gauge("jtally_configuration_version", "Configuration in force.")?,
             cells: gauge("jtally_cells_held", "Cells held by this process.")?,
             executors: gauge("jtally_executors_listed", "Executors in the registry.")?,
--- a/crates/cells/src/owner/look.rs
+++ b/crates/cells/src/owner/look.rs
@@ -172,7 +172,8 @@
         }
     }
 
-    fn busy_rest(&self) -> u64 {
+    /// Pause between looks at an executor with work, in milliseconds.
+    pub(super) fn busy_rest(&self) -> u64 {
         let cell = self.cell.borrow();
         let busy = cell.workers().values().filter(|w| !w.runs.is_empty()).count() as u64;
         BUSY.max(BUSY * busy / BUSY_LOOKED)
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use indexmap::IndexMap;
-use jobs::cell::Arrival;
+use jobs::cell::{Arrival, Usage};
 use jobs::row::JobRow;
 use jobs::share::Inflow;
 use jobs::{Progress, Rules};
@@ -32,6 +32,8 @@
 const PUBLISH: u64 = 150;
 /// Longest time without a publication, in milliseconds; half of the age that clients may see.
 const REFRESH: u64 = 1_000;
+/// Least time between two log lines on a cell's load, in milliseconds.
+const NOTE: u64 = 1_000;
 /// Executors that are published as ready to leave; keeps the row small.
 const SPARES: usize = 200;
 /// Longest part of the stop that is spent on making the last ends durable, in milliseconds.
@@ -78,6 +80,8 @@
     pub cancels: RefCell<indexmap::IndexSet<String>>,
     /// When executors were last taken off the roster, in milliseconds.
     pub trimmed: Cell<u64>,
+    /// Longest round of durable writes since the last log line on the load, in milliseconds.
+    pub slowest: Cell<u64>,
     confirmed: Cell<u64>,
     lost: Cell<bool>,
     pub wake: Notify,
@@ -114,6 +118,7 @@
             roster: RefCell::default(),
             cancels: RefCell::default(),
             trimmed: Cell::new(0),
+            slowest: Cell::new(0),
             confirmed: Cell::new(now),
             lost: Cell::new(false),
             wake: Notify::new(),
@@ -311,9 +316,15 @@
     /// Publishes the load, for clients' questions and for admission.
     async fn publish(self: Rc<Self>) {
         let mut last = Load::default();
+        let mut noted = 0;
         while self.is_active() {
             let load = self.load();
-            self.show(&load);
+            let usage = self.cell.borrow().usage(clock::now());
+            self.show(&load, &usage);
+            if load.jobs > 0 && clock::now() >= noted + NOTE {
+                noted = clock::now();
+                self.note_load(&load, &usage);
+            }
             let same = Load { clock: last.clock, known: last.known, ..load.clone() } == last;
             if !same || load.clock > last.clock + REFRESH {
                 let place = keys::load(&self.tenure.cell);
@@ -329,13 +340,41 @@
     }
 
     /// Shows the load in the metrics.
-    fn show(&self, load: &Load) {
+    fn show(&self, load: &Load, usage: &Usage) {
         let metrics = &self.ctx.metrics;
         let cell = self.tenure.cell.as_str();
         let whole = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
         metrics.waiting.with_label_values(&[cell]).set(whole(load.jobs));
         metrics.room.with_label_values(&[cell, "room"]).set(whole(load.room));
         metrics.room.with_label_values(&[cell, "used"]).set(whole(load.used));
+        metrics.room.with_label_values(&[cell, "lasting"]).set(whole(usage.lasting));
+        metrics.room.with_label_values(&[cell, "timely"]).set(whole(usage.timely));
+        metrics.room.with_label_values(&[cell, "late"]).set(whole(usage.late));
+        metrics.room.with_label_values(&[cell, "useless"]).set(whole(usage.useless));
+    }
+
+    /// Logs what the room is used for.
+    fn note_load(&self, load: &Load, usage: &Usage) {
+        let waiting: u64 = load.pending.values().sum();
+        self.ctx.timeline.record(
+            base::Event::CellLoad,
+            &[
+                ("cell", &self.tenure.cell),
+                ("jobs", &load.jobs),
+                ("waiting", &waiting),
+                ("begun", &usage.begun),
+                ("arriving", &load.arriving),
+                ("backlog", &load.backlog),
+                ("room", &load.room),
+                ("used", &load.used),
+                ("lasting", &usage.lasting),
+                ("timely", &usage.timely),
+                ("late", &usage.late),
+                ("useless", &usage.useless),
+                ("look_pause_ms", &self.busy_rest()),
+                ("write_round_ms", &self.slowest.replace(0)),
+            ],
+        );
     }
 
     fn load(&self) -> Load {
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -96,6 +96,7 @@
             if !self.cell.borrow().is_dirty() {
                 continue;
             }
+            let begun = clock::now();
             let (changes, durable) = self.cell.borrow_mut().take_changes();
             let mut parts: IndexMap<String, Vec<JobChange>> = IndexMap::new();
             for change in changes {
@@ -103,6 +104,7 @@
             }
             let writes = parts.iter().map(|(part, changes)| self.write_part(part, changes));
             let results = futures_util::future::join_all(writes).await;
+            self.slowest.set(self.slowest.get().max(clock::now().saturating_sub(begun)));
             if results.iter().any(|kept| !kept) {
                 self.cell.borrow_mut().not_durable(&durable);
                 continue;
@@ -115,16 +117,40 @@
                     &[&state],
                     Duration::from_millis(clock::now().saturating_sub(change.accepted)),
                 );
-                self.ctx.timeline.record(
-                    base::Event::JobEnded,
-                    &[("job", &change.id), ("state", &change.state), ("queue", &change.part)],
-                );
+                self.note_end(change);
             }
             self.cell.borrow_mut().made_durable(&durable);
             self.wake.notify_one();
         }
     }
 
+    /// Logs a job's end with the times that tell where it waited.
+    fn note_end(&self, change: &JobChange) {
+        let since = |at: u64| at.saturating_sub(change.accepted);
+        let now = clock::now();
+        let result = match change.state {
+            State::Completed if now <= change.objective => "in-time",
+            State::Completed => "late",
+            _ => "none",
+        };
+        #[expect(clippy::cast_precision_loss, reason = "core seconds of a job are far below 2^53")]
+        let spent = change.spent as f64 / 1e6;
+        self.ctx.metrics.work.with_label_values(&[&change.part, result]).inc_by(spent);
+        self.ctx.timeline.record(
+            base::Event::JobEnded,
+            &[
+                ("job", &change.id),
+                ("state", &change.state),
+                ("queue", &change.part),
+                ("result", &result),
+                ("took_ms", &since(now)),
+                ("objective_ms", &since(change.objective)),
+                ("first_start_ms", &change.first.map_or(-1, |at| since(at).cast_signed())),
+                ("core_ms", &(change.spent / 1_000)),
+            ],
+        );
+    }
+
     /// Writes the changes of a part; false when the cell was lost.
     async fn write_part(&self, part: &str, changes: &[JobChange]) -> bool {
         for batch in changes.chunks(BATCH) {
--- a/crates/jobs/src/admit.rs
+++ b/crates/jobs/src/admit.rs
@@ -5,6 +5,8 @@
 //! job from being in time; it only has to end while its results are still of use. A job that
 //! would come after that is refused at once, with the time when there could be room for it.
 
+use crate::order::USEFUL;
+
 /// Most jobs of a cell that wait or run at once; bounds the memory of the cell and the time in
 /// which a new holder reads them back.
 pub const MAX_JOBS: usize = 4_000;
@@ -29,10 +31,6 @@
     Refuse(u64),
 }
 
-/// Part of the objective, in percent, beyond which a result is of no use: late results count up to
-/// three times the objective.
-const USEFUL: u64 = 300;
-
 /// Decides on a job with an objective of so many milliseconds and a chain of estimated work.
 ///
 /// # Examples
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -260,6 +260,7 @@
         step.open -= 1;
         let saved = state.saved.clone();
         let ticket = step.advice.ticket(worker, now).unwrap_or_default().to_owned();
+        entry.first.get_or_insert(now);
         if entry.state == State::Queued {
             entry.state = State::Running;
             self.dirty.insert(id.clone());
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -20,7 +20,7 @@
 use advice::Advice;
 pub use outcome::{Refusal, StartOutcome};
 pub use record::{Change, Durable};
-pub use survey::Standing;
+pub use survey::{Standing, Usage};
 
 use crate::job::{Job, State, TaskId};
 use crate::order::Waiting;
@@ -151,6 +151,10 @@
     turns: IndexMap<u32, Vec<StepState>>,
     /// How long its tasks take against their estimates: number of samples and mean in percent.
     pace: (u64, u64),
+    /// When its first task was started by this holder, in milliseconds.
+    first: Option<u64>,
+    /// Processor time that its ended runs have held, in thousandths of a core times milliseconds.
+    spent: u64,
 }
 
 /// A job to take into a cell.
@@ -257,6 +261,8 @@
             begun: arrival.progress.past,
             turns: IndexMap::new(),
             pace: (0, 0),
+            first: None,
+            spent: 0,
             job: arrival.job,
         };
         for (turn, steps) in &arrival.progress.turns {
@@ -422,10 +428,9 @@
 
     /// Takes a run from its executor and makes its task open again.
     fn free(&mut self, worker: &str, task: &TaskId, now: u64) {
-        if let Some(w) = self.workers.get_mut(worker) {
-            w.vacate(task);
-        }
+        let slot = self.workers.get_mut(worker).and_then(|w| w.vacate(task));
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        entry.spent += slot.map_or(0, |slot| slot.room.cpu * now.saturating_sub(slot.since));
         let Some(step) = entry.turns.get_mut(&task.turn).and_then(|t| t.get_mut(task.step)) else {
             return;
         };
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -15,6 +15,12 @@
     pub part: String,
     /// When it was accepted, by the cell's clock, in milliseconds.
     pub accepted: u64,
+    /// When it should be completed, by the cell's clock, in milliseconds.
+    pub objective: u64,
+    /// When this holder started its first task, by the cell's clock, in milliseconds.
+    pub first: Option<u64>,
+    /// Processor time that its runs have held, in thousandths of a core times milliseconds.
+    pub spent: u64,
     /// State to show.
     pub state: State,
     /// Whether the state shown is another by now.
@@ -43,6 +49,9 @@
             changes.push(Change {
                 part: entry.part.clone(),
                 accepted: entry.waiting.accepted,
+                objective: entry.waiting.objective,
+                first: entry.first,
+                spent: entry.spent,
                 state: entry.state,
                 shows: entry.state != entry.shown,
                 progress: progress(entry),
--- a/crates/jobs/src/cell/survey.rs
+++ b/crates/jobs/src/cell/survey.rs
@@ -18,6 +18,21 @@
     pub spares: Vec<String>,
 }
 
+/// Room in use, by what can still come of it; in thousandths of a core.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// By lasting tasks.
+    pub lasting: u64,
+    /// By jobs that have not passed their objective.
+    pub timely: u64,
+    /// By jobs that can only end late.
+    pub late: u64,
+    /// By jobs whose results are of no use any more, or that have ended.
+    pub useless: u64,
+    /// Jobs of which a task has started and that have not ended.
+    pub begun: usize,
+}
+
 impl Cell {
     /// Executors by incarnation.
     pub fn workers(&self) -> &IndexMap<String, Worker> {
@@ -81,6 +96,24 @@
         runs.filter(|(task, _)| useful(task)).map(|(_, slot)| slot.room.cpu).sum()
     }
 
+    /// What the room in use is for.
+    pub fn usage(&self, now: u64) -> Usage {
+        let begun = |e: &&Entry| e.state == State::Running && !e.waiting.lasting;
+        let mut usage =
+            Usage { begun: self.jobs.values().filter(begun).count(), ..Usage::default() };
+        for (task, slot) in self.workers.values().flat_map(|worker| &worker.runs) {
+            let entry = self.jobs.get(&task.job).filter(|e| !e.state.is_final());
+            let part = match entry.map(|e| &e.waiting) {
+                Some(waiting) if waiting.lasting => &mut usage.lasting,
+                Some(waiting) if now <= waiting.objective => &mut usage.timely,
+                Some(waiting) if now <= waiting.useful() => &mut usage.late,
+                _ => &mut usage.useless,
+            };
+            *part += slot.room.cpu;
+        }
+        usage
+    }
+
     /// What the lasting tasks need, and the executors that could leave at little cost.
     pub fn standing(&self) -> Standing {
         let mut standing = Standing::default();
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -14,6 +14,10 @@
 /// The same for a job that has not begun, in percent.
 const FRESH_DOUBT: u64 = 40;
 
+/// Part of the objective, in percent, beyond which a result is of no use: late results count up to
+/// three times the objective.
+pub(crate) const USEFUL: u64 = 300;
+
 /// What decides a job's place in the order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Waiting {
@@ -46,6 +50,12 @@
         self.objective.saturating_sub(self.chain + self.chain * doubt / 100 + OVERHEAD)
     }
 
+    /// Until when its result is of use, in milliseconds.
+    pub fn useful(&self) -> u64 {
+        let span = self.objective.saturating_sub(self.accepted);
+        self.accepted + span * USEFUL / 100
+    }
+
     /// Its place at a moment.
     ///
     /// # Examples
