Jobs of a queue are spread over eight parts of the table

Cause: all rows of a queue's jobs were in one part of the table. A part takes 150 transactions a second, one after the other; in a turn the intake alone brings about 200, and the holder's progress came behind them. Class of fault: a serial resource shared by what grows with the load.

Change: the part of a job depends on its queue and its id, over eight parts. A holder takes parts over side by side. Rows that an earlier version has stored are not found in the new parts: an empty table is needed.

--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::try_join_all;
 use indexmap::{IndexMap, IndexSet};
 use jobs::admit::{self, Verdict};
 use jobs::row::JobRow;
@@ -110,7 +111,7 @@
             return Reply::Invalid(error.to_string());
         }
         let cell = queue.pool.clone();
-        let part = keys::part(&queue.name);
+        let part = keys::part(&queue.name, id);
         let until = clock::now() + STORE_PATIENCE.min(left * TRY_SHARE / 100);
         if let Some(after) = self.overload(queue, &cell, job) {
             return match self.intake.store(&self.ctx, &part, id, &cell, None, until).await {
@@ -191,7 +192,7 @@
 
     /// Shows a job's state.
     pub async fn state(&self, queue: &Queue, id: &str, left: u64) -> Reply {
-        let part = keys::part(&queue.name);
+        let part = keys::part(&queue.name, id);
         let key = (part.clone(), id.to_owned());
         if let Some(state) = self.ended.borrow().get(&key) {
             return Reply::State(*state);
@@ -228,7 +229,7 @@
 
     /// Cancels a job.
     pub async fn cancel(&self, queue: &Queue, id: &str, left: u64) -> Reply {
-        let part = keys::part(&queue.name);
+        let part = keys::part(&queue.name, id);
         let until = clock::now() + left * TRY_SHARE / 100;
         loop {
             let (version, row) = match self.find(&part, id, until).await {
@@ -305,10 +306,14 @@
 
     /// Counts the jobs of a queue in the table that have no progress.
     async fn count(&self, queue: &Queue) -> Result<u64, ReadError> {
-        let part = keys::part(&queue.name);
+        let counts = keys::parts(&queue.name).map(|part| self.count_part(&queue.pool, part));
+        Ok(try_join_all(counts).await?.into_iter().sum())
+    }
+
+    async fn count_part(&self, cell: &str, part: String) -> Result<u64, ReadError> {
         let place = |table: &str| Place::new(table, &part, "");
-        let (jobs, _) = read_all(&self.ctx, place(&keys::jobs(&queue.pool))).await?;
-        let (begun, _) = read_all(&self.ctx, place(&keys::progress(&queue.pool))).await?;
+        let (jobs, _) = read_all(&self.ctx, place(&keys::jobs(cell))).await?;
+        let (begun, _) = read_all(&self.ctx, place(&keys::progress(cell))).await?;
         let begun: IndexSet<String> = begun.into_iter().map(|row| row.place.key).collect();
         let mut waiting: IndexSet<String> = jobs.into_iter().map(|row| row.place.key).collect();
         let cancelled: Vec<String> =
--- a/crates/cells/src/intake.rs
+++ b/crates/cells/src/intake.rs
@@ -5,7 +5,8 @@
 //! whichever is first wins. A job that comes again after its refusal takes the tombstone's place.
 //!
 //! Load pattern: a queue's turn brings more jobs a second than a part of the table takes
-//! transactions; jobs that arrive while one is under way go together in the next.
+//! transactions. Its jobs are spread over several parts, and those that arrive while a transaction
+//! is under way go together in the next.
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/cells/src/keys.rs
+++ b/crates/cells/src/keys.rs
@@ -79,10 +79,32 @@
     Place::new(DUTIES, DUTY_PART, &format!("move/{machine}"))
 }
 
-/// Part of the table that holds the jobs of a queue.
+/// Parts over which the jobs of a queue are spread. A part takes 150 transactions a second; a turn
+/// brings some 200 jobs a second in as many transactions, and the holder's own come to that.
+const PARTS: u64 = 8;
+
+/// Part of the table that holds a job.
+///
+/// It depends on the queue and the job's id alone, so that a job is found after its queue has moved
+/// to another pool.
 ///
-/// It depends on the queue alone, so that a job is found after its queue has moved to another
-/// pool.
-pub fn part(queue: &str) -> String {
-    queue.to_owned()
+/// # Examples
+///
+/// ```
+/// use cells::keys::{part, parts};
+/// assert!(parts("q").any(|p| p == part("q", "5c0e7a21d94b36f8")));
+/// ```
+pub fn part(queue: &str, id: &str) -> String {
+    // Written out, as it has to be the same in all processes and versions.
+    let mixed = id.bytes().fold(0u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    shard(queue, mixed % PARTS)
+}
+
+/// All parts that hold jobs of a queue.
+pub fn parts(queue: &str) -> impl Iterator<Item = String> {
+    (0..PARTS).map(move |n| shard(queue, n))
+}
+
+fn shard(queue: &str, number: u64) -> String {
+    format!("{queue}/{number}")
 }
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::try_join_all;
 use indexmap::{IndexMap, IndexSet};
 use jobs::row::ProgressRow;
 use jobs::{Progress, Registration};
@@ -60,9 +61,7 @@
             after.clone_from(last);
             parts.extend(page);
         }
-        for part in parts {
-            self.recover_part(&part).await?;
-        }
+        try_join_all(parts.iter().map(|part| self.recover_part(part))).await?;
         self.known.set(start.clock);
         Ok(version)
     }
@@ -141,17 +140,15 @@
             .map(|row| row.place.part.as_str())
             .filter(|part| !self.ledgers.borrow().contains_key(*part))
             .collect();
-        for part in fresh {
-            match self.recover_part(part).await {
-                Ok(()) => {}
-                Err(WriteError::Lost) => {
-                    self.lose("a later holder has written");
-                    return false;
-                }
-                Err(WriteError::Away(what)) => {
-                    self.ctx.set_away(true, &what);
-                    return false;
-                }
+        match try_join_all(fresh.into_iter().map(|part| self.recover_part(part))).await {
+            Ok(_) => {}
+            Err(WriteError::Lost) => {
+                self.lose("a later holder has written");
+                return false;
+            }
+            Err(WriteError::Away(what)) => {
+                self.ctx.set_away(true, &what);
+                return false;
             }
         }
         for row in rows {
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -111,7 +111,7 @@
             }
             for change in parts.values().flatten().filter(|c| c.state.is_final()) {
                 let state = change.state.to_string();
-                self.ctx.metrics.ended.with_label_values(&[&change.part, &state]).inc();
+                self.ctx.metrics.ended.with_label_values(&[&change.queue, &state]).inc();
                 Metrics::observe(
                     &self.ctx.metrics.jobs,
                     &[&state],
@@ -135,13 +135,13 @@
         };
         #[expect(clippy::cast_precision_loss, reason = "core seconds of a job are far below 2^53")]
         let spent = change.spent as f64 / 1e6;
-        self.ctx.metrics.work.with_label_values(&[&change.part, result]).inc_by(spent);
+        self.ctx.metrics.work.with_label_values(&[&change.queue, result]).inc_by(spent);
         self.ctx.timeline.record(
             base::Event::JobEnded,
             &[
                 ("job", &change.id),
                 ("state", &change.state),
-                ("queue", &change.part),
+                ("queue", &change.queue),
                 ("result", &result),
                 ("took_ms", &since(now)),
                 ("objective_ms", &since(change.objective)),
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -13,6 +13,8 @@
     pub id: String,
     /// Part of the table that holds it.
     pub part: String,
+    /// Queue that it came to.
+    pub queue: String,
     /// When it was accepted, by the cell's clock, in milliseconds.
     pub accepted: u64,
     /// When it should be completed, by the cell's clock, in milliseconds.
@@ -48,6 +50,7 @@
             durable.jobs.push((id.clone(), entry.state));
             changes.push(Change {
                 part: entry.part.clone(),
+                queue: entry.queue.clone(),
                 accepted: entry.waiting.accepted,
                 objective: entry.waiting.objective,
                 first: entry.first,
