The pause between looks no longer grows to most of a second in a large pool

Cause: the pause between two looks at an executor grew in proportion to the number of busy ones, from 100 ms at 32 to 750 ms at 240, to bound the looks of a cell at 320 a second. A step goes on when the last of its tasks is known to have ended, so that each step took nearly the whole pause longer: half of the objective of a small job. What had ended kept its room as long. Class of fault: a bound on the cost of polling that was set without regard to the objectives that hang on it.

--- a/crates/cells/src/owner/look.rs
+++ b/crates/cells/src/owner/look.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use jobs::worker::Phase;
-use jobs::{How, Look};
+use jobs::{How, Look, watch};
 
 use super::Inner;
 use crate::clock;
@@ -17,12 +17,8 @@
 
 /// Longest wait of an executor for an end, in milliseconds; leases are renewed at least as often.
 const WAIT: u64 = 900;
-/// Pause between looks at an executor with work, in milliseconds; delays the end of a step by half
-/// of it on average.
+/// Pause after a look at an executor whose ends are not acknowledged yet, in milliseconds.
 const BUSY: u64 = 100;
-/// Executors with work up to which that pause holds; beyond, it grows with their number, so that
-/// the looks of a cell stay bounded.
-const BUSY_LOOKED: u64 = 32;
 /// Pause between looks at an executor without work, in milliseconds.
 const IDLE: u64 = 1_400;
 /// Pause after a look without answer, in milliseconds.
@@ -175,8 +171,7 @@
     /// Pause between looks at an executor with work, in milliseconds.
     pub(super) fn busy_rest(&self) -> u64 {
         let cell = self.cell.borrow();
-        let busy = cell.workers().values().filter(|w| !w.runs.is_empty()).count() as u64;
-        BUSY.max(BUSY * busy / BUSY_LOOKED)
+        watch::pause(cell.workers().values().filter(|w| !w.runs.is_empty()).count())
     }
 
     fn idle_rest(&self, id: &str) -> u64 {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod queue;
 pub mod row;
 pub mod share;
+pub mod watch;
 pub mod wave;
 pub mod worker;
 
