Jobs whose results are of no use any more refuse no new ones

Cause: admission compared the pool's room with all work that waits, also that of jobs past three objectives, which come after every new job. Class of fault: a queue length that counts what nobody waits for any more.

Change: the backlog of a cell leaves out jobs whose results are of no use any more; they still run, after all others.

--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -46,7 +46,7 @@
     /// Work that waits and can still be in time, in thousandths of a core times milliseconds.
     #[serde(rename = "w")]
     pub waiting: u64,
-    /// All work that waits, in thousandths of a core times milliseconds.
+    /// Work that waits and can still be of use, in thousandths of a core times milliseconds.
     #[serde(rename = "b", default)]
     pub backlog: u64,
     /// Room of the executors that take work, in thousandths of a core.
--- a/crates/jobs/src/cell/survey.rs
+++ b/crates/jobs/src/cell/survey.rs
@@ -49,13 +49,17 @@
     }
 
     /// Estimated work of tasks that have not started, in thousandths of a core times milliseconds:
-    /// of jobs that can still be in time, and of all.
+    /// of jobs that can still be in time, and of all whose results can still be of use. New jobs go
+    /// before the others.
     ///
     /// The former leaves out what has to wait for a task on a silent executor, which may take as
     /// long as its lease: no machine is needed for that now.
     pub fn backlog(&self, now: u64) -> (u64, u64) {
         let (mut timely, mut all) = (0, 0);
         for entry in self.jobs.values().filter(|e| !e.state.is_final() && !e.waiting.lasting) {
+            if now > entry.waiting.useful() {
+                continue;
+            }
             let work = open_work(entry);
             all += work;
             let begun = entry.state == State::Running;
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1,5 +1,6 @@
 //! The scheduler under recorded loads and faults, without any I/O.
 
+use jobs::admit::{self, Load, Verdict};
 use jobs::cell::{Arrival, Order, StartOutcome};
 use jobs::worker::{Ended, Present};
 use jobs::{Cell, How, Job, Look, Progress, Queue, Registration, Room, Rules, Step, TaskId};
@@ -572,3 +573,19 @@
     assert_eq!(cell.useful(1_400), 2_000);
     assert_eq!(cell.useful(1_401), 0);
 }
+
+#[test]
+fn jobs_that_are_of_no_use_any_more_refuse_no_new_ones() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![step(200, 4_000)], false));
+    cell.looked("a", &look(100), 0, 1);
+    cell.tick(2, 0);
+    let judge = |cell: &Cell, now| {
+        let load = Load { jobs: cell.count(), backlog: cell.backlog(now).1, room: 4_000 };
+        admit::judge(&load, 1_400, 500)
+    };
+    // A hundred seconds of work wait in front of a new job.
+    assert!(matches!(judge(&cell, 1_000), Verdict::Refuse(_)));
+    // Three objectives of 1,400 ms have passed: the new job goes first.
+    assert_eq!(judge(&cell, 4_201), Verdict::Accept);
+}
