A turn no longer empties the pool whose turn is next

Cause: the turn before held far more than it used. Large jobs are few, and the rate at which they seemed to arrive was the highest of several short windows and twice any rise between two seconds, which for a steady but random inflow peaks at 1.9 times the mean half of the time, and 2.6 times in a tenth; jobs that were learnt of together counted as come together (38,070 cores after an outage). Class of fault: a controller that follows noise, with nothing kept for the others.

Ruled out: slow moves (1.5 s by contract, all asked for at once); machines of the wave (60 of 350 at the most).

Change: jobs are counted when they were accepted, also by a new holder; what chance alone explains is no rise; a pool that has no turn keeps half of its even share, and comes back to the whole of it when there is room.

--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -303,8 +303,8 @@
             job: job.into(),
         };
         let mut cell = self.cell.borrow_mut();
-        if !inherited && !arrival.job.is_lasting() {
-            self.inflow.borrow_mut().add(now, arrival.job.work());
+        if !arrival.job.is_lasting() {
+            self.inflow.borrow_mut().add(arrival.accepted, arrival.job.work());
         }
         cell.admit(arrival);
         if self.cancels.borrow_mut().swap_remove(key) {
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -10,9 +10,11 @@
 
 use indexmap::IndexMap;
 
-/// Times over which arriving work is averaged, in milliseconds; the longest holds several jobs of
-/// the larger kinds.
-const WINDOWS: [u64; 3] = [400, 900, 2_000];
+/// Longest time over which arriving work is averaged, in milliseconds; holds several jobs of the
+/// larger kinds.
+const LONGEST: u64 = 2 * TREND;
+/// Shorter times, in which a rise shows earlier, in milliseconds.
+const WINDOWS: [u64; 2] = [400, 900];
 /// Window over which a rise is measured, in milliseconds.
 const TREND: u64 = 1_000;
 /// How far ahead a rise is carried on, in milliseconds; about the time from a decision to the first
@@ -37,16 +39,16 @@
 }
 
 impl Inflow {
-    /// Notes work that arrives, in thousandths of a core times milliseconds.
-    pub fn add(&mut self, now: u64, work: u64) {
-        self.arrivals.push_back((now, work));
+    /// Notes work that came at a time, in thousandths of a core times milliseconds.
+    pub fn add(&mut self, at: u64, work: u64) {
+        self.arrivals.push_back((at, work));
     }
 
     /// Rate at which work is about to arrive, in thousandths of a core.
     ///
     /// The highest over several windows, so that a rise shows early, and as much more as the rate
-    /// rises within the time of a move. The largest job of a window is left out: a single one is
-    /// no rise.
+    /// rises within the time of a move. What chance alone explains is no rise: the largest job of
+    /// the longest window is left out, and one deviation of shorter windows.
     ///
     /// # Examples
     ///
@@ -59,24 +61,61 @@
     /// assert_eq!(inflow.rate(9_000), 0);
     /// ```
     pub fn rate(&mut self, now: u64) -> u64 {
-        while self.arrivals.front().is_some_and(|(at, _)| *at + 2 * TREND < now) {
-            self.arrivals.pop_front();
-        }
-        let rate = WINDOWS.into_iter().map(|window| self.mean(now, window)).max().unwrap_or(0);
-        let rise =
-            self.mean(now, TREND).saturating_sub(self.mean(now.saturating_sub(TREND), TREND));
-        rate + rise * LEAD / TREND
+        // What was learnt late is not in order.
+        self.arrivals.retain(|(at, _)| *at + LONGEST >= now);
+        let longest = self.window(now, LONGEST);
+        let usual = (longest.sum - longest.most) / LONGEST;
+        let short = WINDOWS.into_iter().map(|window| self.window(now, window).sure() / window);
+        let rate = short.max().unwrap_or(0).max(usual);
+        let (late, early) =
+            (self.window(now, TREND), self.window(now.saturating_sub(TREND), TREND));
+        let chance = late.deviation().hypot(early.deviation());
+        let rise = late.sum.saturating_sub(early.sum).saturating_sub(whole(chance));
+        rate + rise / TREND * LEAD / TREND
+    }
+
+    /// What arrived in a window that ends at `end`.
+    fn window(&self, end: u64, window: u64) -> Window {
+        let inside = self.arrivals.iter().filter(|(at, _)| *at + window > end && *at <= end);
+        inside.fold(Window::default(), |all, (_, work)| Window {
+            sum: all.sum + work,
+            most: all.most.max(*work),
+            squares: all.squares + (*work as f64).powi(2),
+        })
+    }
+}
+
+/// Work that arrived in a window, in thousandths of a core times milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct Window {
+    sum: u64,
+    /// Of the largest job.
+    most: u64,
+    /// Sum of the squares of the jobs' work.
+    squares: f64,
+}
+
+impl Window {
+    /// Standard deviation of the sum, for jobs that come at random.
+    fn deviation(&self) -> f64 {
+        self.squares.sqrt()
     }
 
-    /// Mean rate over a window that ends at `end`.
-    fn mean(&self, end: u64, window: u64) -> u64 {
-        let inside = self.arrivals.iter().filter(|(at, _)| *at + window >= end && *at <= end);
-        let (sum, most) =
-            inside.fold((0, 0), |(sum, most), (_, work)| (sum + work, (*work).max(most)));
-        (sum - most) / window
+    /// What is left when chance has added one deviation.
+    fn sure(&self) -> u64 {
+        self.sum.saturating_sub(whole(self.deviation()))
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "sums of work are positive and far below 2^53"
+)]
+fn whole(work: f64) -> u64 {
+    work as u64
+}
+
 /// What a pool asks for and has.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -144,8 +183,9 @@
         size: u64,
         now: u64,
     ) -> Vec<Shift> {
-        // Between its turns, a pool keeps an even share for the first moments of the next.
-        let base = total / (pools.len() + 1);
+        // Between its turns, a pool keeps an even share for the first moments of the next; half of
+        // it also while another has its turn.
+        let base = total / pools.len().max(1);
         let mut sides: Vec<Side<'_>> = pools
             .iter()
             .map(|(name, demand)| {
@@ -162,6 +202,7 @@
                     name,
                     have: demand.machines,
                     need,
+                    low: need.max(base / 2),
                     keep,
                     lasts: now >= since + SURPLUS,
                     spares,
@@ -184,7 +225,7 @@
             if let Some(machine) = off.pop_front() {
                 shift(machine, off_pool, sides[to].name);
             } else {
-                let from = most(&sides, |side| side.spare(side.need));
+                let from = most(&sides, |side| side.spare(side.low));
                 let Some(from) = from else { break };
                 let Some(machine) = sides[from].give() else { break };
                 shift(machine, sides[from].name, sides[to].name);
@@ -215,6 +256,8 @@
     have: usize,
     /// Machines for the work at hand.
     need: usize,
+    /// Machines that it does not give to others.
+    low: usize,
     /// Machines to keep for what may come.
     keep: usize,
     /// Whether it has been larger than that for a while.
