The holder of a cell that falls silent is replaced after four beats

Cause: a process counted as gone after 2.6 s without a beat, whatever it held, and up to 0.9 s more for the rank of the next one. That span is what the holder of the fleet's duties needs, whose orders machines may take without comparing epochs; executors always compare them, so that a cell can be taken over at any time. Class of fault: one timeout for two risks, set by the rarer one.

Change: the holder of a cell is replaced after 1.6 s, or four usual gaps between beats where the table takes them slowly, 2.6 s at the most. Silence ends with the newest beat of anybody, so that nobody is judged while the table takes none. The fleet's duties keep 2.6 s.

--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -2,18 +2,25 @@
 //!
 //! Load pattern: processes stop, freeze and return at any time, and the table may be away for some
 //! of them. Nobody judges others by time in which the table could not be read; of the processes
-//! that are alive, the one with the fewest cells takes the next.
+//! that are alive, the one with the fewest cells takes the next. A cell without a holder that
+//! reaches the table ends no job, so that its holder is replaced after a few missing beats, as
+//! executors refuse the orders of the former one from then on.
 
 use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use indexmap::IndexMap;
 
-use crate::context;
 use crate::rows::{Beat, Lease};
+use crate::{context, keys};
 
-/// Silence after which a process counts as gone, in milliseconds; over three beats.
-pub const SUSPECT: u64 = 2_600;
+/// Silence after which a process counts as gone, in milliseconds; longer than the fleet's holder
+/// gives orders without the table, as machines may not compare epochs.
+const SUSPECT: u64 = 2_600;
+/// Silence after which the holder of a cell is replaced, in milliseconds; four beats.
+const REPLACE: u64 = 1_600;
+/// The same in usual gaps between beats, for a table that takes them slowly.
+const REPLACE_GAPS: u64 = 4;
 /// Gap between reads after which earlier observations say nothing, in milliseconds.
 const BLIND: u64 = 1_500;
 /// Head start of each candidate over the next, in milliseconds; a transaction and some delay.
@@ -39,6 +46,8 @@
     beat: Beat,
     version: u64,
     changed: u64,
+    /// Time between its last two beats, in milliseconds; 0 while there was one.
+    gap: u64,
 }
 
 impl Observations {
@@ -60,9 +69,12 @@
         for (name, (version, beat)) in beats {
             match self.beats.get_mut(&name) {
                 Some(seen) if seen.version == version && !blind => {}
-                Some(seen) => *seen = Seen { beat, version, changed: now },
+                Some(seen) => {
+                    let gap = if blind { seen.gap } else { now - seen.changed };
+                    *seen = Seen { beat, version, changed: now, gap };
+                }
                 None => {
-                    self.beats.insert(name, Seen { beat, version, changed: now });
+                    self.beats.insert(name, Seen { beat, version, changed: now, gap: 0 });
                 }
             }
         }
@@ -73,19 +85,38 @@
         self.leases.get(cell).cloned().unwrap_or_default()
     }
 
+    /// Silence after which the holder of a cell counts as gone, in milliseconds.
+    fn silence(&self, cell: &str) -> u64 {
+        if cell == keys::FLEET {
+            return SUSPECT;
+        }
+        let mut gaps: Vec<u64> = self.beats.values().map(|seen| seen.gap).collect();
+        gaps.sort_unstable();
+        let usual = gaps.get(gaps.len() / 2).copied().unwrap_or(0);
+        (usual * REPLACE_GAPS).clamp(REPLACE, SUSPECT)
+    }
+
+    /// When the newest beat of any process was seen, in milliseconds. Silence is measured up to
+    /// then: while the table takes no beats at all, nobody is judged.
+    fn newest(&self) -> u64 {
+        self.beats.values().map(|seen| seen.changed).max().unwrap_or(0)
+    }
+
     /// Incarnations that are alive and take cells.
-    fn candidates(&self, now: u64) -> Vec<String> {
+    fn candidates(&self, silence: u64) -> Vec<String> {
+        let newest = self.newest();
         self.beats
             .iter()
-            .filter(|(_, seen)| seen.beat.open && now < seen.changed + SUSPECT)
+            .filter(|(_, seen)| seen.beat.open && newest < seen.changed + silence)
             .map(|(name, seen)| context::holder(name, seen.beat.start))
             .collect()
     }
 
     /// Whether a holder may still be at work.
-    fn alive(&self, holder: &str, now: u64) -> bool {
+    fn alive(&self, holder: &str, silence: u64) -> bool {
+        let newest = self.newest();
         self.beats.iter().any(|(name, seen)| {
-            context::holder(name, seen.beat.start) == holder && now < seen.changed + SUSPECT
+            context::holder(name, seen.beat.start) == holder && newest < seen.changed + silence
         })
     }
 
@@ -123,7 +154,7 @@
         if now < self.since + SETTLE {
             return Vec::new();
         }
-        let candidates = self.candidates(now);
+        let candidates = self.candidates(self.silence(""));
         let mut counts: IndexMap<String, usize> =
             candidates.iter().map(|name| (name.clone(), 0)).collect();
         for (_, lease) in self.leases.values() {
@@ -134,7 +165,7 @@
         let mut mine = Vec::new();
         for cell in cells {
             let holder = self.lease(cell).1.holder;
-            if !holder.is_empty() && self.alive(&holder, now) {
+            if !holder.is_empty() && self.alive(&holder, self.silence(cell)) {
                 self.vacant.swap_remove(cell);
                 continue;
             }
--- a/crates/cells/tests/claim.rs
+++ b/crates/cells/tests/claim.rs
@@ -108,3 +108,31 @@
     }
     assert_eq!(first.len(), 1, "{first:?} claim at once");
 }
+
+/// Most that may pass from the last beat of a cell's holder until another takes it, in milliseconds;
+/// a quarter of a turn of the queues, which last eight seconds.
+const FAILOVER: u64 = 2_000;
+
+#[test]
+fn a_turn_does_not_pass_without_a_holder_that_reaches_the_table() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.hold("x", "a~1");
+    (0..5).for_each(|_| world.poll(&["a", "b", "c"]));
+    let last = world.now;
+    while world.claims("b~1").is_empty() && world.claims("c~1").is_empty() {
+        world.poll(&["b", "c"]);
+    }
+    assert!(world.now - last <= FAILOVER, "{} ms", world.now - last);
+}
+
+#[test]
+fn a_slow_table_makes_nobody_suspect() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.hold("x", "a~1");
+    (0..5).for_each(|_| world.poll(&["a", "b", "c"]));
+    // The table takes a heartbeat of each every two seconds.
+    for n in 0..40 {
+        world.poll(if n % 5 == 0 { &["a", "b", "c"] } else { &[] });
+        assert!(world.claims("b~1").is_empty(), "taken at {n}");
+    }
+}
