Machines that idle for later steps go to the pool whose turn begins

Cause: the queue of the turn before, with large jobs, kept 29 machines of which it used 8 to 21: what its pool needs counts the later steps of jobs that have begun as if they had to be done in 1.5 s. Class of fault: a forecast that is served before what has come true.

Ruled out: slow detection (E2507 showed 22 machines needed of 6); the wave (10 of 48 down at once).

Change: where nothing else can be spared, machines that a pool has beyond what arrives and runs there go to pools that have less than that. What waits counts as before otherwise.

Test: machines_that_idle_for_later_steps_go_to_the_pool_whose_turn_begins (before: none moved).

--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -162,10 +162,18 @@
 /// assert_eq!(need(&demand, 16_000), 9);
 /// ```
 pub fn need(demand: &Demand, size: u64) -> usize {
+    machines(demand, demand.waiting / CLEAR, size)
+}
+
+/// Machines that a pool needs for what arrives and runs, without what waits.
+fn firm(demand: &Demand, size: u64) -> usize {
+    machines(demand, 0, size)
+}
+
+fn machines(demand: &Demand, more: u64, size: u64) -> usize {
     // Large jobs come in bursts: between two of them, what the last one uses is still needed.
     let flow = (demand.lasting + demand.arriving * HEADROOM / 100).max(demand.used);
-    let cpu = flow + demand.waiting / CLEAR;
-    let machines = cpu.div_ceil(size.max(1));
+    let machines = (flow + more).div_ceil(size.max(1));
     usize::try_from(machines).unwrap_or(usize::MAX).max(demand.floor + 1).max(LEAST)
 }
 
@@ -203,6 +211,8 @@
                     have: demand.machines,
                     need,
                     low: need.max(base / 2),
+                    firm: firm(demand, size),
+                    least: base / 2,
                     keep,
                     lasts: now >= since + SURPLUS,
                     spares,
@@ -232,6 +242,15 @@
             }
             sides[to].have += 1;
         }
+        // What waits in a pool is mostly later steps of what runs there: idle machines that are kept
+        // for those are better used where work arrives for which there is no machine.
+        while let Some(to) = most(&sides, |side| side.firm.saturating_sub(side.have)) {
+            let from = most(&sides, |side| side.spare(side.firm.max(side.least)));
+            let Some(from) = from else { break };
+            let Some(machine) = sides[from].give() else { break };
+            shift(machine, sides[from].name, sides[to].name);
+            sides[to].have += 1;
+        }
         // Then pools come back to their share, and what is left goes to standby.
         while let Some(to) = most(&sides, |side| side.keep.saturating_sub(side.have)) {
             let from = most(&sides, |s| if s.lasts { s.spare(s.keep) } else { 0 });
@@ -258,6 +277,10 @@
     need: usize,
     /// Machines that it does not give to others.
     low: usize,
+    /// Machines for what arrives and runs.
+    firm: usize,
+    /// Machines that it keeps in any case.
+    least: usize,
     /// Machines to keep for what may come.
     keep: usize,
     /// Whether it has been larger than that for a while.
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -45,6 +45,20 @@
     assert!(back.iter().all(|s| s.from == "after" && s.to == "next"));
 }
 
+#[test]
+fn machines_that_idle_for_later_steps_go_to_the_pool_whose_turn_begins() {
+    let mut pools = IndexMap::new();
+    // The turn is over: half of the machines are in use, and second steps wait for first ones.
+    let after = Demand { used: 15 * SIZE, waiting: 20 * SIZE * 1_500, ..Demand::default() };
+    let after = Demand { machines: 30, spares: names("a", 15), ..after };
+    pools.insert("after".to_owned(), after);
+    pools.insert("turn".to_owned(), pool(6, 12 * SIZE, Vec::new()));
+    let shifts = Shares::default().next(&pools, None, 36, SIZE, 0);
+    // Twelve machines and a quarter more arrive; six are there.
+    assert_eq!(shifts.len(), 9, "{shifts:?}");
+    assert!(shifts.iter().all(|s| s.from == "after" && s.to == "turn"));
+}
+
 #[test]
 fn a_turn_does_not_empty_the_pool_whose_turn_is_next() {
     let mut pools = IndexMap::new();
