The holder of the fleet's duties is replaced as soon as the holder of a cell

Cause: as for the holders of cells, one more step: the fleet's duties kept 2.6 s of silence. Its former holder can't order anything without the table, as the row of a machine is written before its order, under the row's version.

Change: one silence for all, 1.6 s; the fleet's holder gives orders for 1.5 s without the table.

--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -3,24 +3,24 @@
 //! Load pattern: processes stop, freeze and return at any time, and the table may be away for some
 //! of them. Nobody judges others by time in which the table could not be read; of the processes
 //! that are alive, the one with the fewest cells takes the next. A cell without a holder that
-//! reaches the table ends no job, so that its holder is replaced after a few missing beats, as
-//! executors refuse the orders of the former one from then on.
+//! reaches the table ends no job, and no machine moves without the fleet's, so that a holder is
+//! replaced after a few missing beats. The former one can't order any more: executors compare
+//! epochs, and a machine's row has to be written before it gets an order.
 
 use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use indexmap::IndexMap;
 
+use crate::context;
 use crate::rows::{Beat, Lease};
-use crate::{context, keys};
 
-/// Silence after which a process counts as gone, in milliseconds; longer than the fleet's holder
-/// gives orders without the table, as machines may not compare epochs.
-const SUSPECT: u64 = 2_600;
-/// Silence after which the holder of a cell is replaced, in milliseconds; four beats.
-const REPLACE: u64 = 1_600;
+/// Silence after which a process counts as gone, in milliseconds; four beats.
+const SUSPECT: u64 = 1_600;
 /// The same in usual gaps between beats, for a table that takes them slowly.
-const REPLACE_GAPS: u64 = 4;
+const GAPS: u64 = 4;
+/// Longest silence until a process counts as gone, in milliseconds; a third of a queue's turn.
+const LONGEST: u64 = 2_600;
 /// Gap between reads after which earlier observations say nothing, in milliseconds.
 const BLIND: u64 = 1_500;
 /// Head start of each candidate over the next, in milliseconds; a transaction and some delay.
@@ -85,15 +85,12 @@
         self.leases.get(cell).cloned().unwrap_or_default()
     }
 
-    /// Silence after which the holder of a cell counts as gone, in milliseconds.
-    fn silence(&self, cell: &str) -> u64 {
-        if cell == keys::FLEET {
-            return SUSPECT;
-        }
+    /// Silence after which a process counts as gone now, in milliseconds.
+    fn silence(&self) -> u64 {
         let mut gaps: Vec<u64> = self.beats.values().map(|seen| seen.gap).collect();
         gaps.sort_unstable();
         let usual = gaps.get(gaps.len() / 2).copied().unwrap_or(0);
-        (usual * REPLACE_GAPS).clamp(REPLACE, SUSPECT)
+        (usual * GAPS).clamp(SUSPECT, LONGEST)
     }
 
     /// When the newest beat of any process was seen, in milliseconds. Silence is measured up to
@@ -154,7 +151,8 @@
         if now < self.since + SETTLE {
             return Vec::new();
         }
-        let candidates = self.candidates(self.silence(""));
+        let silence = self.silence();
+        let candidates = self.candidates(silence);
         let mut counts: IndexMap<String, usize> =
             candidates.iter().map(|name| (name.clone(), 0)).collect();
         for (_, lease) in self.leases.values() {
@@ -165,7 +163,7 @@
         let mut mine = Vec::new();
         for cell in cells {
             let holder = self.lease(cell).1.holder;
-            if !holder.is_empty() && self.alive(&holder, self.silence(cell)) {
+            if !holder.is_empty() && self.alive(&holder, silence) {
                 self.vacant.swap_remove(cell);
                 continue;
             }
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -27,7 +27,7 @@
 const LULL: u64 = 20;
 /// Time for which the holder gives orders after its lease was last confirmed, in milliseconds;
 /// less than the silence after which another process takes the lease.
-const VALID: u64 = 2_000;
+const VALID: u64 = 1_500;
 /// Rows in one transaction; each takes two of the hundred entries allowed.
 const BATCH: usize = 40;
 
