Late work refuses no job that can be in time

Cause: admission compared the room of that moment, four machines, with all work that can still be of use, also that of jobs that are late. Same class of fault as with useless work: a queue length that counts what stands behind.

Ruled out: the room alone (26 machines were on their way, taken at 37.5 s).

Change: a job is accepted if what goes before it leaves it time, or else if all work does while its result is of use.

Test: the_jobs_that_an_outage_has_made_late_refuse_none_that_can_be_in_time; with the former rule the first verdict is a refusal of 24.4 s (3,840,000 core milliseconds by 128 cores, less 5.6 s).

--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -162,6 +162,7 @@
                 ("cell", &cell),
                 ("after_ms", &after),
                 ("chain_ms", &job.chain()),
+                ("ahead", &load.waiting),
                 ("backlog", &load.backlog),
                 ("room", &load.room),
                 ("jobs", &load.jobs),
@@ -181,6 +182,7 @@
         let objective = chain * queue.stretch / 1_000 + queue.target;
         let load = admit::Load {
             jobs: usize::try_from(load.jobs).unwrap_or(usize::MAX),
+            ahead: load.waiting,
             backlog: load.backlog,
             room: load.room,
         };
--- a/crates/jobs/src/admit.rs
+++ b/crates/jobs/src/admit.rs
@@ -1,9 +1,10 @@
 //! Whether a new job can be accepted now.
 //!
 //! Load pattern: in a queue's turn, jobs arrive several times as fast as the pool works them off.
-//! Jobs that can still be in time go before late ones, so that a late backlog does not keep a new
-//! job from being in time; it only has to end while its results are still of use. A job that
-//! would come after that is refused at once, with the time when there could be room for it.
+//! Jobs that can still be in time go before late ones, so that a late backlog, as an outage leaves
+//! one, does not keep a new job from being in time. One that can't be in time only has to end while
+//! its results are still of use. A job that would come after that is refused at once, with the time
+//! when there could be room for it.
 
 use crate::order::USEFUL;
 
@@ -16,7 +17,9 @@
 pub struct Load {
     /// Jobs accepted and not ended.
     pub jobs: usize,
-    /// All work that waits, in thousandths of a core times milliseconds.
+    /// Work that waits and can still be in time, in thousandths of a core times milliseconds.
+    pub ahead: u64,
+    /// All work that waits and can still be of use, in thousandths of a core times milliseconds.
     pub backlog: u64,
     /// Room of the executors that take work, in thousandths of a core.
     pub room: u64,
@@ -37,16 +40,23 @@
 ///
 /// ```
 /// use jobs::admit::{Load, Verdict, judge};
-/// let load = Load { jobs: 10, backlog: 8_000_000, room: 4_000 };
+/// let load = Load { jobs: 10, ahead: 8_000_000, backlog: 8_000_000, room: 4_000 };
 /// assert_eq!(judge(&load, 2_000, 1_000), Verdict::Accept);
 /// assert_eq!(judge(&load, 500, 400), Verdict::Refuse(900));
+/// // What is late comes after a job that can be in time.
+/// assert_eq!(judge(&Load { ahead: 0, ..load }, 500, 400), Verdict::Accept);
 /// ```
 pub fn judge(load: &Load, objective: u64, chain: u64) -> Verdict {
     // A pool without room is about to get some, or its holder has just changed.
-    let wait = load.backlog.checked_div(load.room).unwrap_or(0);
+    let wait = |work: u64| work.checked_div(load.room).unwrap_or(0);
     if load.jobs >= MAX_JOBS {
-        return Verdict::Refuse(wait.max(1_000));
+        return Verdict::Refuse(wait(load.backlog).max(1_000));
+    }
+    let excess = |work, until: u64| wait(work).saturating_sub(until.saturating_sub(chain));
+    let (timely, useful) =
+        (excess(load.ahead, objective), excess(load.backlog, objective * USEFUL / 100));
+    match timely.min(useful) {
+        0 => Verdict::Accept,
+        after => Verdict::Refuse(after),
     }
-    let slack = (objective * USEFUL / 100).saturating_sub(chain);
-    if wait > slack { Verdict::Refuse(wait - slack) } else { Verdict::Accept }
 }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -581,7 +581,8 @@
     cell.looked("a", &look(100), 0, 1);
     cell.tick(2, 0);
     let judge = |cell: &Cell, now| {
-        let load = Load { jobs: cell.count(), backlog: cell.backlog(now).1, room: 4_000 };
+        let (ahead, backlog) = cell.backlog(now);
+        let load = Load { jobs: cell.count(), ahead, backlog, room: 4_000 };
         admit::judge(&load, 1_400, 500)
     };
     // A hundred seconds of work wait in front of a new job.
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -190,11 +190,12 @@
 
 #[test]
 fn jobs_come_in_while_their_results_are_of_use() {
-    let mut load = Load { jobs: 100, backlog: 0, room: 144_000 };
+    let mut load = Load { jobs: 100, ahead: 0, backlog: 0, room: 144_000 };
     // In a turn, 310 cores of work arrive each second at a pool of 144.
     let mut accepted = 0;
     for _ in 0..100 {
         load.backlog += 166_000 * 100;
+        load.ahead = load.backlog;
         if judge(&load, 2_200, 1_000) == Verdict::Accept {
             accepted += 1;
         }
@@ -229,3 +230,13 @@
     assert_eq!(Listed { taken: Some(false), ..emptied }.next(), Next::Wait);
     assert_eq!(Listed { taken: Some(true), empty: false, ..emptied }.next(), Next::Done);
 }
+
+#[test]
+fn the_jobs_that_an_outage_has_made_late_refuse_none_that_can_be_in_time() {
+    // Half a minute of late work for the few machines that a pool has when its turn begins.
+    let load = Load { jobs: 170, ahead: 0, backlog: 3_840_000_000, room: 128_000 };
+    assert_eq!(judge(&load, 2_200, 1_000), Verdict::Accept);
+    // In front of it there is more than it has time for.
+    let load = Load { ahead: 400_000_000, ..load };
+    assert_eq!(judge(&load, 2_200, 1_000), Verdict::Refuse(1_925));
+}
