Jobs that are read again after a loss of history count once as inflow

Found by reading the change of the inflow: since a new holder counts the jobs that it finds, so does one that reads all rows again when the table has dropped its history, and jobs of the last two seconds counted twice.

Change: Cell::admit says whether a job is new; only those count. Test: a_job_that_is_read_again_is_no_new_one (does not compile before).

--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -303,10 +303,13 @@
             job: job.into(),
         };
         let mut cell = self.cell.borrow_mut();
-        if !arrival.job.is_lasting() {
-            self.inflow.borrow_mut().add(arrival.accepted, arrival.job.work());
+        let flow = (!arrival.job.is_lasting()).then(|| (arrival.accepted, arrival.job.work()));
+        // After a loss of history all rows are read again.
+        if cell.admit(arrival)
+            && let Some((at, work)) = flow
+        {
+            self.inflow.borrow_mut().add(at, work);
         }
-        cell.admit(arrival);
         if self.cancels.borrow_mut().swap_remove(key) {
             cell.cancel(key, now);
         }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -241,10 +241,10 @@
         }
     }
 
-    /// Takes a job in; a job that is there already stays as it is.
-    pub fn admit(&mut self, arrival: Arrival) {
+    /// Takes a job in and says whether it is new; a job that is there already stays as it is.
+    pub fn admit(&mut self, arrival: Arrival) -> bool {
         if self.jobs.contains_key(&arrival.id) || self.ended.contains(&arrival.id) {
-            return;
+            return false;
         }
         let blank = Queue { attempts: 1, ..Queue::default() };
         let queue = self.queues.get(&arrival.queue).unwrap_or(&blank);
@@ -274,6 +274,7 @@
         }
         self.jobs.insert(arrival.id.clone(), entry);
         self.settle_job(&arrival.id);
+        true
     }
 
     /// Ends a job because its client wants it no more.
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -590,3 +590,15 @@
     // Three objectives of 1,400 ms have passed: the new job goes first.
     assert_eq!(judge(&cell, 4_201), Verdict::Accept);
 }
+
+#[test]
+fn a_job_that_is_read_again_is_no_new_one() {
+    let mut cell = cell(1, &["a"]);
+    assert!(cell.admit(arrival(vec![step(1, 100)], false)));
+    assert!(!cell.admit(arrival(vec![step(1, 100)], true)));
+    begin(&mut cell);
+    finish(&mut cell);
+    let (_, durable) = cell.take_changes();
+    cell.made_durable(&durable);
+    assert!(!cell.admit(arrival(vec![step(1, 100)], true)), "it has ended");
+}
