Only idle machines leave a pool that has work waiting

Cause: the change that gives idle machines to a pool whose turn begins counted what is in use in whole machines, and took any machine beyond that. Of a pool whose large tasks leave a part of each machine free, it took machines at work; with fewer machines less was in use, and still more could go: from 30 to 5 machines in six seconds, with 8 to 32 s of work waiting. Class of fault: a measure of need that sinks with what is taken away.

Ruled out: the wave (10 machines at once); refusals (two).

Change: cells publish how many of their spare machines run nothing; only those leave a pool that has work waiting.

Test: a_pool_at_work_loses_no_machines_to_a_turn_that_begins (before: 9 of 30 left).

--- a/crates/cells/src/fleet/shift.rs
+++ b/crates/cells/src/fleet/shift.rs
@@ -94,19 +94,19 @@
         let here = machines.values().filter(|m| m.pool == pool && !leaving(m)).count();
         let by_executor: IndexMap<&str, &Machine> =
             machines.values().map(|m| (m.executor.as_str(), m)).collect();
-        let spares = load
-            .spares
-            .iter()
-            .filter_map(|id| by_executor.get(id.as_str()))
-            .filter(|m| m.up && m.pool == pool && !self.is_engaged(&m.name))
-            .map(|m| m.name.clone())
-            .collect();
+        let free = |id: &&String| {
+            let machine = by_executor.get(id.as_str());
+            machine.is_some_and(|m| m.up && m.pool == pool && !self.is_engaged(&m.name))
+        };
+        let spares = load.spares.iter().filter(free);
+        let spares = spares.map(|id| by_executor[id.as_str()].name.clone()).collect();
         Demand {
             arriving: load.arriving,
             waiting: load.waiting,
             lasting: load.lasting,
             used: load.useful,
             floor: load.floor,
+            idle: load.spares.iter().take(load.idle).filter(free).count(),
             machines: here + coming.count(),
             spares,
         }
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -401,6 +401,7 @@
             arriving: self.inflow.borrow_mut().rate(now),
             lasting: standing.cpu,
             floor: standing.floor,
+            idle: standing.idle,
             spares: standing.spares.into_iter().take(SPARES).collect(),
             clock: self.ctx.table_now(),
             known: self.known.get(),
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -70,6 +70,9 @@
     /// Executors that could leave at little cost, the best first.
     #[serde(rename = "s", default)]
     pub spares: Vec<String>,
+    /// Number of those that run nothing.
+    #[serde(rename = "i", default)]
+    pub idle: usize,
     /// The table's clock when it was written, in milliseconds.
     #[serde(rename = "c")]
     pub clock: u64,
--- a/crates/jobs/src/cell/survey.rs
+++ b/crates/jobs/src/cell/survey.rs
@@ -16,6 +16,8 @@
     pub floor: usize,
     /// Executors without lasting tasks, those with the least work first.
     pub spares: Vec<String>,
+    /// Number of those that run nothing.
+    pub idle: usize,
 }
 
 /// Room in use, by what can still come of it; in thousandths of a core.
@@ -137,6 +139,7 @@
             .map(|(id, w)| (w.used.cpu, id))
             .collect();
         spares.sort();
+        standing.idle = spares.iter().filter(|(_, id)| self.workers[*id].runs.is_empty()).count();
         standing.spares = spares.into_iter().map(|(_, id)| id.clone()).collect();
         standing
     }
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -133,6 +133,8 @@
     pub machines: usize,
     /// Machines that can leave at little cost, the best first.
     pub spares: Vec<String>,
+    /// Number of those that run nothing; they are the first.
+    pub idle: usize,
 }
 
 /// One machine to move.
@@ -216,6 +218,7 @@
                     keep,
                     lasts: now >= since + SURPLUS,
                     spares,
+                    idle: demand.idle,
                 }
             })
             .collect();
@@ -242,10 +245,10 @@
             }
             sides[to].have += 1;
         }
-        // What waits in a pool is mostly later steps of what runs there: idle machines that are kept
-        // for those are better used where work arrives for which there is no machine.
+        // What waits beside idle machines are later steps of what runs: these machines are better used
+        // where work arrives for which there is none.
         while let Some(to) = most(&sides, |side| side.firm.saturating_sub(side.have)) {
-            let from = most(&sides, |side| side.spare(side.firm.max(side.least)));
+            let from = most(&sides, |side| side.spare(side.firm.max(side.least)).min(side.idle));
             let Some(from) = from else { break };
             let Some(machine) = sides[from].give() else { break };
             shift(machine, sides[from].name, sides[to].name);
@@ -286,6 +289,8 @@
     /// Whether it has been larger than that for a while.
     lasts: bool,
     spares: VecDeque<&'a String>,
+    /// Number of spares that run nothing.
+    idle: usize,
 }
 
 impl<'a> Side<'a> {
@@ -297,6 +302,7 @@
     fn give(&mut self) -> Option<&'a String> {
         let machine = self.spares.pop_front()?;
         self.have -= 1;
+        self.idle = self.idle.saturating_sub(1);
         Some(machine)
     }
 }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -50,7 +50,7 @@
     let mut pools = IndexMap::new();
     // The turn is over: half of the machines are in use, and second steps wait for first ones.
     let after = Demand { used: 15 * SIZE, waiting: 20 * SIZE * 1_500, ..Demand::default() };
-    let after = Demand { machines: 30, spares: names("a", 15), ..after };
+    let after = Demand { machines: 30, spares: names("a", 15), idle: 15, ..after };
     pools.insert("after".to_owned(), after);
     pools.insert("turn".to_owned(), pool(6, 12 * SIZE, Vec::new()));
     let shifts = Shares::default().next(&pools, None, 36, SIZE, 0);
@@ -59,6 +59,18 @@
     assert!(shifts.iter().all(|s| s.from == "after" && s.to == "turn"));
 }
 
+#[test]
+fn a_pool_at_work_loses_no_machines_to_a_turn_that_begins() {
+    let mut pools = IndexMap::new();
+    // Tasks wait for room, and what is in use is less than all because the last of each machine's
+    // room is too small for one of them.
+    let busy = Demand { used: 20 * SIZE, waiting: 40 * SIZE * 1_500, ..Demand::default() };
+    pools.insert("busy".to_owned(), Demand { machines: 30, spares: names("b", 30), ..busy });
+    pools.insert("turn".to_owned(), pool(6, 12 * SIZE, Vec::new()));
+    let shifts = Shares::default().next(&pools, None, 36, SIZE, 0);
+    assert!(shifts.is_empty(), "{shifts:?}");
+}
+
 #[test]
 fn a_turn_does_not_empty_the_pool_whose_turn_is_next() {
     let mut pools = IndexMap::new();
