A change is not refused for an instance list that is incomplete or out of date

What callers saw: `jtally contract apply` while the platform was away ended with 3, "pool 'free' has 1 instances", though the pool had two; it should have ended with 6, try again.

Cause: shortages were judged as soon as the list of any data centre had been read, before the platform was asked. A process that had only its own data centre's list when the platform went away counted one instance of two.

Evidence: the message names one instance; a pool that is short and a platform that is down end with 3 each time (agreement: a_change_while_the_platform_is_away_is_not_refused_for_a_list_that_is_out_of_date, seen failing before).

Ruled out: the order of the faults in the test; the stand-in had answered that it was down before the change was sent.

Change: a shortage is told when the list of each data centre that is known has been read, and after the platform has answered. Otherwise the change is refused as one to try again, naming the data centre.

--- a/crates/control/src/api/contracts.rs
+++ b/crates/control/src/api/contracts.rs
@@ -80,10 +80,14 @@
         Ok(contract) if contract.customer != *customer => {
             Some(format!("{file}: customer: is '{}', not '{customer}'", contract.customer))
         }
-        Ok(_) if !query.ahead && !listed(&facts) => return unlisted(),
-        Ok(contract) => {
-            overlap(&facts, &contract).or_else(|| unmet(&facts, &contract, query.ahead))
-        }
+        Ok(contract) => match overlap(&facts, &contract) {
+            Some(refusal) => Some(refusal),
+            None if query.ahead => None,
+            None => match unmet(&facts, &platform, &contract).await {
+                Ok(refusal) => refusal,
+                Err(away) => return away,
+            },
+        },
     };
     if let Some(refusal) = refusal {
         facts.timeline().record(Event::ContractRefused, &[("customer", &customer.as_str())]);
@@ -102,21 +106,34 @@
     change(&facts, &platform, &customer, query.base, None).await
 }
 
-/// Whether any of the platform's lists has been read.
-fn listed(facts: &Facts) -> bool {
-    facts.lock().lists.values().any(|list| list.mark() > 0)
-}
-
-fn unlisted() -> HttpResponse {
-    let refusal = Refusal::new("the platform's instance list is not known here yet, try again");
-    HttpResponse::ServiceUnavailable().json(refusal)
+/// First known data centre whose list of instances has not been read yet.
+fn unlisted(facts: &Facts) -> Option<String> {
+    let state = facts.lock();
+    let members = state.members.values().map(|known| &known.member.centre);
+    let mut centres = std::iter::once(&state.me.centre).chain(members);
+    let read = |centre: &String| state.lists.get(centre).is_some_and(|list| list.mark() > 0);
+    centres.find(|centre| !read(centre)).cloned()
 }
 
-/// What the instances can't meet, unless the contract comes ahead of them.
-fn unmet(facts: &Facts, contract: &fleet::Contract, ahead: bool) -> Option<String> {
-    let short = if ahead { Vec::new() } else { plans::short(facts, contract) };
+/// What the instances can't meet; an error answer when that can't be told now.
+async fn unmet(
+    facts: &Facts,
+    platform: &Http,
+    contract: &fleet::Contract,
+) -> Result<Option<String>, HttpResponse> {
+    if let Some(centre) = unlisted(facts) {
+        let refusal =
+            format!("the instance list of data centre '{centre}' is not known here yet, try again");
+        return Err(HttpResponse::ServiceUnavailable().json(Refusal::new(refusal)));
+    }
+    let short = plans::short(facts, contract);
+    if short.is_empty() {
+        return Ok(None);
+    }
+    // The lists are copies, which may be out of date while the platform is away.
+    platform.read(&[keys::HEAD.to_owned()]).await.map_err(|error| unread(&error))?;
     let hint = "apply it with --ahead when the instances are still to come";
-    (!short.is_empty()).then(|| format!("{}\n{hint}", short.join("\n")))
+    Ok(Some(format!("{}\n{hint}", short.join("\n"))))
 }
 
 /// A pool belongs to one customer.
--- a/crates/proof/tests/agreement.rs
+++ b/crates/proof/tests/agreement.rs
@@ -90,6 +90,20 @@
     assert_eq!(cluster.apply("acme", &contract(2_000), 1).await, 2);
 }
 
+#[actix::test]
+async fn a_change_while_the_platform_is_away_is_not_refused_for_a_list_that_is_out_of_date() {
+    let cluster = Cluster::open(&Layout::of(&["dc1"], 1, 1, &[("free", 1)]));
+    cluster.apply("acme", &contract(1_000), 0).await;
+    cluster.serving("/acme/free").await;
+    let file = cluster.folder.join("acme.yaml").display().to_string();
+    let args = ["contract", "apply", &file, "--base", "1"];
+    let (code, text) = cluster.jtally(&args);
+    assert_eq!(code, 3, "{text}");
+    cluster.faults(&Faults { down: true, ..Faults::default() }).await;
+    let (code, text) = cluster.jtally(&args);
+    assert_eq!(code, 6, "{text}");
+}
+
 #[actix::test]
 async fn a_frozen_process_wakes_and_takes_the_newest() {
     let cluster = cluster().await;
