A job's objective counts from its client's first request

What callers saw: in turns and after outages, jobs that had been refused or left without an answer came again, were taken for new ones and got room before jobs that could still be in time; they ended late all the same.

Cause: the objective was counted from the acceptance. A client that was refused for load, or had no answer from the table, has used part of it up by then.

Change: the tombstone of a refused job tells when it was first asked for, and the job that takes its place is as old as that, at any process; a process also remembers what it was asked for without success. Admission counts what is left.

Ruled out: a header with the age of a request; the clients send none.

--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -13,7 +13,7 @@
 use crate::clock;
 use crate::context::{Context, pause};
 use crate::follow::read_all;
-use crate::intake::{Intake, Stored};
+use crate::intake::{Entry, Intake, Stored};
 use crate::keys;
 use crate::metrics::Metrics;
 use crate::ports::{Change, ChangeError, Place, ReadError};
@@ -29,7 +29,8 @@
 const RETRY: u64 = 60;
 /// Share of a request's time, in percent, after which tries end, so that the answer arrives.
 const TRY_SHARE: u64 = 80;
-/// Ended jobs whose state is kept in memory; it can't change any more.
+/// Ended jobs whose state is kept in memory, as it can't change any more, and jobs that were not
+/// accepted.
 const KEPT: usize = 20_000;
 /// Age up to which a holder's count of waiting jobs is given to clients, in milliseconds; over the
 /// longest time between two publications.
@@ -78,11 +79,18 @@
     ctx: Rc<Context>,
     intake: Rc<Intake>,
     ended: RefCell<IndexMap<(String, String), State>>,
+    /// When jobs that were not accepted were first asked for, in milliseconds.
+    asked: RefCell<IndexMap<String, u64>>,
 }
 
 impl Desk {
     pub(crate) fn open(ctx: Rc<Context>) -> Rc<Self> {
-        Rc::new(Self { ctx, intake: Rc::default(), ended: RefCell::default() })
+        Rc::new(Self {
+            ctx,
+            intake: Rc::default(),
+            ended: RefCell::default(),
+            asked: RefCell::default(),
+        })
     }
 
     /// Notes in the metrics how a request was answered.
@@ -110,31 +118,50 @@
         if let Err(error) = job.check() {
             return Reply::Invalid(error.to_string());
         }
-        let cell = queue.pool.clone();
+        let cell = &queue.pool;
         let part = keys::part(&queue.name, id);
-        let until = clock::now() + STORE_PATIENCE.min(left * TRY_SHARE / 100);
-        if let Some(after) = self.overload(queue, &cell, job) {
-            return match self.intake.store(&self.ctx, &part, id, &cell, None, until).await {
-                // A job that came before and was accepted stays accepted.
-                Stored::Yes => Reply::Accepted,
-                Stored::Never => {
-                    self.refused_for_load(id, queue, &cell, job, after);
-                    Reply::Refused { busy: true, after }
-                }
-                Stored::Unknown => self.unsettled(id),
-            };
-        }
-        let row = JobRow::new(&queue.name, self.ctx.table_now(), job);
-        match self.intake.store(&self.ctx, &part, id, &cell, Some(&row), until).await {
-            Stored::Yes => {
+        let waited = self.waited(id);
+        let now = self.ctx.table_now();
+        let refusal = self.overload(queue, cell, job, waited);
+        let entry = Entry {
+            id: id.to_owned(),
+            cell: cell.clone(),
+            job: refusal.is_none().then(|| JobRow::new(&queue.name, now, job)),
+            asked: now.saturating_sub(waited),
+            until: clock::now() + STORE_PATIENCE.min(left * TRY_SHARE / 100),
+        };
+        let stored = self.intake.store(&self.ctx, &part, entry).await;
+        match (stored, refusal) {
+            // A job that came before and was accepted stays accepted.
+            (Stored::Yes, Some(_)) => Reply::Accepted,
+            (Stored::Yes, None) => {
+                self.asked.borrow_mut().swap_remove(id);
                 self.ctx.timeline.record(
                     base::Event::JobAccepted,
-                    &[("job", &id), ("queue", &queue.name), ("cell", &cell)],
+                    &[("job", &id), ("queue", &queue.name), ("cell", cell), ("waited_ms", &waited)],
                 );
                 Reply::Accepted
             }
-            Stored::Never | Stored::Unknown => self.unsettled(id),
+            (Stored::Never, Some(after)) => {
+                self.refused_for_load(id, queue, cell, job, after);
+                Reply::Refused { busy: true, after }
+            }
+            (Stored::Never, None) | (Stored::Unknown, _) => self.unsettled(id),
+        }
+    }
+
+    /// How long ago this process was first asked for a job, in milliseconds.
+    fn waited(&self, id: &str) -> u64 {
+        let now = clock::now();
+        let mut asked = self.asked.borrow_mut();
+        if let Some(first) = asked.get(id) {
+            return now.saturating_sub(*first);
+        }
+        if asked.len() >= KEPT {
+            asked.drain(..KEPT / 2);
         }
+        asked.insert(id.to_owned(), now);
+        0
     }
 
     /// Answers a request of which the table has not said what became of it.
@@ -172,7 +199,7 @@
     }
 
     /// When to come back, if the job can't be served in time.
-    fn overload(&self, queue: &Queue, cell: &str, job: &Job) -> Option<u64> {
+    fn overload(&self, queue: &Queue, cell: &str, job: &Job, waited: u64) -> Option<u64> {
         let loads = self.ctx.loads.borrow();
         let load = loads.get(cell)?;
         if self.ctx.table_now() > load.clock + LOAD_AGE || job.is_lasting() {
@@ -186,7 +213,7 @@
             backlog: load.backlog,
             room: load.room,
         };
-        match admit::judge(&load, objective, chain) {
+        match admit::judge(&load, objective, chain, waited) {
             Verdict::Accept => None,
             Verdict::Refuse(after) => Some(after),
         }
--- a/crates/cells/src/intake.rs
+++ b/crates/cells/src/intake.rs
@@ -2,7 +2,8 @@
 //!
 //! A refusal says that the job never runs. An earlier try, at any process, may still be on its way
 //! to the table, so that a refusal leaves a tombstone under the same condition as an acceptance;
-//! whichever is first wins. A job that comes again after its refusal takes the tombstone's place.
+//! whichever is first wins. A job that comes again after its refusal takes the tombstone's place; it
+//! is as old as its first request.
 //!
 //! Load pattern: a queue's turn brings more jobs a second than a part of the table takes
 //! transactions. Its jobs are spread over several parts, and those that arrive while a transaction
@@ -40,15 +41,24 @@
     Unknown,
 }
 
-struct Item {
-    id: String,
-    cell: String,
+/// A job that is to be stored, or its refusal.
+pub(crate) struct Entry {
+    pub id: String,
+    pub cell: String,
     /// Row of the job; none for a refusal.
-    value: Option<Vec<u8>>,
+    pub job: Option<JobRow>,
+    /// The table's clock at the first request for it that is known, in milliseconds.
+    pub asked: u64,
+    /// When to give up, in milliseconds.
+    pub until: u64,
+}
+
+struct Item {
+    entry: Entry,
+    /// Length of the job's row, in bytes.
+    size: usize,
     /// Version of the tombstone that it takes the place of; 0 for none.
     over: u64,
-    /// When to give up, in milliseconds.
-    until: u64,
     answer: oneshot::Sender<Stored>,
 }
 
@@ -59,25 +69,11 @@
 }
 
 impl Intake {
-    /// Stores a job, or its refusal where there is none; gives up at `until`.
-    pub async fn store(
-        self: &Rc<Self>,
-        ctx: &Rc<Context>,
-        part: &str,
-        id: &str,
-        cell: &str,
-        job: Option<&JobRow>,
-        until: u64,
-    ) -> Stored {
+    /// Stores a job or its refusal in a part.
+    pub async fn store(self: &Rc<Self>, ctx: &Rc<Context>, part: &str, entry: Entry) -> Stored {
         let (answer, done) = oneshot::channel();
-        let item = Item {
-            id: id.to_owned(),
-            cell: cell.to_owned(),
-            value: job.map(rows::encode),
-            over: 0,
-            until,
-            answer,
-        };
+        let size = entry.job.as_ref().map_or(0, |job| rows::encode(job).len());
+        let item = Item { entry, size, over: 0, answer };
         let first = {
             let mut waiting = self.waiting.borrow_mut();
             let first = !waiting.contains_key(part);
@@ -102,9 +98,8 @@
                 }
                 let mut bytes = 0;
                 let fits = items.iter().take(BATCH).take_while(|item| {
-                    let own = item.value.as_ref().map_or(0, Vec::len);
-                    bytes += own;
-                    bytes <= BATCH_BYTES || bytes == own
+                    bytes += item.size;
+                    bytes <= BATCH_BYTES || bytes == item.size
                 });
                 let count = fits.count();
                 items.drain(..count).collect::<Vec<Item>>()
@@ -128,20 +123,22 @@
     let mut sent = Vec::new();
     for item in batch {
         // The same job twice in one batch: the second finds the first stored.
-        if unique.insert(item.id.clone(), ()).is_some() {
+        if unique.insert(item.entry.id.clone(), ()).is_some() {
             again.push(item);
             continue;
         }
-        let place = keys::state(part, &item.id);
+        let place = keys::state(part, &item.entry.id);
         change.expect.push((place.clone(), item.over));
-        let state = match &item.value {
-            Some(_) => StateRow::new(&item.cell, State::Queued),
-            None => StateRow::refused(),
+        let state = match &item.entry.job {
+            Some(_) => StateRow::new(&item.entry.cell, State::Queued),
+            None => StateRow::refused(item.entry.asked),
         };
         change.writes.push((place.clone(), rows::encode(&state)));
-        if let Some(value) = &item.value {
-            let row = Place { table: keys::jobs(&item.cell), ..place };
-            change.writes.push((row, value.clone()));
+        if let Some(job) = &item.entry.job {
+            let row = Place { table: keys::jobs(&item.entry.cell), ..place };
+            let mut job = job.clone();
+            job.asked = item.entry.asked;
+            change.writes.push((row, rows::encode(&job)));
         }
         sent.push(item);
     }
@@ -152,21 +149,25 @@
             ctx.set_away(false, "jobs are stored");
             ctx.saw_clock(done.clock);
             for item in sent {
-                let stored = if item.value.is_some() { Stored::Yes } else { Stored::Never };
+                let stored = if item.entry.job.is_some() { Stored::Yes } else { Stored::Never };
                 settle(item, stored);
             }
         }
         Err(ChangeError::Conflict { rows: now_there }) => {
             for mut item in sent {
-                let row = now_there.iter().find(|row| row.place.key == item.id && row.version > 0);
+                let row =
+                    now_there.iter().find(|row| row.place.key == item.entry.id && row.version > 0);
                 let refused = row
                     .and_then(|row| rows::decode::<StateRow>(row.value.as_deref()?).ok())
-                    .is_some_and(|state| state.is_refused());
+                    .filter(StateRow::is_refused);
                 match row {
-                    Some(_) if !refused => settle(item, Stored::Yes),
-                    Some(_) if item.value.is_none() => settle(item, Stored::Never),
+                    Some(_) if refused.is_none() => settle(item, Stored::Yes),
+                    Some(_) if item.entry.job.is_none() => settle(item, Stored::Never),
                     row => {
                         item.over = row.map_or(0, |row| row.version);
+                        let asked = refused.and_then(|state| state.asked());
+                        let known = item.entry.asked;
+                        item.entry.asked = asked.map_or(known, |asked| asked.min(known));
                         again.push(item);
                     }
                 }
@@ -175,7 +176,7 @@
         Err(error) => {
             ctx.set_away(true, &error.to_string());
             for item in sent {
-                if now >= item.until {
+                if now >= item.entry.until {
                     settle(item, Stored::Unknown);
                 } else {
                     again.push(item);
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -292,18 +292,21 @@
             }
         };
         let now = clock::now();
-        let age = self.ctx.table_now().saturating_sub(job.accepted);
+        let table = self.ctx.table_now();
+        let here =
+            |at: u64| if at == 0 { now } else { now.saturating_sub(table.saturating_sub(at)) };
+        let accepted = here(job.accepted);
         let arrival = Arrival {
             id: key.to_owned(),
             part: row.place.part.clone(),
             queue: job.queue.clone(),
             progress,
-            accepted: if job.accepted == 0 { now } else { now.saturating_sub(age) },
+            asked: here(job.asked).min(accepted),
             inherited,
             job: job.into(),
         };
         let mut cell = self.cell.borrow_mut();
-        let flow = (!arrival.job.is_lasting()).then(|| (arrival.accepted, arrival.job.work()));
+        let flow = (!arrival.job.is_lasting()).then(|| (accepted, arrival.job.work()));
         // After a loss of history all rows are read again.
         if cell.admit(arrival)
             && let Some((at, work)) = flow
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -115,7 +115,7 @@
                 Metrics::observe(
                     &self.ctx.metrics.jobs,
                     &[&state],
-                    Duration::from_millis(clock::now().saturating_sub(change.accepted)),
+                    Duration::from_millis(clock::now().saturating_sub(change.asked)),
                 );
                 self.note_end(change);
             }
@@ -126,7 +126,7 @@
 
     /// Logs a job's end with the times that tell where it waited.
     fn note_end(&self, change: &JobChange) {
-        let since = |at: u64| at.saturating_sub(change.accepted);
+        let since = |at: u64| at.saturating_sub(change.asked);
         let now = clock::now();
         let result = match change.state {
             State::Completed if now <= change.objective => "in-time",
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -104,17 +104,27 @@
     /// Name of its state.
     #[serde(rename = "s")]
     state: String,
+    /// Platform time at which the client of a refused job first asked for it, in milliseconds.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    asked: Option<u64>,
 }
 
 impl StateRow {
     /// The row of a job in a cell.
     pub fn new(cell: &str, state: State) -> Self {
-        Self { cell: cell.to_owned(), state: state.to_string() }
+        Self { cell: cell.to_owned(), state: state.to_string(), asked: None }
     }
 
     /// The row that keeps a refused job from being stored by an earlier, delayed write.
-    pub fn refused() -> Self {
-        Self { cell: String::new(), state: REFUSED.to_owned() }
+    ///
+    /// It tells when the job was first asked for, as its client may come again, to any process.
+    pub fn refused(asked: u64) -> Self {
+        Self { cell: String::new(), state: REFUSED.to_owned(), asked: Some(asked) }
+    }
+
+    /// Platform time at which a refused job was first asked for, in milliseconds.
+    pub fn asked(&self) -> Option<u64> {
+        self.asked
     }
 
     /// Whether the job was refused and has not come again.
--- a/crates/jobs/src/admit.rs
+++ b/crates/jobs/src/admit.rs
@@ -4,7 +4,7 @@
 //! Jobs that can still be in time go before late ones, so that a late backlog, as an outage leaves
 //! one, does not keep a new job from being in time. One that can't be in time only has to end while
 //! its results are still of use. A job that would come after that is refused at once, with the time
-//! when there could be room for it.
+//! when there could be room for it. A client that comes back has less time left.
 
 use crate::order::USEFUL;
 
@@ -34,25 +34,26 @@
     Refuse(u64),
 }
 
-/// Decides on a job with an objective of so many milliseconds and a chain of estimated work.
+/// Decides on a job with an objective of so many milliseconds and a chain of estimated work, for
+/// which its client first asked `waited` milliseconds ago.
 ///
 /// # Examples
 ///
 /// ```
 /// use jobs::admit::{Load, Verdict, judge};
 /// let load = Load { jobs: 10, ahead: 8_000_000, backlog: 8_000_000, room: 4_000 };
-/// assert_eq!(judge(&load, 2_000, 1_000), Verdict::Accept);
-/// assert_eq!(judge(&load, 500, 400), Verdict::Refuse(900));
+/// assert_eq!(judge(&load, 2_000, 1_000, 0), Verdict::Accept);
+/// assert_eq!(judge(&load, 500, 400, 0), Verdict::Refuse(900));
 /// // What is late comes after a job that can be in time.
-/// assert_eq!(judge(&Load { ahead: 0, ..load }, 500, 400), Verdict::Accept);
+/// assert_eq!(judge(&Load { ahead: 0, ..load }, 500, 400, 0), Verdict::Accept);
 /// ```
-pub fn judge(load: &Load, objective: u64, chain: u64) -> Verdict {
+pub fn judge(load: &Load, objective: u64, chain: u64, waited: u64) -> Verdict {
     // A pool without room is about to get some, or its holder has just changed.
     let wait = |work: u64| work.checked_div(load.room).unwrap_or(0);
     if load.jobs >= MAX_JOBS {
         return Verdict::Refuse(wait(load.backlog).max(1_000));
     }
-    let excess = |work, until: u64| wait(work).saturating_sub(until.saturating_sub(chain));
+    let excess = |work, until: u64| wait(work).saturating_sub(until.saturating_sub(waited + chain));
     let (timely, useful) =
         (excess(load.ahead, objective), excess(load.backlog, objective * USEFUL / 100));
     match timely.min(useful) {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -170,8 +170,8 @@
     pub job: Job,
     /// What is durable of its progress.
     pub progress: Progress,
-    /// When it was accepted, by the cell's clock, in milliseconds.
-    pub accepted: u64,
+    /// When its client first asked for it, by the cell's clock, in milliseconds.
+    pub asked: u64,
     /// Whether it was there when this holder took the cell.
     pub inherited: bool,
 }
@@ -236,7 +236,7 @@
         }
         for entry in self.jobs.values_mut() {
             if let Some(queue) = self.queues.get(&entry.queue) {
-                entry.waiting = waiting(queue, &entry.job, entry.waiting.accepted);
+                entry.waiting = waiting(queue, &entry.job, entry.waiting.asked);
             }
         }
     }
@@ -250,7 +250,7 @@
         let queue = self.queues.get(&arrival.queue).unwrap_or(&blank);
         let begun = arrival.progress.begun;
         let mut entry = Entry {
-            waiting: waiting(queue, &arrival.job, arrival.accepted),
+            waiting: waiting(queue, &arrival.job, arrival.asked),
             payload: Rc::from(arrival.job.payload.as_str()),
             part: arrival.part,
             queue: arrival.queue,
@@ -489,14 +489,14 @@
         .collect()
 }
 
-fn waiting(queue: &Queue, job: &Job, accepted: u64) -> Waiting {
+fn waiting(queue: &Queue, job: &Job, asked: u64) -> Waiting {
     let chain = job.chain();
-    let objective = accepted + chain.saturating_mul(queue.stretch) / 1_000 + queue.target;
+    let objective = asked + chain.saturating_mul(queue.stretch) / 1_000 + queue.target;
     Waiting {
         lasting: job.is_lasting(),
         begun: false,
         priority: queue.priority,
-        accepted,
+        asked,
         objective,
         chain,
     }
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -15,8 +15,8 @@
     pub part: String,
     /// Queue that it came to.
     pub queue: String,
-    /// When it was accepted, by the cell's clock, in milliseconds.
-    pub accepted: u64,
+    /// When its client first asked for it, by the cell's clock, in milliseconds.
+    pub asked: u64,
     /// When it should be completed, by the cell's clock, in milliseconds.
     pub objective: u64,
     /// When this holder started its first task, by the cell's clock, in milliseconds.
@@ -51,7 +51,7 @@
             changes.push(Change {
                 part: entry.part.clone(),
                 queue: entry.queue.clone(),
-                accepted: entry.waiting.accepted,
+                asked: entry.waiting.asked,
                 objective: entry.waiting.objective,
                 first: entry.first,
                 spent: entry.spent,
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -5,7 +5,8 @@
 //! go first, and late ones fill what is left in the order of their arrival. Among the former, those
 //! that have begun go first: little more work brings their whole worth. One that has not begun
 //! needs time to spare, since estimates are wrong; the one with the least goes first. Lasting jobs
-//! go before all of them, because every moment without their tasks is lost for good.
+//! go before all of them, because every moment without their tasks is lost for good. Clients that
+//! were turned away come back in the same turn; their objective goes on from their first request.
 
 /// What a job's steps take beyond their own work, in milliseconds: orders, looks and the record.
 const OVERHEAD: u64 = 250;
@@ -27,8 +28,8 @@
     pub begun: bool,
     /// Priority of its queue; 0 goes first.
     pub priority: u32,
-    /// When it was accepted, in milliseconds.
-    pub accepted: u64,
+    /// When its client first asked for it, in milliseconds.
+    pub asked: u64,
     /// When it should be completed, in milliseconds.
     pub objective: u64,
     /// Estimated time that its chain takes, in milliseconds.
@@ -52,8 +53,8 @@
 
     /// Until when its result is of use, in milliseconds.
     pub fn useful(&self) -> u64 {
-        let span = self.objective.saturating_sub(self.accepted);
-        self.accepted + span * USEFUL / 100
+        let span = self.objective.saturating_sub(self.asked);
+        self.asked + span * USEFUL / 100
     }
 
     /// Its place at a moment.
@@ -66,7 +67,7 @@
     ///     lasting: false,
     ///     begun: false,
     ///     priority: 0,
-    ///     accepted: 0,
+    ///     asked: 0,
     ///     objective: 1_900,
     ///     chain: 600,
     /// };
@@ -76,10 +77,10 @@
     pub fn rank(&self, now: u64) -> Rank {
         let latest = self.latest();
         let (class, time) = match () {
-            () if self.lasting => (0, self.accepted),
+            () if self.lasting => (0, self.asked),
             () if now <= latest && self.begun => (1, latest),
             () if now <= latest => (2, latest),
-            () => (3, self.accepted),
+            () => (3, self.asked),
         };
         Rank { class, time, priority: self.priority }
     }
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -18,6 +18,9 @@
     /// Platform time of its acceptance, in milliseconds.
     #[serde(rename = "t", default)]
     pub accepted: u64,
+    /// Platform time at which its client first asked for it, in milliseconds.
+    #[serde(rename = "a", default)]
+    pub asked: u64,
     #[serde(rename = "p", default)]
     payload: String,
     #[serde(rename = "s")]
@@ -126,11 +129,13 @@
 }
 
 impl JobRow {
-    /// The row of a job that came to `queue` at the platform's time `accepted`.
+    /// The row of a job that came to `queue` at the platform's time `accepted`, at its client's first
+    /// request.
     pub fn new(queue: &str, accepted: u64, job: &Job) -> Self {
         Self {
             queue: queue.to_owned(),
             accepted,
+            asked: accepted,
             payload: job.payload.clone(),
             steps: job.steps.iter().map(StepRow::from).collect(),
             schedule: job.schedule.map(|s| (s.first, s.every, s.times)),
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -35,7 +35,7 @@
         queue: "q".to_owned(),
         job: Job { payload: "x".to_owned(), steps, schedule: None },
         progress: Progress::default(),
-        accepted: 0,
+        asked: 0,
         inherited,
     }
 }
@@ -472,7 +472,7 @@
         let now = round * 100 + 10;
         let mut job = arrival(vec![step(2, 500)], false);
         job.id = format!("{round:016x}");
-        job.accepted = now;
+        job.asked = now;
         cell.admit(job);
         let over: Vec<_> = if running.len() > 2 { running.drain(..2).collect() } else { vec![] };
         for id in ["a", "bb", "ccc"] {
@@ -583,7 +583,7 @@
     let judge = |cell: &Cell, now| {
         let (ahead, backlog) = cell.backlog(now);
         let load = Load { jobs: cell.count(), ahead, backlog, room: 4_000 };
-        admit::judge(&load, 1_400, 500)
+        admit::judge(&load, 1_400, 500, 0)
     };
     // A hundred seconds of work wait in front of a new job.
     assert!(matches!(judge(&cell, 1_000), Verdict::Refuse(_)));
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -208,13 +208,13 @@
     for _ in 0..100 {
         load.backlog += 166_000 * 100;
         load.ahead = load.backlog;
-        if judge(&load, 2_200, 1_000) == Verdict::Accept {
+        if judge(&load, 2_200, 1_000, 0) == Verdict::Accept {
             accepted += 1;
         }
     }
     // Three objectives less the own work are 5.6 s of backlog, reached after 4.9 s.
     assert_eq!(accepted, 48);
-    let Verdict::Refuse(after) = judge(&load, 2_200, 1_000) else { panic!("refused by then") };
+    let Verdict::Refuse(after) = judge(&load, 2_200, 1_000, 0) else { panic!("refused by then") };
     assert_eq!(after, load.backlog / load.room - 5_600);
 }
 
@@ -247,8 +247,8 @@
 fn the_jobs_that_an_outage_has_made_late_refuse_none_that_can_be_in_time() {
     // Half a minute of late work for the few machines that a pool has when its turn begins.
     let load = Load { jobs: 170, ahead: 0, backlog: 3_840_000_000, room: 128_000 };
-    assert_eq!(judge(&load, 2_200, 1_000), Verdict::Accept);
+    assert_eq!(judge(&load, 2_200, 1_000, 0), Verdict::Accept);
     // In front of it there is more than it has time for.
     let load = Load { ahead: 400_000_000, ..load };
-    assert_eq!(judge(&load, 2_200, 1_000), Verdict::Refuse(1_925));
+    assert_eq!(judge(&load, 2_200, 1_000, 0), Verdict::Refuse(1_925));
 }
--- a/crates/jobs/tests/turn.rs
+++ b/crates/jobs/tests/turn.rs
@@ -128,7 +128,7 @@
                 queue: "q".to_owned(),
                 job,
                 progress: Progress::default(),
-                accepted: now,
+                asked: now,
                 inherited: false,
             });
         }
