Jobs that came while a cell had no holder do not wait for silent executors

Cause: a new holder took every job that it read back for one that the holder before may have begun, and began none of them until each executor of that holder had answered or its lease had surely ended, up to eight seconds. One executor was in the data centre that was cut off, as was the holder before.

Ruled out: memory and spread of tasks; the room was there for jobs that came later.

Change: the mark that a holder keeps in each part also tells up to which version jobs may have been begun, and no job begins before the mark covers it. A successor raises the mark in the same chain of writes, so that no job beyond the version that it finds can have begun. This costs one write for the jobs of a part that come together, and its time before their first start. It also closes a gap: a holder that had lost its lease could begin jobs that came after.

--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -14,7 +14,7 @@
 use jobs::row::JobRow;
 use jobs::share::Inflow;
 use jobs::{Progress, Rules};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Mutex, Notify, Semaphore};
 
 use crate::clock;
 use crate::context::{Context, pause};
@@ -75,6 +75,10 @@
     /// Version at which each part was read whole.
     pub read: RefCell<IndexMap<String, u64>>,
     pub ledgers: RefCell<IndexMap<String, write::Ledger>>,
+    /// Jobs that may begin once the mark of their part tells of them, by part.
+    pub unmarked: RefCell<IndexMap<String, write::Unmarked>>,
+    /// Keep the writes of each part one after the other.
+    pub locks: RefCell<IndexMap<String, Rc<Mutex<()>>>>,
     pub roster: RefCell<write::RosterState>,
     /// Jobs that were cancelled before they were seen.
     pub cancels: RefCell<indexmap::IndexSet<String>>,
@@ -115,6 +119,8 @@
             reported: RefCell::default(),
             read: RefCell::default(),
             ledgers: RefCell::default(),
+            unmarked: RefCell::default(),
+            locks: RefCell::default(),
             roster: RefCell::default(),
             cancels: RefCell::default(),
             trimmed: Cell::new(0),
@@ -229,10 +235,14 @@
         if !self.recover().await {
             return;
         }
-        let count = self.cell.borrow().count();
-        self.ctx
-            .timeline
-            .record(base::Event::CellReady, &[("cell", &self.tenure.cell), ("jobs", &count)]);
+        let (count, inherited) = {
+            let cell = self.cell.borrow();
+            (cell.count(), cell.inherited_count())
+        };
+        self.ctx.timeline.record(
+            base::Event::CellReady,
+            &[("cell", &self.tenure.cell), ("jobs", &count), ("inherited", &inherited)],
+        );
         actix::spawn(Rc::clone(&self).publish());
         actix::spawn(Rc::clone(&self).write_all());
         let mut version = self.ctx.config().map(|c| c.version);
@@ -268,8 +278,9 @@
         }
     }
 
-    /// Takes in a row of the cell's jobs.
-    pub fn take_job(&self, row: &Row, progress: Progress, inherited: bool) {
+    /// Takes in a row of the cell's jobs; one that no earlier holder can have begun waits for its
+    /// part's mark.
+    pub fn take_job(self: &Rc<Self>, row: &Row, progress: Progress, inherited: bool) {
         let key = row.place.key.as_str();
         let Some(value) = &row.value else { return };
         if let Some(id) = key.strip_suffix('!') {
@@ -303,15 +314,19 @@
             progress,
             asked: here(job.asked).min(accepted),
             inherited,
+            unmarked: !inherited,
             job: job.into(),
         };
         let mut cell = self.cell.borrow_mut();
         let flow = (!arrival.job.is_lasting()).then(|| (accepted, arrival.job.work()));
         // After a loss of history all rows are read again.
-        if cell.admit(arrival)
-            && let Some((at, work)) = flow
-        {
-            self.inflow.borrow_mut().add(at, work);
+        if cell.admit(arrival) {
+            if let Some((at, work)) = flow {
+                self.inflow.borrow_mut().add(at, work);
+            }
+            if !inherited {
+                self.unmark(&row.place.part, key, row.version);
+            }
         }
         if self.cancels.borrow_mut().swap_remove(key) {
             cell.cancel(key, now);
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    async fn recover_once(&self) -> Result<u64, WriteError> {
+    async fn recover_once(self: &Rc<Self>) -> Result<u64, WriteError> {
         self.load_roster().await?;
         self.sync_workers().await;
         let mut version = u64::MAX;
@@ -67,8 +67,8 @@
     }
 
     /// Takes a part over: marks it, so that no earlier holder writes there any more, then reads it.
-    pub(super) async fn recover_part(&self, part: &str) -> Result<(), WriteError> {
-        self.raise(part).await?;
+    pub(super) async fn recover_part(self: &Rc<Self>, part: &str) -> Result<(), WriteError> {
+        let begun = self.raise(part).await?;
         let table = keys::progress(&self.tenure.cell);
         let (rows, _) = read_all(&self.ctx, Place::new(&table, part, "")).await?;
         let mut progress: IndexMap<String, Progress> = IndexMap::new();
@@ -91,7 +91,7 @@
         self.read.borrow_mut().insert(part.to_owned(), version);
         for row in rows {
             let progress = progress.swap_remove(&row.place.key).unwrap_or_default();
-            self.take_job(&row, progress, true);
+            self.take_job(&row, progress, row.version <= begun);
         }
         Ok(())
     }
@@ -133,7 +133,7 @@
     }
 
     /// Takes in new rows; false when a new part could not be taken over.
-    async fn take_rows(&self, rows: &[Row]) -> bool {
+    async fn take_rows(self: &Rc<Self>, rows: &[Row]) -> bool {
         let fresh: IndexSet<&str> = rows
             .iter()
             .filter(|row| row.value.is_some())
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -3,6 +3,10 @@
 //! All writes of a holder in a part form a chain: each expects the mark that the one before has
 //! left. So neither an earlier holder's write nor a delayed one of this holder can come after
 //! newer ones, and a write whose answer was lost shows by the mark whether it was applied.
+//!
+//! The mark also tells up to which version jobs of the part may have been begun, and no job begins
+//! before the mark covers it. A successor that can't reach an executor need not wait for its lease
+//! before it begins the jobs that came later, such as those that came while the cell had no holder.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +16,7 @@
 use jobs::State;
 use jobs::cell::Change as JobChange;
 use jobs::row::ProgressRow;
+use tokio::sync::Mutex;
 
 use super::Inner;
 use crate::clock;
@@ -35,7 +40,15 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Ledger {
     version: u64,
-    count: u64,
+    mark: Fence,
+}
+
+/// Jobs of a part that its mark does not cover yet.
+#[derive(Debug, Default)]
+pub(crate) struct Unmarked {
+    ids: Vec<String>,
+    /// Version of the newest of them.
+    version: u64,
 }
 
 /// The durable list of executors, and its row's version.
@@ -55,23 +68,29 @@
 }
 
 impl Inner {
-    /// Marks a part as this holder's.
-    pub(super) async fn raise(&self, part: &str) -> Result<(), WriteError> {
+    /// Marks a part as this holder's; gives the version up to which its jobs may have been begun.
+    pub(super) async fn raise(&self, part: &str) -> Result<u64, WriteError> {
+        let lock = self.lock(part);
+        let _turn = lock.lock().await;
+        self.raise_locked(part).await
+    }
+
+    async fn raise_locked(&self, part: &str) -> Result<u64, WriteError> {
         let place = keys::fence(part, &self.tenure.cell);
-        let mine = Fence { epoch: self.tenure.epoch, count: 0 };
         loop {
             let page = self.ctx.ports.store.read(&place, 1).await?;
             let row = page.rows.into_iter().find(|row| row.place == place);
             let version = row.as_ref().map_or(0, |row| row.version);
-            let fence = row.and_then(|row| fence(&row)).unwrap_or_default();
+            let unread = Fence { begun: u64::MAX, ..Fence::default() };
+            let fence = row.map_or_else(Fence::default, |row| fence(&row).unwrap_or(unread));
             if fence.epoch > self.tenure.epoch {
                 return Err(WriteError::Lost);
             }
             if fence.epoch == self.tenure.epoch {
-                let ledger = Ledger { version, count: fence.count };
-                self.ledgers.borrow_mut().insert(part.to_owned(), ledger);
-                return Ok(());
+                self.advance(part, version, fence);
+                return Ok(fence.begun);
             }
+            let mine = Fence { epoch: self.tenure.epoch, count: 0, begun: fence.begun };
             let change = Change {
                 expect: vec![(place.clone(), version)],
                 writes: vec![(place.clone(), rows::encode(&mine))],
@@ -79,9 +98,8 @@
             };
             match self.ctx.ports.store.apply(&change).await {
                 Ok(done) => {
-                    let ledger = Ledger { version: done.version, count: 0 };
-                    self.ledgers.borrow_mut().insert(part.to_owned(), ledger);
-                    return Ok(());
+                    self.advance(part, done.version, mine);
+                    return Ok(mine.begun);
                 }
                 Err(ChangeError::Conflict { .. }) => {}
                 Err(error) => return Err(WriteError::Away(error.to_string())),
@@ -161,13 +179,41 @@
         true
     }
 
+    fn lock(&self, part: &str) -> Rc<Mutex<()>> {
+        let mut locks = self.locks.borrow_mut();
+        Rc::clone(locks.entry(part.to_owned()).or_default())
+    }
+
+    /// Lets a job begin once its part's mark covers its version.
+    pub(super) fn unmark(self: &Rc<Self>, part: &str, id: &str, version: u64) {
+        let first = {
+            let mut unmarked = self.unmarked.borrow_mut();
+            let first = !unmarked.contains_key(part);
+            let jobs = unmarked.entry(part.to_owned()).or_default();
+            jobs.ids.push(id.to_owned());
+            jobs.version = jobs.version.max(version);
+            first
+        };
+        if first {
+            let (inner, part) = (Rc::clone(self), part.to_owned());
+            actix::spawn(async move { inner.write_batch(&part, &[]).await });
+        }
+    }
+
+    /// Writes changes of jobs, and the mark that covers the part's new ones.
     async fn write_batch(&self, part: &str, batch: &[JobChange]) -> bool {
+        let lock = self.lock(part);
+        let _turn = lock.lock().await;
+        let fresh = self.unmarked.borrow_mut().swap_remove(part).unwrap_or_default();
+        if batch.is_empty() && fresh.ids.is_empty() {
+            return true;
+        }
         let place = keys::fence(part, &self.tenure.cell);
         while self.is_active() {
             let ledger = self.ledgers.borrow().get(part).copied();
             let Some(ledger) = ledger else {
-                match self.raise(part).await {
-                    Ok(()) => {}
+                match self.raise_locked(part).await {
+                    Ok(_) => {}
                     Err(WriteError::Lost) => self.lose("a later holder has written"),
                     Err(WriteError::Away(what)) => {
                         self.ctx.set_away(true, &what);
@@ -176,7 +222,11 @@
                 }
                 continue;
             };
-            let next = Fence { epoch: self.tenure.epoch, count: ledger.count + 1 };
+            let next = Fence {
+                count: ledger.mark.count + 1,
+                begun: ledger.mark.begun.max(fresh.version),
+                ..ledger.mark
+            };
             let mut change = Change {
                 expect: vec![(place.clone(), ledger.version)],
                 writes: vec![(place.clone(), rows::encode(&next))],
@@ -186,7 +236,8 @@
             match self.ctx.ports.store.apply(&change).await {
                 Ok(done) => {
                     self.ctx.saw_clock(done.clock);
-                    self.advance(part, done.version, next.count);
+                    self.advance(part, done.version, next);
+                    self.cover(&fresh);
                     return true;
                 }
                 Err(ChangeError::Conflict { rows }) => {
@@ -194,7 +245,8 @@
                     match row.and_then(fence) {
                         Some(seen) if seen == next => {
                             let version = row.map_or(0, |row| row.version);
-                            self.advance(part, version, next.count);
+                            self.advance(part, version, next);
+                            self.cover(&fresh);
                             return true;
                         }
                         _ => self.lose("a later holder has written"),
@@ -209,8 +261,16 @@
         false
     }
 
-    fn advance(&self, part: &str, version: u64, count: u64) {
-        self.ledgers.borrow_mut().insert(part.to_owned(), Ledger { version, count });
+    fn advance(&self, part: &str, version: u64, mark: Fence) {
+        self.ledgers.borrow_mut().insert(part.to_owned(), Ledger { version, mark });
+    }
+
+    /// Lets jobs begin that the mark of their part covers by now.
+    fn cover(&self, jobs: &Unmarked) {
+        let mut cell = self.cell.borrow_mut();
+        jobs.ids.iter().for_each(|id| cell.mark(id));
+        drop(cell);
+        self.wake.notify_one();
     }
 
     fn add(&self, change: &mut Change, job: &JobChange) {
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -90,6 +90,14 @@
     /// Its transactions in the part so far.
     #[serde(rename = "n")]
     pub count: u64,
+    /// Version up to which jobs of the part may have been begun, by any holder.
+    #[serde(rename = "s", default = "all")]
+    pub begun: u64,
+}
+
+/// A mark that does not tell which jobs may have begun allows for all of them.
+fn all() -> u64 {
+    u64::MAX
 }
 
 /// Stands in the place of a state for a job that was refused.
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -64,7 +64,7 @@
         let early = self.rules.early;
         let mut ready: Vec<Ready> = Vec::new();
         for (job, entry) in self.jobs.values_mut().enumerate() {
-            if entry.state.is_final() || (entry.inherited && !settled) {
+            if entry.state.is_final() || entry.unmarked || (entry.inherited && !settled) {
                 continue;
             }
             begin_turns(entry, wall + early);
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -143,8 +143,10 @@
     state: State,
     /// State that is durable.
     shown: State,
-    /// Whether it was there when this holder took the cell.
+    /// Whether an earlier holder may have begun it.
     inherited: bool,
+    /// Whether a successor would not know yet that it may have begun.
+    unmarked: bool,
     past: u32,
     /// Occurrences below this number have begun.
     begun: u32,
@@ -172,8 +174,12 @@
     pub progress: Progress,
     /// When its client first asked for it, by the cell's clock, in milliseconds.
     pub asked: u64,
-    /// Whether it was there when this holder took the cell.
+    /// Whether an earlier holder may have begun it; it then waits until each executor of that holder
+    /// has answered.
     pub inherited: bool,
+    /// Whether a successor would not know yet that it may have begun; it then waits for
+    /// [`Cell::mark`].
+    pub unmarked: bool,
 }
 
 /// The scheduler of one cell.
@@ -257,6 +263,7 @@
             state: if begun { State::Running } else { State::Queued },
             shown: if begun { State::Running } else { State::Queued },
             inherited: arrival.inherited,
+            unmarked: arrival.unmarked,
             past: arrival.progress.past,
             begun: arrival.progress.past,
             turns: IndexMap::new(),
@@ -282,6 +289,13 @@
         self.end_job(id, State::Cancelled, now);
     }
 
+    /// Notes that a successor will know that a job may have begun.
+    pub fn mark(&mut self, id: &str) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.unmarked = false;
+        }
+    }
+
     /// Whether the job is in the cell.
     pub fn holds(&self, id: &str) -> bool {
         self.jobs.contains_key(id)
--- a/crates/jobs/src/cell/survey.rs
+++ b/crates/jobs/src/cell/survey.rs
@@ -158,6 +158,11 @@
     pub fn count(&self) -> usize {
         self.jobs.len()
     }
+
+    /// Number of those that an earlier holder may have begun.
+    pub fn inherited_count(&self) -> usize {
+        self.jobs.values().filter(|entry| entry.inherited).count()
+    }
 }
 
 /// Estimated work of a job's tasks that have not started, in thousandths of a core times
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -37,6 +37,7 @@
         progress: Progress::default(),
         asked: 0,
         inherited,
+        unmarked: false,
     }
 }
 
@@ -219,6 +220,29 @@
     assert!(starts(&cell.tick(20, 0)).is_empty());
 }
 
+#[test]
+fn a_job_begins_only_when_a_successor_would_know_of_it() {
+    let mut cell = cell(1, &["a"]);
+    cell.looked("a", &look(1), 0, 1);
+    cell.admit(Arrival { unmarked: true, ..arrival(vec![step(1, 1_000)], false) });
+    assert!(starts(&cell.tick(10, 0)).is_empty());
+    cell.mark(JOB);
+    assert_eq!(starts(&cell.tick(20, 0)).len(), 1);
+}
+
+#[test]
+fn jobs_that_no_earlier_holder_can_have_begun_do_not_wait_for_a_silent_executor() {
+    let mut cell = cell(2, &["a"]);
+    cell.inherit(executor("b"));
+    cell.looked("a", &look(1), 0, 1);
+    let new = Arrival { id: "00000000000000bb".to_owned(), ..arrival(vec![step(1, 1_000)], false) };
+    cell.admit(arrival(vec![step(1, 1_000)], true));
+    cell.admit(new);
+    let begun = starts(&cell.tick(10, 0));
+    let jobs: Vec<&str> = begun.iter().map(|(_, task, _)| task.job.as_str()).collect();
+    assert_eq!(jobs, ["00000000000000bb"]);
+}
+
 #[test]
 fn ends_that_a_new_holder_finds_count_before_it_starts_anything() {
     let mut cell = cell(2, &["a"]);
--- a/crates/jobs/tests/turn.rs
+++ b/crates/jobs/tests/turn.rs
@@ -130,6 +130,7 @@
                 progress: Progress::default(),
                 asked: now,
                 inherited: false,
+                unmarked: false,
             });
         }
         for (at, (id, machine)) in pool.iter_mut().enumerate() {
