Machines on their way count for admission

Cause: admission divided the work ahead by the room that the pool has at the moment. At the start of a turn, and after an outage, most of the pool's machines are ordered and not there yet.

Change: the holder of a cell publishes the room that was ordered into its pool and when it will be there, from the rows of the moves, and admission counts it from then on.

--- a/crates/cells/src/desk.rs
+++ b/crates/cells/src/desk.rs
@@ -192,6 +192,7 @@
                 ("ahead", &load.waiting),
                 ("backlog", &load.backlog),
                 ("room", &load.room),
+                ("coming", &load.coming),
                 ("jobs", &load.jobs),
                 ("load_age_ms", &age),
             ],
@@ -212,6 +213,8 @@
             ahead: load.waiting,
             backlog: load.backlog,
             room: load.room,
+            coming: load.coming,
+            due: load.due.saturating_sub(self.ctx.table_now()),
         };
         match admit::judge(&load, objective, chain, waited) {
             Verdict::Accept => None,
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -13,6 +13,7 @@
 use jobs::cell::{Arrival, Usage};
 use jobs::row::JobRow;
 use jobs::share::Inflow;
+use jobs::wave::Stage;
 use jobs::{Progress, Rules};
 use tokio::sync::{Mutex, Notify, Semaphore};
 
@@ -34,6 +35,8 @@
 const REFRESH: u64 = 1_000;
 /// Least time between two log lines on a cell's load, in milliseconds.
 const NOTE: u64 = 1_000;
+/// Time from a machine's order into a pool until it takes tasks there, in milliseconds.
+const MOVE: u64 = 1_600;
 /// Executors that are published as ready to leave; keeps the row small.
 const SPARES: usize = 200;
 /// Longest part of the stop that is spent on making the last ends durable, in milliseconds.
@@ -408,12 +411,15 @@
             room += worker.entry.room.cpu;
             used += worker.used.cpu;
         }
+        let (coming, due) = self.coming();
         Load {
             pending: cell.pending(),
             jobs: cell.count() as u64,
             waiting,
             backlog,
             room,
+            coming,
+            due,
             used,
             useful: cell.useful(now),
             arriving: self.inflow.borrow_mut().rate(now),
@@ -426,6 +432,21 @@
         }
     }
 
+    /// Room of the machines that were ordered into this pool and are not there yet, in thousandths of
+    /// a core, and the table's clock by which they are, in milliseconds.
+    fn coming(&self) -> (u64, u64) {
+        let duties = self.ctx.duties.borrow();
+        let now = self.ctx.table_now();
+        let due = duties.values().map(|(_, duty)| duty).filter(|duty| {
+            let ordered = matches!(duty.stage(), Stage::Down | Stage::Done);
+            ordered && duty.wave == 0 && duty.pool == self.tenure.cell && now < duty.at + MOVE
+        });
+        let (count, last) = due.fold((0, 0), |(count, last), duty| (count + 1, duty.at.max(last)));
+        let registry = self.ctx.registry.borrow();
+        let size = registry.values().map(|entry| entry.room.cpu).max().unwrap_or(0);
+        if count == 0 { (0, 0) } else { (count * size, last + MOVE) }
+    }
+
     /// Key that a job's row has in a table of the cell.
     pub fn place(table: String, part: &str, key: &str) -> Place {
         Place { table, part: part.to_owned(), key: key.to_owned() }
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -52,6 +52,13 @@
     /// Room of the executors that take work, in thousandths of a core.
     #[serde(rename = "r")]
     pub room: u64,
+    /// Room of the machines that were ordered into the pool and are not there yet, in thousandths of
+    /// a core.
+    #[serde(rename = "m", default)]
+    pub coming: u64,
+    /// The table's clock by which they are there, in milliseconds.
+    #[serde(rename = "d", default)]
+    pub due: u64,
     /// Room that is in use, in thousandths of a core.
     #[serde(rename = "u", default)]
     pub used: u64,
--- a/crates/jobs/src/admit.rs
+++ b/crates/jobs/src/admit.rs
@@ -3,7 +3,8 @@
 //! Load pattern: in a queue's turn, jobs arrive several times as fast as the pool works them off.
 //! Jobs that can still be in time go before late ones, so that a late backlog, as an outage leaves
 //! one, does not keep a new job from being in time. One that can't be in time only has to end while
-//! its results are still of use. A job that would come after that is refused at once, with the time
+//! its results are still of use. At the start of a turn most of the machines are still on their way,
+//! and their room counts from when they are there. A job that would come after that is refused at once, with the time
 //! when there could be room for it. A client that comes back has less time left.
 
 use crate::order::USEFUL;
@@ -23,6 +24,22 @@
     pub backlog: u64,
     /// Room of the executors that take work, in thousandths of a core.
     pub room: u64,
+    /// Room of the machines that are on their way to the pool, in thousandths of a core.
+    pub coming: u64,
+    /// Time until those are there, in milliseconds.
+    pub due: u64,
+}
+
+impl Load {
+    /// Time in which so much work is done, in milliseconds; 0 without any room, as the pool is about
+    /// to get some, or its holder has just changed.
+    fn wait(&self, work: u64) -> u64 {
+        let before = self.room * self.due;
+        if self.coming == 0 || work <= before {
+            return work.checked_div(self.room).unwrap_or(0);
+        }
+        self.due + (work - before) / (self.room + self.coming)
+    }
 }
 
 /// Answer to a new job.
@@ -41,19 +58,19 @@
 ///
 /// ```
 /// use jobs::admit::{Load, Verdict, judge};
-/// let load = Load { jobs: 10, ahead: 8_000_000, backlog: 8_000_000, room: 4_000 };
+/// let load =
+///     Load { jobs: 10, ahead: 8_000_000, backlog: 8_000_000, room: 4_000, ..Load::default() };
 /// assert_eq!(judge(&load, 2_000, 1_000, 0), Verdict::Accept);
 /// assert_eq!(judge(&load, 500, 400, 0), Verdict::Refuse(900));
 /// // What is late comes after a job that can be in time.
 /// assert_eq!(judge(&Load { ahead: 0, ..load }, 500, 400, 0), Verdict::Accept);
 /// ```
 pub fn judge(load: &Load, objective: u64, chain: u64, waited: u64) -> Verdict {
-    // A pool without room is about to get some, or its holder has just changed.
-    let wait = |work: u64| work.checked_div(load.room).unwrap_or(0);
     if load.jobs >= MAX_JOBS {
-        return Verdict::Refuse(wait(load.backlog).max(1_000));
+        return Verdict::Refuse(load.wait(load.backlog).max(1_000));
     }
-    let excess = |work, until: u64| wait(work).saturating_sub(until.saturating_sub(waited + chain));
+    let excess =
+        |work, until: u64| load.wait(work).saturating_sub(until.saturating_sub(waited + chain));
     let (timely, useful) =
         (excess(load.ahead, objective), excess(load.backlog, objective * USEFUL / 100));
     match timely.min(useful) {
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -606,7 +606,7 @@
     cell.tick(2, 0);
     let judge = |cell: &Cell, now| {
         let (ahead, backlog) = cell.backlog(now);
-        let load = Load { jobs: cell.count(), ahead, backlog, room: 4_000 };
+        let load = Load { jobs: cell.count(), ahead, backlog, room: 4_000, ..Default::default() };
         admit::judge(&load, 1_400, 500, 0)
     };
     // A hundred seconds of work wait in front of a new job.
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -202,7 +202,7 @@
 
 #[test]
 fn jobs_come_in_while_their_results_are_of_use() {
-    let mut load = Load { jobs: 100, ahead: 0, backlog: 0, room: 144_000 };
+    let mut load = Load { jobs: 100, room: 144_000, ..Load::default() };
     // In a turn, 310 cores of work arrive each second at a pool of 144.
     let mut accepted = 0;
     for _ in 0..100 {
@@ -246,9 +246,26 @@
 #[test]
 fn the_jobs_that_an_outage_has_made_late_refuse_none_that_can_be_in_time() {
     // Half a minute of late work for the few machines that a pool has when its turn begins.
-    let load = Load { jobs: 170, ahead: 0, backlog: 3_840_000_000, room: 128_000 };
+    let load = Load { jobs: 170, backlog: 3_840_000_000, room: 128_000, ..Load::default() };
     assert_eq!(judge(&load, 2_200, 1_000, 0), Verdict::Accept);
     // In front of it there is more than it has time for.
     let load = Load { ahead: 400_000_000, ..load };
     assert_eq!(judge(&load, 2_200, 1_000, 0), Verdict::Refuse(1_925));
 }
+
+#[test]
+fn a_turn_that_begins_refuses_no_job_for_which_machines_are_on_their_way() {
+    // Four machines are there; 21 were ordered 1.2 s ago.
+    let load = Load {
+        jobs: 130,
+        ahead: 267_531_300,
+        backlog: 2_415_005_050,
+        room: 128_000,
+        coming: 672_000,
+        due: 400,
+    };
+    // Without them the work ahead takes 2,090 ms, with them 670 ms, and all work 3,354 ms.
+    assert_eq!(judge(&load, 2_500, 1_400, 0), Verdict::Accept);
+    assert_eq!(judge(&load, 1_400, 1_100, 0), Verdict::Refuse(254));
+    assert_eq!(judge(&Load { coming: 0, due: 0, ..load }, 2_500, 1_400, 0), Verdict::Refuse(990));
+}
