Machines on their way count until the published load has them

Cause: an ordered machine counted as on its way for 1.6 s. It takes its first task after that, and the load that other processes read tells of it up to half a second later, so that for a moment it counted nowhere.

Evidence: E2102 at 38.17 s with room=128000 coming=96000, at 37.65 s with coming=800000; E2301 of the machines.

Change: it counts as on its way for two seconds. For some tenths of a second it may count twice, which accepts a few jobs more.

--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -35,8 +35,9 @@
 const REFRESH: u64 = 1_000;
 /// Least time between two log lines on a cell's load, in milliseconds.
 const NOTE: u64 = 1_000;
-/// Time from a machine's order into a pool until it takes tasks there, in milliseconds.
-const MOVE: u64 = 1_600;
+/// Time from a machine's order into a pool until the pool's published room has it, in milliseconds:
+/// the move, its registration, the first look and the publication.
+const MOVE: u64 = 2_000;
 /// Executors that are published as ready to leave; keeps the row small.
 const SPARES: usize = 200;
 /// Longest part of the stop that is spent on making the last ends durable, in milliseconds.
