Jobs that may be in time go before late ones when machines come

Cause: a job that has no time to spare for wrong estimates, 40 % of its chain, counted as late, and late jobs go in the order of their first request, so that the hopeless ones go first.

Change: jobs that may still be in time if their estimates hold come next after those with time to spare, the one with the best chance first; those whose results are of no use any more come last.

--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -4,7 +4,9 @@
 //! its objective is worth a small part of one that ends in time, so jobs that can still be in time
 //! go first, and late ones fill what is left in the order of their arrival. Among the former, those
 //! that have begun go first: little more work brings their whole worth. One that has not begun
-//! needs time to spare, since estimates are wrong; the one with the least goes first. Lasting jobs
+//! needs time to spare, since estimates are wrong; the one with the least goes first. Where several
+//! machines come at once, those without time to spare that may be in time all the same go next, the
+//! one with the best chance first, and those whose results are of no use any more go last. Lasting jobs
 //! go before all of them, because every moment without their tasks is lost for good. Clients that
 //! were turned away come back in the same turn; their objective goes on from their first request.
 
@@ -80,7 +82,10 @@
             () if self.lasting => (0, self.asked),
             () if now <= latest && self.begun => (1, latest),
             () if now <= latest => (2, latest),
-            () => (3, self.asked),
+            // The latest start of one with a better chance is later.
+            () if now + self.chain <= self.objective => (3, u64::MAX - latest),
+            () if now <= self.useful() => (4, self.asked),
+            () => (5, self.asked),
         };
         Rank { class, time, priority: self.priority }
     }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use jobs::admit::{Load, Verdict, judge};
+use jobs::order::Waiting;
 use jobs::share::{Demand, Inflow, Shares, need};
 use jobs::wave::{Listed, Next, Stage, Wave, next};
 
@@ -269,3 +270,24 @@
     assert_eq!(judge(&load, 1_400, 1_100, 0), Verdict::Refuse(254));
     assert_eq!(judge(&Load { coming: 0, due: 0, ..load }, 2_500, 1_400, 0), Verdict::Refuse(990));
 }
+
+#[test]
+fn a_job_that_may_be_in_time_without_time_to_spare_goes_before_those_that_can_not() {
+    let waiting = |asked, chain: u64| Waiting {
+        lasting: false,
+        begun: false,
+        priority: 0,
+        asked,
+        objective: asked + chain * 1_600 / 1_000 + 600,
+        chain,
+    };
+    // Twenty machines come at 2.7 s, to what has waited for them.
+    let now = 2_700;
+    let (late, tight, better) = (waiting(0, 800), waiting(1_800, 1_000), waiting(2_000, 500));
+    let useless = waiting(0, 100);
+    assert!(tight.rank(now) < late.rank(now));
+    assert!(better.rank(now) < tight.rank(now));
+    assert!(late.rank(now) < useless.rank(now));
+    // One with time to spare goes before all of them.
+    assert!(waiting(2_500, 1_000).rank(now) < better.rank(now));
+}
--- a/crates/jobs/tests/turn.rs
+++ b/crates/jobs/tests/turn.rs
@@ -70,9 +70,28 @@
     }
 }
 
-/// Plays jobs of a kind for some seconds on machines of a size.
-fn play(kind: &Kind, machines: usize, size: u64, look_gap: u64, seed: u64) -> Score {
-    let seconds = 8;
+/// When a play begins, in milliseconds.
+const START: u64 = 60_000;
+/// Length of a turn, in milliseconds.
+const TURN: u64 = 8_000;
+
+/// What a turn finds.
+#[derive(Default)]
+struct Stage {
+    /// Machines that are there, and those that come later.
+    machines: (usize, usize),
+    /// Room of one, in thousandths of a core.
+    size: u64,
+    /// When the later ones are there, in milliseconds from the start.
+    later: u64,
+    /// Length of an outage before it, in which jobs were handed in, in milliseconds.
+    outage: u64,
+    /// Time between two looks at an executor, in milliseconds.
+    gap: u64,
+}
+
+/// Plays a turn of jobs of a kind.
+fn play(kind: &Kind, stage: &Stage, seed: u64) -> Score {
     let mut dice = Dice(seed);
     let rules = Rules { lease: 6_000, legacy: 16_000, stop: 200, early: 0, term: 1 };
     let mut cell = Cell::new(rules, 0);
@@ -80,26 +99,30 @@
     let queue = Queue { name: "q".to_owned(), attempts: 3, stretch, target, ..Queue::default() };
     cell.configure(std::iter::once(&queue));
     let mut pool: IndexMap<String, Machine> = IndexMap::new();
-    for n in 0..machines {
-        let id = format!("w{n}");
-        cell.register(Registration {
-            id: id.clone(),
-            pool: "p".to_owned(),
-            address: format!("10.0.0.{n}:1"),
-            ready: true,
-            room: Room { cpu: size, memory: 1 << 20, gpus: 0 },
-            ..Registration::default()
-        });
-        cell.looked(&id, &Look { clock: 1, ..Look::default() }, 0, 1);
-        pool.insert(id, Machine::default());
-    }
+    let entry = |id: &str| Registration {
+        id: id.to_owned(),
+        pool: "p".to_owned(),
+        address: format!("{id}:1"),
+        ready: true,
+        room: Room { cpu: stage.size, memory: 1 << 20, gpus: 0 },
+        ..Registration::default()
+    };
+    let (there, coming) = stage.machines;
     let mut lengths: IndexMap<String, Vec<u64>> = IndexMap::new();
     let mut due: IndexMap<String, u64> = IndexMap::new();
     let mut ends: IndexMap<String, u64> = IndexMap::new();
     let mut orders: BTreeMap<u64, Vec<Order>> = BTreeMap::new();
-    let (mut next, mut number) = (0.0, 0);
-    for now in (STEP..seconds * 1_000 + 20_000).step_by(STEP as usize) {
-        while next < now as f64 && now < seconds * 1_000 {
+    let (mut next, mut number) = ((START - stage.outage) as f64, 0);
+    for now in (START..START + TURN + 20_000).step_by(STEP as usize) {
+        let machines = if now < START + stage.later { there } else { there + coming };
+        for n in pool.len()..machines {
+            let id = format!("w{n}");
+            cell.register(entry(&id));
+            cell.looked(&id, &Look { clock: now, ..Look::default() }, now, now);
+            pool.insert(id, Machine::default());
+        }
+        while next < now as f64 && now < START + TURN {
+            let asked = next as u64;
             next += -dice.roll().max(1e-9).ln() * 1_000.0 / kind.rate;
             number += 1;
             let id = format!("{number:016x}");
@@ -119,7 +142,9 @@
                 });
             }
             let chain: u64 = real.iter().sum();
-            due.insert(id.clone(), now + chain * stretch / 1_000 + target);
+            if asked >= START {
+                due.insert(id.clone(), asked + chain * stretch / 1_000 + target);
+            }
             lengths.insert(id.clone(), real);
             let job = Job { payload: String::new(), steps, schedule: None };
             cell.admit(Arrival {
@@ -128,7 +153,7 @@
                 queue: "q".to_owned(),
                 job,
                 progress: Progress::default(),
-                asked: now,
+                asked,
                 inherited: false,
                 unmarked: false,
             });
@@ -147,7 +172,7 @@
                     saved: String::new(),
                 });
             }
-            if (now / STEP) % (look_gap / STEP) == at as u64 % (look_gap / STEP) {
+            if (now / STEP) % (stage.gap / STEP) == at as u64 % (stage.gap / STEP) {
                 let percent = |r: &Run| 100 - r.ends.saturating_sub(now) * 100 / r.length.max(1);
                 let present = machine.runs.iter().map(|r| Present {
                     task: r.task.clone(),
@@ -170,7 +195,7 @@
             let slot = &cell.workers()[&worker].runs[&task];
             let (length, cpu) = (lengths[&task.job][task.step], slot.room.cpu);
             let used: u64 = machine.runs.iter().map(|r| r.cpu).sum();
-            assert!(used + cpu <= size, "{worker} has no room for {task}");
+            assert!(used + cpu <= stage.size, "{worker} has no room for {task}");
             machine.runs.push(Run { task: task.clone(), run, cpu, ends: now + length, length });
             cell.started(&worker, &task, run, StartOutcome::Running(now), now);
         }
@@ -197,7 +222,19 @@
     // What happens on one executor in sixteen of the pool.
     let gap = jobs::watch::pause(240);
     for seed in 1..=4 {
-        let score = play(&kind, 15, 16_000, gap, seed);
+        let stage = Stage { machines: (15, 0), size: 16_000, gap, ..Stage::default() };
+        let score = play(&kind, &stage, seed);
         assert!(score.share() > TIMELY, "seed {seed}, looks each {gap} ms: {score:?}");
     }
 }
+
+/// Most of the machines of a turn come late, after an outage whose jobs wait as well.
+#[test]
+fn a_turn_whose_machines_come_late_still_serves_most_jobs() {
+    let kind = Kind { rate: 22.0, steps: 1.6, width: 6.0, cpu: 2_300.0, work: 1_000.0, doubt: 0.5 };
+    let stage = Stage { machines: (4, 21), size: 32_000, later: 2_700, outage: 4_000, gap: 100 };
+    for seed in 1..=4 {
+        let score = play(&kind, &stage, seed);
+        assert!(score.share() > TIMELY, "seed {seed}: {score:?}");
+    }
+}
