Of the jobs with time to spare the smallest go first

What callers saw: in the turn of a queue that brings more than its pool takes, and most of all after an outage, a few large jobs took the room of many small ones, and the small ones were late.

Cause: jobs with time to spare went in the order of their latest starts, without regard to what they take. With more of them than room, that order serves the fewest.

Ruled out: letting stand back only the largest of those that can't all be in time (Moore and Hodgson's algorithm, trial): less of the gain in an earlier form of the replay, and none once what is under way counts as ahead of them.

Change: the order among them is by estimated work. A job that has begun still goes before them, and one that has lost its time to spare comes after them, as before.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -513,5 +513,6 @@
         asked,
         objective,
         chain,
+        work: job.work(),
     }
 }
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -4,7 +4,8 @@
 //! its objective is worth a small part of one that ends in time, so jobs that can still be in time
 //! go first, and late ones fill what is left in the order of their arrival. Among the former, those
 //! that have begun go first: little more work brings their whole worth. One that has not begun
-//! needs time to spare, since estimates are wrong; the one with the least goes first. Where several
+//! needs time to spare, since estimates are wrong. With more of those than room, the smallest first
+//! gives the most clients their result in time. Where several
 //! machines come at once, those without time to spare that may be in time all the same go next, the
 //! one with the best chance first, and those whose results are of no use any more go last. Lasting jobs
 //! go before all of them, because every moment without their tasks is lost for good. Clients that
@@ -36,13 +37,16 @@
     pub objective: u64,
     /// Estimated time that its chain takes, in milliseconds.
     pub chain: u64,
+    /// Estimated work, in thousandths of a core times milliseconds.
+    pub work: u64,
 }
 
 /// Place of a job in the order; smaller goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     class: u8,
-    time: u64,
+    /// Time or work, by the class.
+    order: u64,
     priority: u32,
 }
 
@@ -72,21 +76,24 @@
     ///     asked: 0,
     ///     objective: 1_900,
     ///     chain: 600,
+    ///     work: 600_000,
     /// };
     /// let late = Waiting { objective: 900, ..early };
     /// assert!(early.rank(100) < late.rank(100));
+    /// let large = Waiting { work: 6_000_000, ..early };
+    /// assert!(early.rank(100) < large.rank(100));
     /// ```
     pub fn rank(&self, now: u64) -> Rank {
         let latest = self.latest();
-        let (class, time) = match () {
+        let (class, order) = match () {
             () if self.lasting => (0, self.asked),
             () if now <= latest && self.begun => (1, latest),
-            () if now <= latest => (2, latest),
+            () if now <= latest => (2, self.work),
             // The latest start of one with a better chance is later.
             () if now + self.chain <= self.objective => (3, u64::MAX - latest),
             () if now <= self.useful() => (4, self.asked),
             () => (5, self.asked),
         };
-        Rank { class, time, priority: self.priority }
+        Rank { class, order, priority: self.priority }
     }
 }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -280,6 +280,7 @@
         asked,
         objective: asked + chain * 1_600 / 1_000 + 600,
         chain,
+        work: chain * 14_000,
     };
     // Twenty machines come at 2.7 s, to what has waited for them.
     let now = 2_700;
@@ -291,3 +292,21 @@
     // One with time to spare goes before all of them.
     assert!(waiting(2_500, 1_000).rank(now) < better.rank(now));
 }
+
+#[test]
+fn with_more_jobs_in_time_than_room_the_smallest_go_first() {
+    let job = |objective, work| Waiting {
+        lasting: false,
+        begun: false,
+        priority: 0,
+        asked: 0,
+        objective,
+        chain: 1_000,
+        work,
+    };
+    // The large one has less time to spare, and takes the room of twelve others.
+    let (large, small) = (job(2_000, 120_000_000), job(2_200, 10_000_000));
+    assert!(small.rank(100) < large.rank(100));
+    // Once it is under way, its work is not thrown away.
+    assert!(Waiting { begun: true, ..large }.rank(100) < small.rank(100));
+}
