--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -3,8 +3,8 @@
 //! Load pattern: the queues' demand rises and falls by turns. In its turn a queue asks for several
 //! times its mean, more than its pool holds, while the others are nearly idle; a turn lasts a few
 //! times as long as a move takes. So machines follow the work that arrives, first the ones that
-//! stand by, then the ones that other pools do not need, and a pool that stays below its size gives
-//! machines back to standby.
+//! stand by, then the ones that other pools do not need. Between turns the pools come back to even
+//! shares, and only what is left of an even division goes to standby.
 
 use std::collections::VecDeque;
 
