Read again: a job's row is encoded without a copy, and the replays share their chance

Cause: each try to store a job copied its whole row in order to set when it was first asked for, and two replays of the scheduler's tests had the same generator and the same arrivals written out.

Change: the row is set in place; jobs/tests/dice has the generator and the time to the next arrival for both. The same numbers in the same order, the same checks and bounds. A paragraph of claim's module text is wrapped anew.

--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -5,8 +5,8 @@
 //! that are alive, the one with the fewest cells takes the next. A cell without a holder that
 //! reaches the table ends no job, and no machine moves without the fleet's, so that a holder is
 //! replaced after a few missing beats; after an outage of the table, once the others have returned
-//! to it. The former one can't order any more: executors compare
-//! epochs, and a machine's row has to be written before it gets an order.
+//! to it. The former one can't order any more: executors compare epochs, and a machine's row has to
+//! be written before it gets an order.
 
 use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/cells/src/intake.rs
+++ b/crates/cells/src/intake.rs
@@ -121,7 +121,7 @@
     let mut unique: IndexMap<String, ()> = IndexMap::new();
     let mut again = Vec::new();
     let mut sent = Vec::new();
-    for item in batch {
+    for mut item in batch {
         // The same job twice in one batch: the second finds the first stored.
         if unique.insert(item.entry.id.clone(), ()).is_some() {
             again.push(item);
@@ -134,11 +134,10 @@
             None => StateRow::refused(item.entry.asked),
         };
         change.writes.push((place.clone(), rows::encode(&state)));
-        if let Some(job) = &item.entry.job {
+        if let Some(job) = &mut item.entry.job {
             let row = Place { table: keys::jobs(&item.entry.cell), ..place };
-            let mut job = job.clone();
             job.asked = item.entry.asked;
-            change.writes.push((row, rows::encode(&job)));
+            change.writes.push((row, rows::encode(job)));
         }
         sent.push(item);
     }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -1,5 +1,8 @@
 //! Replays of loads against the decisions on capacity: shares of pools, waves, admission.
 
+mod dice;
+
+use dice::Dice;
 use indexmap::IndexMap;
 use jobs::admit::{Load, Verdict, judge};
 use jobs::order::Waiting;
@@ -103,16 +106,12 @@
 /// Peaks within 1.2 s of the rates of a random but steady inflow, each against its mean, in
 /// percent, smallest first.
 fn steady_rates(a_second: f64, work: u64, late: u64) -> Vec<u64> {
-    let (mut inflow, mut seed) = (Inflow::default(), 7u64);
-    let mut roll = || {
-        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        f64::from(u32::try_from(seed >> 33).unwrap()) / f64::from(1u32 << 31)
-    };
+    let (mut inflow, mut dice) = (Inflow::default(), Dice(7));
     let (mut next, mut waiting, mut rates) = (0.0, Vec::new(), Vec::new());
     for now in (0..40_000u64).step_by(50) {
         while next < now as f64 {
-            waiting.push((next as u64, (work as f64 * 2.0 * roll()) as u64));
-            next += -roll().max(1e-9).ln() * 1_000.0 / a_second;
+            waiting.push((next as u64, (work as f64 * 2.0 * dice.roll()) as u64));
+            next += dice.gap(a_second);
         }
         if now % late.max(50) == 0 {
             waiting.drain(..).for_each(|(at, work)| inflow.add(at, work));
--- a/crates/jobs/tests/turn.rs
+++ b/crates/jobs/tests/turn.rs
@@ -1,7 +1,10 @@
 //! A queue's turn, replayed through the scheduler: jobs arrive faster than the pool works them off.
 
+mod dice;
+
 use std::collections::BTreeMap;
 
+use dice::Dice;
 use indexmap::IndexMap;
 use jobs::cell::{Arrival, Order, StartOutcome};
 use jobs::worker::{Ended, Present};
@@ -12,16 +15,7 @@
 /// Time from an order to its answer, in milliseconds.
 const ORDER: u64 = 10;
 
-/// Repeatable numbers from 0 to 1.
-struct Dice(u64);
-
 impl Dice {
-    fn roll(&mut self) -> f64 {
-        self.0 =
-            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        f64::from(u32::try_from(self.0 >> 33).unwrap()) / f64::from(1u32 << 31)
-    }
-
     /// A whole number near a mean, between a quarter of it and so many times the mean.
     fn near(&mut self, mean: f64, most: f64) -> u64 {
         // The sum of four is bell-shaped around 2.
@@ -123,7 +117,7 @@
         }
         while next < now as f64 && now < START + TURN {
             let asked = next as u64;
-            next += -dice.roll().max(1e-9).ln() * 1_000.0 / kind.rate;
+            next += dice.gap(kind.rate);
             number += 1;
             let id = format!("{number:016x}");
             let count = dice.near(kind.steps, 2.5).clamp(1, 4);
