Log long-running tasks that do not run, with the reasons

E2206 task-waits names them once a second, at most four tasks at a time. accepts_tasks is now the absence of an obstacle; the conditions are the same.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -87,6 +87,8 @@
     AdviceTaken = 2204,
     /// A run ended without success.
     RunEnded = 2205,
+    /// A long-running task has not run for seconds; the fields hold the reasons.
+    TaskWaits = 2206,
     /// An executor answered the cell's lease holder for the first time.
     ExecutorJoined = 2301,
     /// An executor did not answer, was replaced by another incarnation or left the machine list.
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -42,6 +42,11 @@
 const LOAD_PUBLISH_TIMEOUT: Duration = Duration::from_millis(700);
 /// Minimum time between two log lines about a cell's load, in milliseconds.
 const LOAD_LOG_INTERVAL_MS: u64 = 1_000;
+/// Time without a run after which a long-running task is logged, in milliseconds; longer than a stop
+/// and a start.
+const WAITING_TASK_LOG_MS: u64 = 2_000;
+/// Maximum number of waiting tasks logged at a time.
+const MAX_LOGGED_WAITING_TASKS: usize = 4;
 /// Time from the order that moves a machine into a pool until the pool's published capacity
 /// includes it, in milliseconds: the move, the registration, the first poll and the publication.
 const MACHINE_MOVE_MS: u64 = 2_000;
@@ -419,6 +424,7 @@
             if load.jobs > 0 && clock::now() >= logged + LOAD_LOG_INTERVAL_MS {
                 logged = clock::now();
                 self.log_load(&load, &usage);
+                self.log_waiting_tasks();
             }
             if load.is_worth_publishing(&last) {
                 // An outage of the loads' part must not delay the pool's state.
@@ -526,6 +532,30 @@
         );
     }
 
+    /// Logs long-running tasks that do not run, with the reasons.
+    fn log_waiting_tasks(&self) {
+        let waiting = self.cell.borrow().waiting_tasks(WAITING_TASK_LOG_MS, clock::now());
+        for wait in waiting.iter().take(MAX_LOGGED_WAITING_TASKS) {
+            let held_by = wait.held_by.as_ref();
+            let held_by = held_by.map(|(id, phase)| format!("{id} {phase}")).unwrap_or_default();
+            let reasons = wait.obstacles.iter().map(|(why, count)| format!("{why} {count}"));
+            self.ctx.timeline.record(
+                base::Event::TaskWaits,
+                &[
+                    ("cell", &self.tenure.cell),
+                    ("task", &wait.task),
+                    ("waited_ms", &wait.waited),
+                    ("cpu", &wait.need.cpu),
+                    ("memory", &wait.need.memory),
+                    ("held_by", &held_by),
+                    ("executors", &reasons.collect::<Vec<_>>().join(", ")),
+                    ("eligible", &wait.eligible),
+                    ("waiting", &waiting.len()),
+                ],
+            );
+        }
+    }
+
     /// Computes the load to publish.
     fn load(&self, limits: &ShrinkLimits) -> Load {
         let cell = self.cell.borrow();
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -16,6 +16,7 @@
 mod poll;
 mod record;
 mod stall;
+mod wait;
 
 use std::rc::Rc;
 
@@ -25,6 +26,7 @@
 pub use load::{ShrinkLimits, Usage};
 pub use outcome::{Refusal, StartOutcome};
 pub use record::{Flush, JobChange};
+pub use wait::WaitingTask;
 
 use crate::job::{Job, State, TaskId};
 use crate::order::Candidate;
--- /dev/null
+++ b/crates/jobs/src/cell/wait.rs
@@ -0,0 +1,88 @@
+//! Long-running tasks that do not run, with the reasons, for the log.
+
+use indexmap::IndexMap;
+
+use super::{Cell, JobEntry};
+use crate::job::TaskId;
+use crate::place;
+use crate::worker::{Obstacle, Phase, Resources};
+
+/// A long-running task that does not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaitingTask {
+    /// Task.
+    pub task: TaskId,
+    /// Time since its last run ended or the last order for it was sent, in milliseconds.
+    pub waited: u64,
+    /// Resources that the task needs.
+    pub need: Resources,
+    /// Executor on which the task may be running, with the phase of that run.
+    pub held_by: Option<(String, Phase)>,
+    /// Number of executors that can't get the task, by reason.
+    pub obstacles: IndexMap<Obstacle, usize>,
+    /// Number of executors that could get the task.
+    pub eligible: usize,
+}
+
+impl Cell {
+    /// Long-running tasks that have not run for at least `min_wait` milliseconds.
+    pub fn waiting_tasks(&self, min_wait: u64, now: u64) -> Vec<WaitingTask> {
+        let mut waiting = Vec::new();
+        let jobs = self.jobs.iter().filter(|(_, e)| e.candidate.long_running);
+        for (id, entry) in jobs.filter(|(_, e)| !e.state.is_final()) {
+            for (occurrence, steps) in &entry.occurrences {
+                for step in (0..steps.len()).filter(|n| entry.job.steps[*n].long_running) {
+                    for index in (0u32..).zip(&steps[step].tasks).map(|(n, _)| n) {
+                        let task = TaskId { job: id.clone(), occurrence: *occurrence, step, index };
+                        waiting.extend(
+                            self.waiting_task(entry, task, now).filter(|w| w.waited >= min_wait),
+                        );
+                    }
+                }
+            }
+        }
+        waiting
+    }
+
+    /// Describes a task; `None` if it runs.
+    fn waiting_task(&self, entry: &JobEntry, task: TaskId, now: u64) -> Option<WaitingTask> {
+        let step = &entry.occurrences[&task.occurrence][task.step];
+        let state = &step.tasks[task.index as usize];
+        let worker = state.worker.as_ref().and_then(|id| self.workers.get(id));
+        let slot = worker.and_then(|worker| worker.runs.get(&task));
+        if slot.is_some_and(|slot| slot.phase == Phase::Running)
+            && worker.is_some_and(|worker| worker.unanswered == 0)
+        {
+            return None;
+        }
+        let since = slot
+            .map_or(state.not_before.max(entry.candidate.requested_at), |slot| slot.phase_since);
+        let spec = &entry.job.steps[task.step];
+        let need = place::required_resources(spec);
+        let mut obstacles: IndexMap<Obstacle, usize> = IndexMap::new();
+        let mut eligible = 0;
+        for (id, worker) in &self.workers {
+            let siblings = step.tasks.iter().filter(|t| t.worker.as_ref() == Some(id)).count();
+            let siblings = u32::try_from(siblings).unwrap_or(u32::MAX);
+            let obstacle = worker.obstacle(now).or_else(|| match () {
+                () if !place::is_eligible(spec, worker, siblings) => Some(Obstacle::Constrained),
+                () if !worker.free().fits(need) => Some(Obstacle::Full),
+                () => None,
+            });
+            match obstacle {
+                Some(obstacle) => *obstacles.entry(obstacle).or_default() += 1,
+                None => eligible += 1,
+            }
+        }
+        let held_by =
+            state.worker.clone().map(|id| (id, slot.map_or(Phase::Unsure, |slot| slot.phase)));
+        Some(WaitingTask {
+            waited: now.saturating_sub(since),
+            task,
+            need,
+            held_by,
+            obstacles,
+            eligible,
+        })
+    }
+}
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -154,6 +154,28 @@
     Stopped,
 }
 
+/// Why an executor gets no new task, or not a particular one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum Obstacle {
+    /// The incarnation has ended, or the registry no longer lists it.
+    Gone,
+    /// The executor has not answered this holder yet.
+    Unjoined,
+    /// The executor is emptied for maintenance or a move of its machine.
+    Leaving,
+    /// The executor has announced its shutdown or is not ready.
+    Draining,
+    /// The executor does not answer.
+    Silent,
+    /// Tasks have failed on the executor lately.
+    Excluded,
+    /// Not enough resources are free.
+    Full,
+    /// A label that the task needs is missing, or too many tasks of the step run there.
+    Constrained,
+}
+
 /// A run that an executor has, or may have, and the resources reserved for it.
 #[derive(Debug, Clone)]
 pub struct Slot {
@@ -264,14 +286,22 @@
 
     /// Whether new tasks may be sent to the executor.
     pub fn accepts_tasks(&self, now: u64) -> bool {
-        self.listed
-            && self.joined
-            && !self.dead
-            && !self.leaving
-            && self.registration.ready
-            && self.unanswered == 0
-            && now >= self.excluded_until
-            && now <= self.last_answer_at + ANSWER_VALIDITY_MS
+        self.obstacle(now).is_none()
+    }
+
+    /// Why no new tasks may be sent to the executor; `None` if they may.
+    pub fn obstacle(&self, now: u64) -> Option<Obstacle> {
+        match () {
+            () if self.dead || !self.listed => Some(Obstacle::Gone),
+            () if !self.joined => Some(Obstacle::Unjoined),
+            () if self.leaving => Some(Obstacle::Leaving),
+            () if !self.registration.ready => Some(Obstacle::Draining),
+            () if self.unanswered > 0 || now > self.last_answer_at + ANSWER_VALIDITY_MS => {
+                Some(Obstacle::Silent)
+            }
+            () if now < self.excluded_until => Some(Obstacle::Excluded),
+            () => None,
+        }
     }
 
     /// Expected clock of the executor at `now`, by its last answer.
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -775,3 +775,29 @@
     cell.flush_done(&flush);
     assert!(!cell.admit(arrival(vec![step(1, 100)], true)), "the job has ended");
 }
+
+/// The log must show why a long-running task does not run: without the reasons a full pool, an
+/// executor that may still run the task and a fault of the scheduler look alike.
+#[test]
+fn a_waiting_long_running_task_names_what_keeps_it_from_running() {
+    let mut cell = cell(1, &["a", "b"]);
+    let lasting = Step { long_running: true, ..step(1, 3_000) };
+    cell.admit(Arrival {
+        id: "00000000000000bb".to_owned(),
+        ..arrival(vec![step(1, 2_000)], false)
+    });
+    cell.handle_poll("a", &poll_answer(100), 0, 1);
+    cell.tick(2, 0);
+    cell.admit(arrival(vec![lasting], false));
+    cell.tick(5, 0);
+    let waiting = cell.waiting_tasks(1_000, 1_500);
+    assert_eq!(waiting.len(), 1);
+    assert_eq!((waiting[0].task.clone(), waiting[0].eligible), (task(0, 0), 0));
+    let reasons: Vec<String> =
+        waiting[0].obstacles.iter().map(|(why, count)| format!("{why} {count}")).collect();
+    assert_eq!(reasons, ["full 1", "unjoined 1"]);
+    cell.handle_poll("b", &poll_answer(100), 0, 1_501);
+    cell.tick(1_502, 0);
+    cell.handle_start_outcome("b", &task(0, 0), 1, StartOutcome::Running(101), 1_503);
+    assert!(cell.waiting_tasks(0, 9_000).is_empty());
+}
