Count the wait of a task from the last answer of its executor

A new holder logged tasks that it had just taken over as waiting since their job was handed in, and tasks on a silent executor since their start.

--- a/crates/jobs/src/cell/wait.rs
+++ b/crates/jobs/src/cell/wait.rs
@@ -12,7 +12,8 @@
 pub struct WaitingTask {
     /// Task.
     pub task: TaskId,
-    /// Time since its last run ended or the last order for it was sent, in milliseconds.
+    /// Time for which it has not run under this holder, or its executor has not answered, in
+    /// milliseconds.
     pub waited: u64,
     /// Resources that the task needs.
     pub need: Resources,
@@ -50,13 +51,15 @@
         let state = &step.tasks[task.index as usize];
         let worker = state.worker.as_ref().and_then(|id| self.workers.get(id));
         let slot = worker.and_then(|worker| worker.runs.get(&task));
-        if slot.is_some_and(|slot| slot.phase == Phase::Running)
-            && worker.is_some_and(|worker| worker.unanswered == 0)
-        {
+        let running = slot.is_some_and(|slot| slot.phase == Phase::Running);
+        if running && worker.is_some_and(|worker| worker.unanswered == 0) {
             return None;
         }
-        let since = slot
-            .map_or(state.not_before.max(entry.candidate.requested_at), |slot| slot.phase_since);
+        let since = match (slot, worker) {
+            (Some(slot), Some(worker)) => slot.phase_since.max(worker.last_answer_at),
+            _ => state.not_before.max(entry.candidate.requested_at),
+        };
+        let since = since.max(self.acquired);
         let spec = &entry.job.steps[task.step];
         let need = place::required_resources(spec);
         let mut obstacles: IndexMap<Obstacle, usize> = IndexMap::new();
