Release leases of cells that their holder no longer runs

What callers see: a cell that nobody runs. Its executors' leases lapse, and no task starts until the process that holds the lease ends. Cause: a holder that stops acting for a cell, such as after an executor has refused its epoch or after a planned hand-over whose write failed, keeps the lease. It goes on with its heartbeats, so no other process claims the cell, and claims() passes over a cell whose holder is alive, also when that is the process itself. A claim that is applied late, after its outcome was taken for lost, ends the same way. Change: each round a candidate releases the leases that name it for cells it does not run; the next candidate takes them at once.

--- a/crates/cells/src/claim.rs
+++ b/crates/cells/src/claim.rs
@@ -257,6 +257,15 @@
             .cloned()
     }
 
+    /// Returns the cells whose lease names the incarnation `me` although it does not run them, each
+    /// with the version of the lease's row and its term.
+    pub fn orphans(&self, me: &str, is_held: impl Fn(&str) -> bool) -> Vec<(String, u64, u64)> {
+        let own = self.leases.iter().filter(|(_, (_, lease))| lease.holder == me);
+        own.filter(|(cell, _)| !is_held(cell))
+            .map(|(cell, (version, lease))| (cell.clone(), *version, lease.term))
+            .collect()
+    }
+
     /// Returns the live incarnations that accept cells, each with the number that it holds.
     fn cell_counts(&self, live: &IndexMap<String, bool>) -> IndexMap<String, usize> {
         let candidates = live.iter().filter(|(_, accepts_cells)| **accepts_cells);
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -19,7 +19,7 @@
 use crate::follow::{decode_rows, read_all};
 use crate::guard;
 use crate::keys;
-use crate::owner::{Owner, Tenure};
+use crate::owner::{self, Owner, Tenure};
 use crate::ports::{Place, ReadError, Transaction, TransactionError};
 use crate::rows::{self, Heartbeat, Lease, Load};
 use crate::standby::{self, Census, Contender};
@@ -295,6 +295,7 @@
             (Ok(heartbeats), Ok(leases)) => {
                 let candidates = heartbeats.clone();
                 self.observations.borrow_mut().observe(heartbeats, leases, clock::now());
+                self.release_orphans().await;
                 self.claim_cells().await;
                 self.hand_over().await;
                 self.resign_if_surplus(&candidates);
@@ -399,6 +400,29 @@
         self.settle_unconfirmed(leases);
     }
 
+    /// Releases leases of this process whose cells it no longer runs.
+    ///
+    /// A holder that stops acting for a cell, such as after an executor has refused its epoch, keeps the
+    /// lease. As long as the process lives, no other process would claim the cell.
+    async fn release_orphans(&self) {
+        let orphans = {
+            let held = self.held.borrow();
+            let unconfirmed = self.unconfirmed.borrow();
+            let is_held = |cell: &str| {
+                held.owners.contains_key(cell)
+                    || (cell == keys::FLEET_CELL && held.fleet.is_some())
+                    || unconfirmed.contains_key(cell)
+            };
+            self.observations.borrow().orphans(&self.ctx.holder_name(), is_held)
+        };
+        for (cell, epoch, term) in orphans {
+            let tenure = Tenure { cell, epoch, term, predecessor_ended: false };
+            if let Err(error) = owner::try_release_lease(&self.ctx, &tenure).await {
+                self.ctx.record_table_call(true, &error);
+            }
+        }
+    }
+
     /// Reads the leases.
     ///
     /// A lease that can't be decoded counts as that of an unknown process, which is not alive, so that
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -225,25 +225,9 @@
 
 /// Releases a lease by clearing its holder, so that another process can take the cell at once.
 pub(crate) async fn release_lease(ctx: &Context, tenure: &Tenure) {
-    let place = keys::lease(&tenure.cell);
-    let row = rows::encode(&Lease { holder: String::new(), term: tenure.term });
-    let transaction = Transaction {
-        expect: vec![(place.clone(), tenure.epoch)],
-        writes: vec![(place, row)],
-        removes: Vec::new(),
-    };
     let deadline = clock::now() + RELEASE_TIMEOUT_MS;
     loop {
-        let error = match ctx.ports.store.apply(&transaction).await {
-            Ok(_) => {
-                ctx.timeline.record(base::Event::CellReleased, &[("cell", &tenure.cell)]);
-                return;
-            }
-            // An earlier attempt was applied although its response was lost, or another process
-            // holds the lease.
-            Err(TransactionError::Conflict { .. }) => return,
-            Err(error) => error.to_string(),
-        };
+        let Err(error) = try_release_lease(ctx, tenure).await else { return };
         if clock::now() >= deadline {
             ctx.timeline.record(
                 base::Event::CellLost,
@@ -255,6 +239,27 @@
     }
 }
 
+/// Tries once to release a lease; an error if that may not have succeeded.
+pub(crate) async fn try_release_lease(ctx: &Context, tenure: &Tenure) -> Result<(), String> {
+    let place = keys::lease(&tenure.cell);
+    let row = rows::encode(&Lease { holder: String::new(), term: tenure.term });
+    let transaction = Transaction {
+        expect: vec![(place.clone(), tenure.epoch)],
+        writes: vec![(place, row)],
+        removes: Vec::new(),
+    };
+    match ctx.ports.store.apply(&transaction).await {
+        Ok(_) => {
+            ctx.timeline.record(base::Event::CellReleased, &[("cell", &tenure.cell)]);
+            Ok(())
+        }
+        // An earlier attempt was applied although its response was lost, or another process holds
+        // the lease.
+        Err(TransactionError::Conflict { .. }) => Ok(()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
 impl Inner {
     /// Whether this process may act for the cell, which is not known to be lost.
     pub fn is_active(&self) -> bool {
