Let machines that refuse their orders not hold up their wave

A long-running task whose other executors had its siblings waited 3.3 s for them. Cause: a refused order left its machine in the stage Down, where it took one of the wave's slots, and the repeats were sent before new orders and used up the wave's share of the order rate. Change: a refused machine goes back to Emptying unless another order for it may be under way, counts as not begun while it is busy, and is ordered again after a second. Test: machines_that_refuse_their_orders_do_not_hold_up_the_others_of_their_wave; with refused machines left in Down, 0 of the 8 other machines were done (the test failed), now 8.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -67,6 +67,11 @@
     listed_at: Cell<u64>,
     /// Times at which this holder's orders were accepted, by wave and machine, in milliseconds.
     accepted: RefCell<IndexMap<(u64, String), u64>>,
+    /// Machines whose last order for a wave was refused as they were busy, with the time of the next
+    /// attempt in milliseconds.
+    busy_until: RefCell<IndexMap<String, u64>>,
+    /// Orders for waves with an unknown outcome, by wave and machine.
+    open_orders: RefCell<IndexSet<(u64, String)>>,
     /// Waves reported to the operator, and whether as complete.
     reported: RefCell<IndexMap<u64, bool>>,
     /// Times at which waves were first seen by any holder, by the table's clock.
@@ -96,6 +101,8 @@
             machines: RefCell::default(),
             listed_at: Cell::new(0),
             accepted: RefCell::default(),
+            busy_until: RefCell::default(),
+            open_orders: RefCell::default(),
             reported: RefCell::default(),
             wave_starts: RefCell::default(),
             pool_states: RefCell::default(),
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -25,17 +25,24 @@
             let stages: IndexMap<String, Stage> = wave
                 .machines
                 .iter()
-                .map(|name| (name.clone(), self.stage(wave.number, name)))
+                .map(|name| {
+                    let stage = self.stage(wave.number, name);
+                    (name.clone(), wave::planned_stage(stage, self.is_busy(name)))
+                })
                 .collect();
             let empty = |name: &str| {
                 let Some(machine) = machines.get(name) else { return true };
                 let duty = self.duty(&keys::maintenance(wave.number, name));
                 machine.up
                     && !self.is_recently_ordered(name)
+                    && !self.is_busy(name)
                     && (self.runs_no_tasks(machine)
                         || duty.is_some_and(|d| d.emptied && d.executor == machine.executor))
             };
-            let cost = |name: &str| machines.get(name).map_or(0, |m| self.maintenance_cost(m));
+            let cost = |name: &str| match machines.get(name) {
+                Some(_) if self.is_busy(name) => u64::MAX,
+                machine => machine.map_or(0, |m| self.maintenance_cost(m)),
+            };
             wave::plan_steps(wave, &stages, elapsed, &empty, &cost)
         };
         let mut changes = Vec::new();
@@ -140,6 +147,7 @@
                     continue;
                 }
                 match self.listed(wave.number, machine, &duty.executor).next_action() {
+                    NextAction::RepeatOrder if self.is_busy(&machine.name) => {}
                     NextAction::Wait => {}
                     NextAction::Done => {
                         returned.push(place.key.clone());
@@ -179,6 +187,12 @@
         }
     }
 
+    /// Returns whether an order for a machine was refused lately as the machine was busy.
+    fn is_busy(&self, machine: &str) -> bool {
+        let until = self.busy_until.borrow().get(machine).copied();
+        until.is_some_and(|until| clock::now() < until)
+    }
+
     /// Returns how many of `wanted` orders for waves may be sent now, and counts them as sent.
     fn take_wave_orders(&self, wanted: usize) -> usize {
         let mut order_rate = self.order_rate.borrow_mut();
@@ -213,7 +227,16 @@
             let duty = self.duty(&place)?;
             Some(self.change(place, Some(Duty { executor_ended: true, ..duty })))
         });
-        self.ctx.write_duties(ended.collect()).await;
+        // Refused machines take no slots of the wave.
+        let refused = names.iter().filter(|name| self.is_busy(name)).filter_map(|name| {
+            let place = keys::maintenance(wave, name);
+            let duty = self.duty(&place)?;
+            let open = self.open_orders.borrow().contains(&(wave, name.clone()))
+                || duty.epoch != self.tenure.epoch;
+            let stage = wave::after_refusal(open).to_string();
+            (duty.stage != stage).then(|| self.change(place, Some(Duty { stage, ..duty })))
+        });
+        self.ctx.write_duties(ended.chain(refused).collect()).await;
     }
 
     /// Orders a machine down; returns whether the order was accepted.
@@ -241,8 +264,18 @@
                 self.lost.set(true);
                 return false;
             }
+            Err(MachineError::Busy) => {
+                let until = clock::now() + wave::BUSY_RETRY_MS;
+                self.busy_until.borrow_mut().insert(name.to_owned(), until);
+                return false;
+            }
             // A later round repeats the order once the machine is listed as up.
-            Err(_) => return false,
+            Err(error) => {
+                if matches!(error, MachineError::Unknown { .. }) {
+                    self.open_orders.borrow_mut().insert((wave, name.to_owned()));
+                }
+                return false;
+            }
         }
         true
     }
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -101,6 +101,34 @@
     }
 }
 
+/// Time after which an order that the platform refused as the machine was busy is sent again, in
+/// milliseconds. A machine that drains on its own may be busy for many seconds.
+pub const BUSY_RETRY_MS: u64 = 1_000;
+
+/// Returns the stage of a machine after its order was refused as the machine was busy.
+///
+/// A refused order was not carried out, so the machine takes none of the wave's slots. If the outcome
+/// of another order is unknown, that order may be the reason, and the machine still counts as down.
+///
+/// # Examples
+///
+/// ```
+/// use jobs::wave::{self, Stage};
+/// assert_eq!(wave::after_refusal(false), Stage::Emptying);
+/// assert_eq!(wave::after_refusal(true), Stage::Down);
+/// ```
+pub fn after_refusal(other_order_open: bool) -> Stage {
+    if other_order_open { Stage::Down } else { Stage::Emptying }
+}
+
+/// Returns the stage by which a machine is planned.
+///
+/// A machine that is being emptied but is `busy` counts as not begun, so that the others of its wave
+/// do not wait for it.
+pub fn planned_stage(stage: Stage, busy: bool) -> Stage {
+    if busy && stage == Stage::Emptying { Stage::Due } else { stage }
+}
+
 /// Time to empty and stop a machine, in milliseconds; the stop itself takes about half of it.
 const MACHINE_CYCLE_MS: u64 = 4_000;
 /// Part of the wave's time limit to plan with, in percent; the rest is a reserve for machines that
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -9,7 +9,7 @@
 use jobs::order::Candidate;
 use jobs::relocate::{Action, Relocation};
 use jobs::share::{Demand, Inflow, Rebalancer, machines_needed};
-use jobs::wave::{ListedMachine, NextAction, Stage, Wave, plan_steps};
+use jobs::wave::{self, ListedMachine, NextAction, Stage, Wave, plan_steps};
 
 const MACHINE_CPU: u64 = 16_000;
 
@@ -213,6 +213,46 @@
     );
 }
 
+/// Guards against executors that stand empty and closed for seconds: machines that shut down on their
+/// own refuse their orders, and held the wave's slots meanwhile.
+#[test]
+fn machines_that_refuse_their_orders_do_not_hold_up_the_others_of_their_wave() {
+    let wave = Wave { number: 1, machines: names("m", 12), max_down: 4, time_limit: 24_000 };
+    let refuses = |m: &str| ["m0", "m1", "m2", "m3"].contains(&m);
+    let mut stages: IndexMap<String, Stage> = IndexMap::new();
+    let mut since: IndexMap<String, u64> = IndexMap::new();
+    let mut busy: IndexMap<String, u64> = IndexMap::new();
+    for now in (0..wave.time_limit).step_by(100) {
+        let is_busy = |m: &str| busy.get(m).is_some_and(|until| now < *until);
+        for (machine, stage) in &mut stages {
+            if *stage == Stage::Down && !refuses(machine) && now >= since[machine] + 2_000 {
+                *stage = Stage::Done;
+            }
+        }
+        let planned =
+            stages.iter().map(|(m, s)| (m.clone(), wave::planned_stage(*s, is_busy(m)))).collect();
+        let is_empty = |m: &str| now >= since[m] + 500;
+        let cost = |m: &str| if is_busy(m) { u64::MAX } else { u64::from(!refuses(m)) };
+        let steps = plan_steps(&wave, &planned, now, &is_empty, &cost);
+        for machine in steps.start_emptying {
+            since.entry(machine.clone()).or_insert(now);
+            stages.entry(machine).or_insert(Stage::Emptying);
+        }
+        for machine in steps.take_down {
+            let refused = refuses(&machine);
+            let stage = if refused { wave::after_refusal(false) } else { Stage::Down };
+            if refused {
+                busy.insert(machine.clone(), now + wave::BUSY_RETRY_MS);
+            } else {
+                since.insert(machine.clone(), now);
+            }
+            stages.insert(machine, stage);
+        }
+    }
+    let done = stages.values().filter(|stage| **stage == Stage::Done).count();
+    assert_eq!(done, 8, "all machines that take their orders have had their maintenance");
+}
+
 #[test]
 fn a_short_wave_uses_its_whole_limit() {
     let wave = Wave { number: 1, machines: names("m", 21), max_down: 3, time_limit: 22_000 };
