Reserve the whole executor for a run of an unknown job

Callers would see a start that brings an executor over its capacity, after a new holder has found a run of a job that has ended. The run reserved the capacity of the moment at which it was found: once the executor grew, the difference counted as free, and all of it did if the first answer came before the registration was read. Such a run now takes all room until it ends. Tests: a_run_of_an_unknown_job_reserves_the_whole_executor_though_it_grows and a_run_of_an_unknown_job_reserves_an_executor_that_is_not_registered_yet, both failing before; an_executor_that_has_shrunk, passing before.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -336,6 +336,7 @@
             progressed_at: now,
             resumed_from: checkpoint.clone(),
             long_running: entry.job.steps[task.step].long_running,
+            unknown_size: false,
         };
         self.workers[worker].add_run(task.clone(), slot);
         self.orders.push(Order::Start {
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -163,7 +163,9 @@
     /// Adds a run that this holder has not started; returns false if the executor is unknown.
     fn adopt_run(&mut self, id: &str, run: &PresentRun, now: u64) -> bool {
         let task = &run.task;
-        // The resources of a run of an unknown job are unknown too: they may be the whole executor.
+        // The resources of a run of an unknown job are unknown too: they may be the whole executor,
+        // whose capacity may change or not be known yet.
+        let mut unknown_size = true;
         let Some(mut resources) = self.workers.get(id).map(|w| w.registration.capacity) else {
             return false;
         };
@@ -173,6 +175,7 @@
         if let Some(entry) = entry {
             if let Some(spec) = entry.job.steps.get(task.step) {
                 resources = place::required_resources(spec);
+                unknown_size = false;
             }
             let job = &entry.job;
             let step = entry
@@ -208,6 +211,7 @@
             // progress gives no measure of speed.
             resumed_from: "unknown".to_owned(),
             long_running,
+            unknown_size,
         };
         worker.add_run(task.clone(), slot);
         true
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -200,6 +200,8 @@
     pub resumed_from: String,
     /// Whether the run is known or assumed to be long-running.
     pub long_running: bool,
+    /// Whether the needs of the run are unknown, so that it may use the whole executor.
+    pub unknown_size: bool,
 }
 
 /// State that a cell keeps for one executor.
@@ -221,6 +223,8 @@
     pub runs: IndexMap<TaskId, Slot>,
     /// Number of long-running runs.
     pub long_running: usize,
+    /// Number of runs whose needs are unknown.
+    pub unknown_sizes: usize,
     /// Speed of its best-effort tasks, in percent of full speed.
     pub best_effort_pace: u64,
     /// Highest sequence number of the ended runs that were processed.
@@ -259,6 +263,7 @@
             used: Resources::default(),
             runs: IndexMap::new(),
             long_running: 0,
+            unknown_sizes: 0,
             best_effort_pace: 100,
             last_seen_end: 0,
             last_durable_end: 0,
@@ -281,6 +286,9 @@
 
     /// Resources that are free for new tasks.
     pub fn free(&self) -> Resources {
+        if self.unknown_sizes > 0 {
+            return Resources::default();
+        }
         self.registration.capacity.minus(self.used)
     }
 
@@ -335,6 +343,7 @@
         self.remove_run(&task);
         self.used.add(slot.resources);
         self.long_running += usize::from(slot.long_running);
+        self.unknown_sizes += usize::from(slot.unknown_size);
         self.runs.insert(task, slot);
     }
 
@@ -343,6 +352,7 @@
         let slot = self.runs.swap_remove(task)?;
         self.used = self.used.minus(slot.resources);
         self.long_running -= usize::from(slot.long_running);
+        self.unknown_sizes -= usize::from(slot.unknown_size);
         Some(slot)
     }
 
