Start nothing on an executor that has shrunk below its use

Callers would see tasks started on an executor whose use of one resource is over its capacity, as long as they need nothing of that resource: best-effort tasks where CPU is short, any task where accelerators are. Free amounts are never below 0, so a need of 0 always fitted. A start now has to leave the use of every resource within the capacity; running tasks go on.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -287,7 +287,7 @@
             .then(|| &entry.occurrences[&constraints.occurrence][constraints.step].advice);
         let rate = |n: &usize| {
             let (id, worker) = self.workers.get_index(*n)?;
-            if !worker.free().fits(need) {
+            if !worker.has_room(need) {
                 return None;
             }
             has_room = true;
--- a/crates/jobs/src/cell/wait.rs
+++ b/crates/jobs/src/cell/wait.rs
@@ -66,7 +66,7 @@
             let siblings = u32::try_from(siblings).unwrap_or(u32::MAX);
             let obstacle = worker.obstacle(now).or_else(|| match () {
                 () if !place::is_eligible(spec, worker, siblings) => Some(Obstacle::Constrained),
-                () if !worker.free().fits(need) => Some(Obstacle::Full),
+                () if !worker.has_room(need) => Some(Obstacle::Full),
                 () => None,
             });
             match obstacle {
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -33,7 +33,7 @@
 /// `rack` is the rack of the step's other tasks, preferred for a step with `same_rack`.
 pub fn score(step: &Step, worker: &Worker, rack: Option<&str>) -> Option<u64> {
     let need = required_resources(step);
-    if !worker.free().fits(need) {
+    if !worker.has_room(need) {
         return None;
     }
     let in_rack = match (step.data_rack.as_deref(), rack) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -292,6 +292,16 @@
         self.registration.capacity.minus(self.used)
     }
 
+    /// Whether a run with these needs can be added within the capacity.
+    ///
+    /// The capacity may have shrunk below what is in use. A run then has no room even if it needs
+    /// nothing of the resource that is short.
+    pub fn has_room(&self, need: Resources) -> bool {
+        let mut total = self.used;
+        total.add(need);
+        self.unknown_sizes == 0 && self.registration.capacity.fits(total)
+    }
+
     /// Whether new tasks may be sent to the executor.
     pub fn accepts_tasks(&self, now: u64) -> bool {
         self.obstacle(now).is_none()
