Drop starts that have waited until their executor has shrunk

Callers would see starts on a shrunken executor for seconds: at most four are sent at a time, and on an executor that answers slowly the others wait behind them, with the capacity checked only when they were ordered. It is checked again just before a start is sent; one that has no room any more counts as refused and starts elsewhere or later.

--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use jobs::cell::{Order, StartOutcome};
+use jobs::Worker;
+use jobs::cell::{Order, Refusal, StartOutcome};
 use tokio::sync::Semaphore;
 
 use super::Inner;
@@ -119,6 +120,12 @@
         if !self.may_order() {
             return StartOutcome::Unsent;
         }
+        // The executor may have shrunk since the start was ordered.
+        let is_within_capacity =
+            self.cell.borrow().workers().get(worker).is_some_and(Worker::is_within_capacity);
+        if !is_within_capacity {
+            return StartOutcome::Refused(Refusal::Room);
+        }
         self.ctx.ports.executors.start(&executor, self.tenure.epoch, start).await
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -302,6 +302,11 @@
         self.unknown_sizes == 0 && self.registration.capacity.fits(total)
     }
 
+    /// Whether the runs that the executor has, or may have, are within its capacity.
+    pub fn is_within_capacity(&self) -> bool {
+        self.has_room(Resources::default())
+    }
+
     /// Whether new tasks may be sent to the executor.
     pub fn accepts_tasks(&self, now: u64) -> bool {
         self.obstacle(now).is_none()
