Count the capacity that shrunken executors lack in the size of pools

Callers would see jobs refused or late in a pool whose executors have shrunk, as it got no machines for the capacity that it had lost: each of its machines counted as one of full size. A pool's demand now has the shortfall of its machines, by the registered capacities; the pool asks for full-sized machines to make up for it, and still releases what it does not use. Pools whose machines all have the same, full size need as many as before. Test: a_pool_whose_executors_have_shrunk_gets_machines_for_the_capacity_that_they_lack, failing with the shortfall left out.

--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -37,6 +37,7 @@
         let standby = config.pools.values().find(|pool| pool.standby).map(|p| p.name.clone());
         let moves = {
             let machines = self.machines.borrow();
+            let size = machines.values().map(|m| m.cpu).max().unwrap_or(0);
             let mut pools: IndexMap<String, Demand> = IndexMap::new();
             for pool in config.pools.values().filter(|pool| !pool.standby) {
                 // Without a recent load the demand is unknown, so the pool does not change.
@@ -44,7 +45,8 @@
                 if let Some(state) =
                     state.filter(|state| now < state.load.published_at + MAX_LOAD_AGE_MS)
                 {
-                    pools.insert(pool.name.clone(), self.demand(&pool.name, state, &machines));
+                    let demand = self.demand(&pool.name, state, &machines, size);
+                    pools.insert(pool.name.clone(), demand);
                 }
             }
             let free = |m: &&Machine| m.up && !self.is_reserved(&m.name);
@@ -54,7 +56,6 @@
                 .filter(free)
                 .map(|m| m.name.clone())
                 .collect();
-            let size = machines.values().map(|m| m.cpu).max().unwrap_or(0);
             let on_standby = standby.as_deref().map(|pool| (pool, on_standby.as_slice()));
             let moves = self.rebalancer.borrow_mut().plan_moves(
                 &pools,
@@ -102,13 +103,23 @@
         pool: &str,
         state: &PoolState,
         machines: &IndexMap<String, Machine>,
+        size: u64,
     ) -> Demand {
         let moving = self.moving.borrow();
         let arriving = moving.iter().filter(|(name, (to, _))| {
             to == pool && machines.get(*name).is_none_or(|m| m.pool != pool)
         });
         let leaving = |m: &&Machine| moving.get(&m.name).is_some_and(|(to, _)| to != pool);
-        let staying = machines.values().filter(|m| m.pool == pool && !leaving(m)).count();
+        let staying: Vec<&Machine> =
+            machines.values().filter(|m| m.pool == pool && !leaving(m)).collect();
+        let registry = self.ctx.registry.borrow();
+        // The capacity of an executor may shrink while it runs. Other machines come back at their
+        // full size.
+        let capacities = staying.iter().filter(|m| m.up).map(|m| {
+            let registration = registry.get(&m.executor);
+            registration.map_or(m.cpu, |registration| registration.capacity.cpu.min(m.cpu))
+        });
+        let shortfall = capacities.map(|cpu| size.saturating_sub(cpu)).sum();
         let by_executor: IndexMap<&str, &Machine> =
             machines.values().map(|m| (m.executor.as_str(), m)).collect();
         let free = |id: &&String| {
@@ -125,7 +136,8 @@
             used: load.useful,
             min_machines: load.min_executors,
             idle: state.spares.iter().take(state.idle).filter(free).count(),
-            machines: staying + arriving.count(),
+            machines: staying.len() + arriving.count(),
+            shortfall,
             removable,
         }
     }
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -137,6 +137,9 @@
     pub min_machines: usize,
     /// Number of machines in the pool or moving to it, without those that move away.
     pub machines: usize,
+    /// CPU by which these machines are smaller than the fleet's largest ones, all together, in
+    /// thousandths of a core.
+    pub shortfall: u64,
     /// Machines that can leave at little cost, the cheapest first.
     pub removable: Vec<String>,
     /// Number of removable machines without runs; they come first in `removable`.
@@ -189,7 +192,16 @@
     // Large jobs arrive in bursts: between two bursts, the resources in use are still needed.
     let required_cpu =
         (demand.long_running + demand.arrival_rate * HEADROOM_PERCENT / 100).max(demand.used);
-    let machines = (required_cpu + backlog_cpu).div_ceil(size.max(1));
+    let required_cpu = required_cpu + backlog_cpu;
+    let full_size = demand.machines as u64 * size;
+    let capacity = full_size.saturating_sub(demand.shortfall);
+    // A pool that lacks capacity gets full-sized machines beside its own, and one with a surplus
+    // keeps the part of its own machines that it uses.
+    let machines = if required_cpu > capacity {
+        (required_cpu + full_size - capacity).div_ceil(size.max(1))
+    } else {
+        (required_cpu * demand.machines as u64).div_ceil(capacity.max(1))
+    };
     usize::try_from(machines)
         .unwrap_or(usize::MAX)
         .max(demand.min_machines + 1)
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -38,6 +38,30 @@
     assert!(moves[..4].iter().all(|s| s.from == "standby"), "machines on standby move first");
 }
 
+/// Guards against a pool that is left without machines because its executors, which have shrunk, are
+/// counted at full size.
+#[test]
+fn a_pool_whose_executors_have_shrunk_gets_machines_for_the_capacity_that_they_lack() {
+    let demand = |shortfall| Demand { shortfall, ..pool(20, 128_000, names("m", 18)) };
+    assert_eq!(machines_needed(&demand(0), MACHINE_CPU), 10);
+    // The same machines have 15, 10, 8 and 0 full-sized ones' worth of capacity.
+    for (lost, needed) in [(5, 14), (10, 20), (12, 22), (20, 30)] {
+        assert_eq!(machines_needed(&demand(lost * MACHINE_CPU), MACHINE_CPU), needed, "{lost}");
+    }
+    let idle = Demand { shortfall: 18 * MACHINE_CPU, ..pool(20, 0, names("m", 18)) };
+    assert_eq!(machines_needed(&idle, MACHINE_CPU), 3, "a pool without work keeps no more of them");
+    let mut pools = IndexMap::new();
+    pools.insert(
+        "shrunken".to_owned(),
+        Demand { removable: Vec::new(), ..demand(12 * MACHINE_CPU) },
+    );
+    let standby = names("s", 4);
+    let moves =
+        Rebalancer::default().plan_moves(&pools, Some(("standby", &standby)), 24, MACHINE_CPU, 0);
+    assert_eq!(moves.len(), 2, "{moves:?}");
+    assert!(moves.iter().all(|s| s.from == "standby" && s.to == "shrunken"));
+}
+
 #[test]
 fn a_pool_releases_machines_only_after_it_was_too_large_for_a_while() {
     let mut pools = IndexMap::new();
