Start nothing by a registry that has not been read for seconds

Callers would see starts on executors that have shrunk while the registry can't be read but the cell can be held, as its rows are in another part of the table, or just after a cut, when the cell is confirmed before the registry is read. Starts now wait while the last complete read of the registry was requested more than four seconds ago; polls, stops and leases go on.

--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -77,6 +77,8 @@
     pub registry_version: Cell<u64>,
     /// Whether the registry has been read in full since this process began to watch it.
     pub registry_read: Cell<bool>,
+    /// Time at which the last read of the registry was requested, in milliseconds.
+    pub registry_read_at: Cell<u64>,
     pub loads: RefCell<IndexMap<String, Load>>,
     pub duties: RefCell<Duties>,
     /// Whether the duties have been read in full since this process began to watch them.
@@ -110,6 +112,7 @@
             registry: RefCell::default(),
             registry_version: Cell::new(0),
             registry_read: Cell::new(false),
+            registry_read_at: Cell::new(0),
             loads: RefCell::default(),
             duties: RefCell::default(),
             duties_read: Cell::new(false),
--- a/crates/cells/src/follow.rs
+++ b/crates/cells/src/follow.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
 
+use crate::clock;
 use crate::context::{Context, pause};
 use crate::ports::{Place, ReadError, Row};
 use crate::rows;
@@ -61,8 +62,8 @@
 
 /// Watches parts of a table while `active` returns true, and passes each row to `on_row`.
 ///
-/// It reads all existing rows first, calls `on_snapshot`, and then reads the changes, at most every
-/// `interval_ms` milliseconds. When the table no longer keeps the changes, it reads all rows again;
+/// It reads all existing rows first and then the changes, at most every `interval_ms` milliseconds.
+/// After each complete read it calls `on_read` with the time at which the read was requested. When the table no longer keeps the changes, it reads all rows again;
 /// rows that were removed meanwhile are passed without a value.
 pub(crate) async fn follow(
     ctx: Rc<Context>,
@@ -70,11 +71,12 @@
     interval_ms: u64,
     active: impl Fn() -> bool,
     mut on_row: impl FnMut(&Row),
-    mut on_snapshot: impl FnMut(),
+    mut on_read: impl FnMut(u64),
 ) {
     let mut places: HashSet<Place> = HashSet::new();
     let mut version = None;
     while active() {
+        let requested = clock::now();
         let Some(after) = version else {
             let reads = parts.iter().map(|part| read_all(&ctx, Place::new(&table, part, "")));
             match try_join_all(reads).await {
@@ -89,7 +91,7 @@
                         on_row(&Row { place: place.clone(), version: at, value: None });
                     }
                     rows.iter().for_each(&mut on_row);
-                    on_snapshot();
+                    on_read(requested);
                     places = current;
                     version = Some(at);
                 }
@@ -116,6 +118,9 @@
                 // An incomplete page is continued after its last row.
                 let last = page.rows.last().map_or(page.version, |row| row.version);
                 version = Some(after.max(if page.more { last } else { page.version.max(last) }));
+                if !page.more {
+                    on_read(requested);
+                }
                 pause(interval_ms).await;
             }
             Err(ReadError::HistoryDropped) => {
--- a/crates/cells/src/node.rs
+++ b/crates/cells/src/node.rs
@@ -87,7 +87,7 @@
             .timeline
             .record(base::Event::RowUnreadable, &[("row", &row.place.key), ("error", &error)]),
     };
-    follow(ctx, (table, vec![String::new()]), 0, || true, on_row, || {}).await;
+    follow(ctx, (table, vec![String::new()]), 0, || true, on_row, |_| {}).await;
 }
 
 /// Watches the registry while this process holds a lease.
@@ -121,16 +121,19 @@
                 }
             }
         };
-        let (for_snapshot, for_active) = (Rc::clone(&ctx), Rc::clone(&ctx));
+        let (for_read, for_active) = (Rc::clone(&ctx), Rc::clone(&ctx));
         let active = move || for_active.is_holder.get();
-        let on_snapshot = move || for_snapshot.registry_read.set(true);
+        let on_read = move |requested| {
+            for_read.registry_read.set(true);
+            for_read.registry_read_at.set(requested);
+        };
         follow(
             Rc::clone(&ctx),
             (table.clone(), vec![String::new()]),
             REGISTRY_INTERVAL_MS,
             active,
             on_row,
-            on_snapshot,
+            on_read,
         )
         .await;
         ctx.registry_read.set(false);
@@ -148,16 +151,16 @@
         }
         let context = Rc::clone(&ctx);
         let on_row = move |row: &Row| context.apply_duty(row);
-        let (for_snapshot, for_active) = (Rc::clone(&ctx), Rc::clone(&ctx));
+        let (for_read, for_active) = (Rc::clone(&ctx), Rc::clone(&ctx));
         let active = move || for_active.is_holder.get();
-        let on_snapshot = move || for_snapshot.duties_read.set(true);
+        let on_read = move |_| for_read.duties_read.set(true);
         follow(
             Rc::clone(&ctx),
             (table.clone(), keys::duty_parts()),
             DUTY_INTERVAL_MS,
             active,
             on_row,
-            on_snapshot,
+            on_read,
         )
         .await;
         ctx.duties_read.set(false);
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -30,6 +30,9 @@
 /// Together with the executors' lease it keeps tasks running while the table is unavailable for
 /// eight seconds. A successor waits no longer than that for executors that it can't reach.
 const ORDER_VALIDITY_MS: u64 = 3_500;
+/// Age up to which the registry's last read counts for starts, in milliseconds; less than the time in
+/// which a capacity that has shrunk has to take effect.
+const MAX_REGISTRY_AGE_MS: u64 = 4_000;
 /// Interval between scheduler passes without events, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 25;
 /// Least time between two scheduler passes, in durations of a pass, unless that is longer than the
@@ -272,6 +275,11 @@
         self.is_active() && clock::now() < self.confirmed_at.get() + ORDER_VALIDITY_MS
     }
 
+    /// Whether the registry was read recently enough to start tasks by its capacities.
+    pub fn is_registry_current(&self) -> bool {
+        clock::now() < self.ctx.registry_read_at.get() + MAX_REGISTRY_AGE_MS
+    }
+
     /// Marks the cell as lost, which stops all activity for it, and logs the reason.
     pub fn mark_lost(&self, why: &str) {
         if !self.lost.replace(true) {
@@ -327,6 +335,7 @@
             self.start_polls();
             self.apply_duties();
             if self.may_order() {
+                self.cell.borrow_mut().hold_starts(!self.is_registry_current());
                 let orders = self.cell.borrow_mut().tick(clock::now(), clock::wall());
                 for order in orders {
                     self.send(order);
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -120,10 +120,10 @@
         if !self.may_order() {
             return StartOutcome::Unsent;
         }
-        // The executor may have shrunk since the start was ordered.
+        // The executor may have shrunk, or its capacity become uncertain, since the start was ordered.
         let is_within_capacity =
             self.cell.borrow().workers().get(worker).is_some_and(Worker::is_within_capacity);
-        if !is_within_capacity {
+        if !is_within_capacity || !self.is_registry_current() {
             return StartOutcome::Refused(Refusal::Room);
         }
         self.ctx.ports.executors.start(&executor, self.tenure.epoch, start).await
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -59,7 +59,7 @@
 impl Cell {
     /// Runs one assignment pass: starts open tasks in the scheduling order of their jobs.
     pub(super) fn assign(&mut self, now: u64, wall: u64) {
-        if self.superseded {
+        if self.superseded || self.starts_held {
             return;
         }
         let inherited_settled = self.inherited_settled();
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -216,6 +216,8 @@
     ended_jobs: IndexSet<String>,
     /// Whether an executor has seen orders of a later holder.
     superseded: bool,
+    /// Whether no tasks are started for now.
+    starts_held: bool,
     /// Executors that the last assignment pass compared, counted once per task.
     compared: usize,
 }
@@ -252,6 +254,7 @@
             leaving: IndexSet::new(),
             ended_jobs: IndexSet::new(),
             superseded: false,
+            starts_held: false,
             compared: 0,
         }
     }
@@ -312,6 +315,11 @@
         self.end_job(id, State::Cancelled, now);
     }
 
+    /// Sets whether no tasks are started for now, as the executors' capacities are not known.
+    pub fn hold_starts(&mut self, held: bool) {
+        self.starts_held = held;
+    }
+
     /// Allows a job to start: the table now records that it may have started.
     pub fn allow_start(&mut self, id: &str) {
         if let Some(entry) = self.jobs.get_mut(id) {
