Merge the capacity of executors that shrink while they run

A new holder took over an executor whose registry entry had lapsed behind a cut; two runs of a cancelled job reserved nothing, and 14 GB more were started beside them.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -59,7 +59,7 @@
 impl Cell {
     /// Runs one assignment pass: starts open tasks in the scheduling order of their jobs.
     pub(super) fn assign(&mut self, now: u64, wall: u64) {
-        if self.superseded {
+        if self.superseded || self.starts_held {
             return;
         }
         let inherited_settled = self.inherited_settled();
@@ -287,7 +287,7 @@
             .then(|| &entry.occurrences[&constraints.occurrence][constraints.step].advice);
         let rate = |n: &usize| {
             let (id, worker) = self.workers.get_index(*n)?;
-            if !worker.free().fits(need) {
+            if !worker.has_room(need) {
                 return None;
             }
             has_room = true;
@@ -336,6 +336,7 @@
             progressed_at: now,
             resumed_from: checkpoint.clone(),
             long_running: entry.job.steps[task.step].long_running,
+            unknown_size: false,
         };
         self.workers[worker].add_run(task.clone(), slot);
         self.orders.push(Order::Start {
