Give a cell up when one of its tasks panics

A panic ends only the task that it happens in. Change: the tasks of a cell and of the fleet's duties are supervised; if one panics, the cell is lost, its lease is released, and another process takes it.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 use crate::owner::{self, Tenure};
 use crate::ports::{Machine, Place};
 use crate::rows::{Duty, PoolState};
+use crate::supervise;
 
 /// Time between the starts of two rounds, in milliseconds; a fraction of the time that a machine's
 /// stop takes.
@@ -113,7 +114,8 @@
             reserved: RefCell::default(),
             moving: RefCell::default(),
         });
-        actix::spawn(Rc::clone(&inner).run());
+        let failed = Rc::clone(&inner);
+        supervise::spawn(Rc::clone(&inner).run(), move || failed.lost.set(true));
         Self { inner }
     }
 
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rows;
 pub mod standby;
 pub mod submission;
+pub mod supervise;
 pub mod timeout;
 
 pub use context::{Bounds, Ports, Settings};
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -24,6 +24,7 @@
 use crate::keys;
 use crate::ports::{Executor, Place, Row, Transaction, TransactionError};
 use crate::rows::{self, Lease, Load, PoolState};
+use crate::supervise;
 
 /// Time for which a holder sends orders after its lease was last confirmed, in milliseconds.
 ///
@@ -184,7 +185,7 @@
             wake: Notify::new(),
             tenure,
         });
-        actix::spawn(Rc::clone(&inner).run());
+        inner.spawn_task("scheduler", Rc::clone(&inner).run());
         Self { inner }
     }
 
@@ -295,6 +296,12 @@
         }
     }
 
+    /// Spawns a task of the cell; if it panics, the cell is lost and another process takes it.
+    fn spawn_task(self: &Rc<Self>, name: &'static str, task: impl Future<Output = ()> + 'static) {
+        let inner = Rc::clone(self);
+        supervise::spawn(task, move || inner.mark_lost(&format!("its task for the {name} failed")));
+    }
+
     /// Address and id of an executor; `None` if the scheduler does not have it.
     pub fn executor(&self, id: &str) -> Option<Executor> {
         let cell = self.cell.borrow();
@@ -322,11 +329,11 @@
             base::Event::CellReady,
             &[("cell", &self.tenure.cell), ("jobs", &count), ("inherited", &inherited)],
         );
-        actix::spawn(Rc::clone(&self).publish_load());
+        self.spawn_task("load", Rc::clone(&self).publish_load());
         for copy in 0..POOL_STATE_COPIES {
-            actix::spawn(Rc::clone(&self).publish_pool_state(copy));
+            self.spawn_task("pool state", Rc::clone(&self).publish_pool_state(copy));
         }
-        actix::spawn(Rc::clone(&self).write_loop());
+        self.spawn_task("writes", Rc::clone(&self).write_loop());
         let mut version = self.ctx.config().map(|c| c.version);
         while self.is_active() {
             let pass_start = Instant::now();
--- a/crates/cells/src/owner/poll.rs
+++ b/crates/cells/src/owner/poll.rs
@@ -40,7 +40,7 @@
         };
         for id in ids {
             self.polled.borrow_mut().insert(id.clone());
-            actix::spawn(Rc::clone(self).poll_executor(id));
+            self.spawn_task("polls", Rc::clone(self).poll_executor(id));
         }
     }
 
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -33,7 +33,7 @@
             }
             match self.recover_once().await {
                 Ok(version) => {
-                    actix::spawn(Rc::clone(self).follow_jobs(version));
+                    self.spawn_task("new jobs", Rc::clone(self).follow_jobs(version));
                     return true;
                 }
                 Err(WriteError::Lost) => {
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -148,7 +148,7 @@
                 let mut writes = self.part_writes.borrow_mut();
                 let selection = writes.select(&part, now);
                 writes.begin(&part, selection, now);
-                actix::spawn(Rc::clone(&self).write_changes(part, changes, flush));
+                self.spawn_task("writes", Rc::clone(&self).write_changes(part, changes, flush));
             }
         }
     }
