--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -4,7 +4,7 @@
 //! executors, the adviser, the order of assignment and the load figures.
 
 use jobs::admit::{self, Load, Verdict};
-use jobs::cell::{Arrival, Order, StartOutcome};
+use jobs::cell::{Arrival, Order, Refusal, StartOutcome};
 use jobs::flush::Selection;
 use jobs::worker::{EndedRun, PresentRun};
 use jobs::{
@@ -801,3 +801,150 @@
     cell.handle_start_outcome("b", &task(0, 0), 1, StartOutcome::Running(101), 1_503);
     assert!(cell.waiting_tasks(0, 9_000).is_empty());
 }
+
+/// Guards against a long-running task that waits because its own failures, or those of others,
+/// have excluded every executor.
+#[test]
+fn a_long_running_task_restarts_though_every_executor_is_excluded() {
+    let mut cell = cell(1, &["a"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    for failure in 1..=8 {
+        let (now, run) = (failure * 20_000, 2 * failure - 1);
+        cell.confirm_ownership(now);
+        cell.handle_poll("a", &poll_answer(now), now - 10, now);
+        assert_eq!(starts(&cell.tick(now + 5, 0)), [("a".to_owned(), task(0, 0), run)]);
+        cell.handle_start_outcome("a", &task(0, 0), run, StartOutcome::Running(now), now + 10);
+        let mut answer = poll_answer(now + 9_000);
+        answer.ended = vec![end(failure, task(0, 0), run, RunOutcome::Failed)];
+        cell.handle_poll("a", &answer, now + 8_990, now + 9_000);
+        cell.confirm_ownership(now + 9_000);
+        let restarted = starts(&cell.tick(now + 9_100, 0));
+        assert_eq!(restarted.len(), 1, "after {failure} failures");
+        // The executor rejects the restart, so that each round has one failure.
+        let refused = StartOutcome::Refused(Refusal::Late);
+        cell.handle_start_outcome("a", &task(0, 0), run + 1, refused, now + 9_110);
+    }
+}
+
+/// Guards against exclusion for failures that a long-running task's time at work lies between.
+#[test]
+fn a_long_running_task_at_full_speed_clears_the_failures_of_its_executor() {
+    let mut cell = cell(1, &["a"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    for run in 1..=4 {
+        let now = run * 5_000;
+        cell.confirm_ownership(now);
+        cell.handle_poll("a", &poll_answer(now), now - 10, now);
+        cell.tick(now + 5, 0);
+        cell.handle_start_outcome("a", &task(0, 0), run, StartOutcome::Running(now), now + 10);
+        let mut answer = poll_answer(now + 1_000);
+        answer.present = vec![present(task(0, 0), run)];
+        cell.handle_poll("a", &answer, now + 990, now + 1_000);
+        let mut answer = poll_answer(now + 4_000);
+        answer.ended = vec![end(run, task(0, 0), run, RunOutcome::Failed)];
+        cell.handle_poll("a", &answer, now + 3_990, now + 4_000);
+        assert!(cell.workers()["a"].accepts_tasks(now + 4_001), "after {run} failures");
+    }
+}
+
+/// Guards against a long-running task that never gets room, because each piece of memory that a
+/// small task frees is given to the next one.
+#[test]
+fn a_large_long_running_task_gets_room_on_executors_full_of_small_tasks() {
+    let mut cell = Cell::new(config(1), 0);
+    let ids = ["a", "b"];
+    for id in ids {
+        let capacity = Resources { cpu: 16_000, memory: 64_000, gpus: 0 };
+        cell.register(Registration { capacity, ..executor(id) });
+        cell.handle_poll(id, &poll_answer(100), 0, 1);
+    }
+    let small = Step {
+        resources: Resources { cpu: 500, memory: 8_000, gpus: 0 },
+        estimate: 1_000,
+        ..step(1_000, 500)
+    };
+    cell.admit(arrival(vec![small], false));
+    let mut running: Vec<(String, TaskId, u64)> = starts(&cell.tick(2, 0));
+    assert_eq!(running.len(), 16, "the small tasks fill both executors");
+    let large = Step {
+        long_running: true,
+        max_per_executor: 1,
+        resources: Resources { cpu: 1_000, memory: 30_000, gpus: 0 },
+        ..step(1, 1_000)
+    };
+    let other = "00000000000000bb";
+    cell.admit(Arrival { id: other.to_owned(), ..arrival(vec![large], false) });
+    let mut sequence = 0;
+    // Each second, every small task ends once, one after the other.
+    for now in (100..3_000).step_by(60) {
+        let (id, ended, run) = running.remove(0);
+        sequence += 1;
+        for name in ids {
+            let mut answer = poll_answer(100 + now);
+            let is_here = |r: &&(String, TaskId, u64)| r.0 == name;
+            let here = running.iter().filter(is_here);
+            answer.present = here
+                .map(|(_, task, run)| PresentRun { percent: now, ..present(task.clone(), *run) })
+                .collect();
+            if name == id {
+                answer.ended = vec![end(sequence, ended.clone(), run, RunOutcome::Done)];
+            }
+            cell.handle_poll(name, &answer, now - 5, now);
+        }
+        for (id, task, run) in starts(&cell.tick(now + 1, 0)) {
+            if task.job == other {
+                return;
+            }
+            cell.handle_start_outcome(&id, &task, run, StartOutcome::Running(now), now + 2);
+            running.push((id, task, run));
+        }
+    }
+    panic!("the large task has not started");
+}
+
+/// Guards against the late outcome of an earlier start, or of one that a poll has confirmed
+/// meanwhile, that stops a run at work.
+#[test]
+fn a_start_that_goes_unanswered_stops_no_run_known_to_work() {
+    let mut cell = cell(1, &["a"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    cell.handle_poll("a", &poll_answer(100), 0, 1);
+    assert_eq!(starts(&cell.tick(2, 0)).len(), 1);
+    let mut answer = poll_answer(150);
+    answer.ended = vec![end(1, task(0, 0), 1, RunOutcome::Failed)];
+    cell.handle_poll("a", &answer, 40, 50);
+    assert_eq!(starts(&cell.tick(51, 0)), [("a".to_owned(), task(0, 0), 2)]);
+    let mut answer = poll_answer(200);
+    answer.present = vec![present(task(0, 0), 2)];
+    cell.handle_poll("a", &answer, 90, 100);
+    cell.handle_start_outcome("a", &task(0, 0), 1, StartOutcome::Unknown, 902);
+    assert_eq!(cell.tick(903, 0), [], "the unanswered start was that of run 1");
+    cell.handle_start_outcome("a", &task(0, 0), 2, StartOutcome::Unknown, 951);
+    assert_eq!(cell.tick(952, 0), [], "run 2 is at work");
+}
+
+/// Guards against a long-running task that counts as running until its executor leaves, because its
+/// end is not among those that fit an answer while ends can't be acknowledged.
+#[test]
+fn a_long_running_task_restarts_while_ends_are_not_acknowledged() {
+    let mut cell = cell(1, &["a"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    cell.handle_poll("a", &poll_answer(100), 0, 1);
+    assert_eq!(starts(&cell.tick(2, 0)).len(), 1);
+    cell.handle_start_outcome("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    let other = |sequence| {
+        let job = format!("{:016x}", 1_000 + sequence);
+        end(sequence, TaskId { job, ..task(0, 0) }, 1, RunOutcome::Done)
+    };
+    let ended: Vec<EndedRun> = (1..=500).map(other).collect();
+    for now in [500, 1_000] {
+        let mut answer = poll_answer(100 + now);
+        answer.ended.clone_from(&ended);
+        cell.handle_poll("a", &answer, now - 10, now);
+    }
+    assert_eq!(starts(&cell.tick(1_001, 0)), [("a".to_owned(), task(0, 0), 2)]);
+}
