Start long-running tasks on excluded executors if no other has room

Cause: three failures in a row exclude an executor for 2 to 16 s, whoever is at fault. Once all executors with room were excluded, a long-running task waited for the first of them.

Change: an excluded executor gets a long-running task if no other executor suits, first the one with the fewest failures. Such a task has no attempts to lose. A busy or full executor still gets no tasks for half a second, which has its own field and obstacle now.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -1,12 +1,14 @@
 //! Assignment of open tasks to executors.
 
+use std::cmp::Reverse;
+
 use indexmap::IndexMap;
 
 use super::{Cell, JobEntry, Order, StepState, new_steps};
 use crate::job::{State, TaskId};
 use crate::order::{Candidate, Rank};
 use crate::place;
-use crate::worker::{Phase, Resources, Slot};
+use crate::worker::{Obstacle, Phase, Resources, Slot};
 
 /// Most starts in one pass; bounds the duration of a pass and the burst of calls to executors.
 const MAX_STARTS_PER_PASS: usize = 256;
@@ -15,7 +17,9 @@
 struct Pass {
     /// Positions of the executors that accept tasks.
     accepting: Vec<usize>,
-    /// Positions of those that are much slower than the others.
+    /// Positions of the executors that would accept tasks if tasks had not failed on them.
+    excluded: Vec<usize>,
+    /// Positions of the accepting executors that are much slower than the others.
     slow: Vec<usize>,
     /// Starts that this pass may still make.
     starts_left: usize,
@@ -88,13 +92,15 @@
         }
         ready.sort_by_key(|r| r.rank);
         let least_cpu = self.least_cpu_needed(&ready);
-        let accepting: Vec<usize> = (0..self.workers.len())
-            .filter(|n| {
-                self.workers
-                    .get_index(*n)
-                    .is_some_and(|(_, w)| w.free().cpu >= least_cpu && w.accepts_tasks(now))
-            })
-            .collect();
+        let (mut accepting, mut excluded) = (Vec::new(), Vec::new());
+        let workers = self.workers.values().enumerate();
+        for (n, worker) in workers.filter(|(_, w)| w.free().cpu >= least_cpu) {
+            match worker.obstacle(now) {
+                None => accepting.push(n),
+                Some(Obstacle::Excluded) => excluded.push(n),
+                Some(_) => {}
+            }
+        }
         let median = self.median_slowdown(now);
         let slow = |n: &usize| {
             let id = self.workers.get_index(*n).map(|(id, _)| id);
@@ -103,6 +109,7 @@
         let slow = accepting.iter().copied().filter(slow).collect();
         let mut pass = Pass {
             accepting,
+            excluded,
             slow,
             starts_left: MAX_STARTS_PER_PASS,
             unplaceable: Vec::new(),
@@ -110,7 +117,8 @@
             now,
         };
         for item in ready {
-            if pass.starts_left == 0 || pass.accepting.is_empty() {
+            let no_executors = pass.accepting.is_empty() && pass.excluded.is_empty();
+            if pass.starts_left == 0 || no_executors {
                 break;
             }
             self.assign_job(item.job, &mut pass);
@@ -168,7 +176,9 @@
     fn assign_step(&mut self, job: usize, occurrence: u32, step: usize, pass: &mut Pass) {
         let now = pass.now;
         let Some((id, entry)) = self.jobs.get_index(job) else { return };
-        if pass.cannot_fit(place::required_resources(&entry.job.steps[step])) {
+        let spec = &entry.job.steps[step];
+        let may_use_excluded = spec.long_running && !pass.excluded.is_empty();
+        if !may_use_excluded && pass.cannot_fit(place::required_resources(spec)) {
             return;
         }
         let id = id.clone();
@@ -272,6 +282,8 @@
     /// Chooses the executor for one more task of a step.
     ///
     /// An executor on which the task has failed, or that is slow, is chosen only if no other suits.
+    /// So is one that is excluded after failures, but only for a long-running task: it has no
+    /// attempts to lose, while the wait costs as much as another failure.
     fn choose_worker(
         &self,
         job: usize,
@@ -281,7 +293,7 @@
         let (_, entry) = self.jobs.get_index(job)?;
         let spec = &entry.job.steps[constraints.step];
         let need = place::required_resources(spec);
-        let mut has_room = false;
+        let has_room = std::cell::Cell::new(false);
         let advice = self
             .needs_advice(&entry.queue)
             .then(|| &entry.occurrences[&constraints.occurrence][constraints.step].advice);
@@ -290,7 +302,7 @@
             if !worker.free().fits(need) {
                 return None;
             }
-            has_room = true;
+            has_room.set(true);
             let allowed = advice.is_none_or(|advice| advice.ticket(id, pass.now).is_some());
             let task_count = constraints.task_counts.get(id).copied().unwrap_or(0);
             if worker.dead || !allowed || !place::is_eligible(spec, worker, task_count) {
@@ -301,11 +313,17 @@
         };
         pass.compared += pass.accepting.len();
         let best = pass.accepting.iter().filter_map(rate).max().map(|(.., id)| id.clone());
-        if !has_room {
+        if !has_room.get() {
             pass.unplaceable.retain(|failed| !failed.fits(need));
             pass.unplaceable.push(need);
         }
-        best
+        if best.is_some() || !spec.long_running {
+            return best;
+        }
+        let failures = |n: &usize| self.workers.get_index(*n).map_or(0, |(_, w)| w.failures);
+        let rate_excluded = |n| Some((Reverse(failures(n)), rate(n)?));
+        let best = pass.excluded.iter().filter_map(rate_excluded).max();
+        best.map(|(_, (.., id))| id.clone())
     }
 
     /// Orders the start of a run and reserves its resources on the executor.
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -111,11 +111,9 @@
             match refusal {
                 Refusal::Busy => {
                     worker.record_result(false, now);
-                    worker.excluded_until = worker.excluded_until.max(now + BUSY_EXECUTOR_DELAY_MS);
-                }
-                Refusal::Room => {
-                    worker.excluded_until = worker.excluded_until.max(now + BUSY_EXECUTOR_DELAY_MS);
+                    worker.busy_until = now + BUSY_EXECUTOR_DELAY_MS;
                 }
+                Refusal::Room => worker.busy_until = now + BUSY_EXECUTOR_DELAY_MS,
                 _ => {}
             }
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -168,6 +168,8 @@
     Draining,
     /// The executor does not answer.
     Silent,
+    /// The executor was busy or full just now.
+    Busy,
     /// Tasks have failed on the executor lately.
     Excluded,
     /// Not enough resources are free.
@@ -241,7 +243,9 @@
     pub slowdown_at: u64,
     /// Consecutive failures since the last success.
     pub failures: u32,
-    /// Time until which the executor gets no new tasks, in milliseconds.
+    /// Time until which the executor, busy or full, gets no new tasks, in milliseconds.
+    pub busy_until: u64,
+    /// Time until which new tasks avoid the executor after failures, in milliseconds.
     pub excluded_until: u64,
     /// Consecutive orders and polls without an answer.
     pub unanswered: u32,
@@ -269,6 +273,7 @@
             slowdown: 0,
             slowdown_at: 0,
             failures: 0,
+            busy_until: 0,
             excluded_until: 0,
             unanswered: 0,
         }
@@ -299,6 +304,7 @@
             () if self.unanswered > 0 || now > self.last_answer_at + ANSWER_VALIDITY_MS => {
                 Some(Obstacle::Silent)
             }
+            () if now < self.busy_until => Some(Obstacle::Busy),
             () if now < self.excluded_until => Some(Obstacle::Excluded),
             () => None,
         }
