Keep runs that a poll has shown when their start goes unanswered

Cause: a start without an answer stopped whatever run of the task the executor had by then: one that a poll had shown to work, or a later one.

Change: only a run that is still unconfirmed, of the same number, is stopped or asked about.

Measured: the test of a late outcome failed with a stop of run 2, and passes.

--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -81,14 +81,16 @@
             StartOutcome::Gone => self.mark_dead(id, now),
             StartOutcome::Unknown => {
                 // A long-running task may be working by now, and other tasks of its step may be
-                // unavailable. The next poll shows whether it runs.
+                // unavailable. The next poll shows whether it runs. A run that a poll has shown
+                // meanwhile is known to work.
                 match unconfirmed {
                     Some(slot) if slot.long_running => {
                         slot.phase = Phase::Unsure;
                         slot.phase_since = now;
                     }
                     // The stop prevents the run from beginning later.
-                    _ => self.stop_run(id, task, now),
+                    Some(_) => self.stop_run(id, task, now),
+                    None => {}
                 }
                 self.handle_no_answer(id);
             }
