Count a long-running task at full speed as a success of its executor

Cause: failures count until the next task that ends as done.

Change: the failures end when a long-running task reaches full speed.

Measured: the test of failures with work between them failed at the third, and passes.

--- a/crates/jobs/src/cell/stall.rs
+++ b/crates/jobs/src/cell/stall.rs
@@ -41,11 +41,17 @@
         if progressed || (best_effort && slot.pace < 100) {
             slot.progressed_at = now;
         }
+        let reached_full_speed = long_running && run.percent >= 100 && slot.percent < 100;
         slot.percent = run.percent;
         let age = now.saturating_sub(slot.phase_since);
         if slot.phase != Phase::Running {
             return;
         }
+        if reached_full_speed {
+            // It never ends as done, so this is the only success that it can have.
+            worker.record_result(true, now);
+            return;
+        }
         let timeout = if long_running {
             STARTUP_TIMEOUT_MS
         } else {
