Restart long-running tasks whose end does not fit a full answer

Cause: an executor reports 500 ends at most. While these can't be acknowledged, later ends do not show, and no run was released for being absent. A stopped long-running task so stayed held until its executor left or another holder took the cell.

Change: a long-running task that a full answer does not show is released. It starts again however it ended. Other tasks still wait for their end, which tells whether they are done.

--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -59,10 +59,8 @@
         for run in &answer.present {
             self.handle_present(id, run, now);
         }
-        if answer.ended.len() < MAX_ENDS_PER_POLL {
-            self.release_missing(id, answer, sent, now);
-            self.stop_unsure(id, sent, now);
-        }
+        self.release_missing(id, answer, sent, now);
+        self.stop_unsure(id, sent, now);
         self.adjust_best_effort_pace(id, answer);
     }
 
@@ -226,8 +224,16 @@
     }
 
     /// Releases runs that an executor should report as present but does not.
+    ///
+    /// A full answer may omit the end of such a run. Only long-running tasks are released then,
+    /// since they start again however they ended.
     fn release_missing(&mut self, id: &str, answer: &ExecutorReport, sent: u64, now: u64) {
         let Some(worker) = self.workers.get(id) else { return };
+        let restarts = |task: &TaskId| {
+            let spec = self.jobs.get(&task.job).and_then(|e| e.job.steps.get(task.step));
+            spec.is_some_and(|spec| spec.long_running)
+        };
+        let is_full = answer.ended.len() >= MAX_ENDS_PER_POLL;
         let missing: Vec<TaskId> = worker
             .runs
             .iter()
@@ -235,6 +241,7 @@
                 // A run whose order was answered before the poll was sent must be in the answer.
                 matches!(slot.phase, Phase::Running | Phase::Stopped) && slot.phase_since < sent
             })
+            .filter(|(task, _)| !is_full || restarts(task))
             .filter(|(task, slot)| {
                 !answer.present.iter().any(|p| p.task == **task && p.run == slot.run)
             })
@@ -251,6 +258,7 @@
     fn stop_unsure(&mut self, id: &str, sent: u64, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         for (task, slot) in &mut worker.runs {
+            // Only long-running tasks are in this phase, whose ends need not be known.
             if slot.phase == Phase::Unsure && slot.phase_since < sent {
                 order_stop(&mut self.orders, id, task, slot, now);
             }
