Reserve an executor for a long-running task that fits nowhere

Cause: on a pool full of small tasks, each piece of memory that one of them frees goes to the next. A long-running task that needs several such pieces on one executor waits until the peak ends.

Change: the executor that lacks least is reserved for it and gets no tasks of other jobs until the small tasks there have ended. The choice is kept from pass to pass. Only an executor that has the resources beside its long-running tasks is reserved.

Measured: a task of 30 GB on executors of 64 GB full of tasks of 8 GB did not start in 49 ends of small tasks before, and does.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -14,7 +14,7 @@
 const MAX_STARTS_PER_PASS: usize = 256;
 
 /// State of one assignment pass.
-struct Pass {
+pub(super) struct Pass {
     /// Positions of the executors that accept tasks.
     accepting: Vec<usize>,
     /// Positions of the executors that would accept tasks if tasks had not failed on them.
@@ -23,12 +23,18 @@
     slow: Vec<usize>,
     /// Starts that this pass may still make.
     starts_left: usize,
+    /// Resources reserved in this pass, by position of the executor.
+    pub reserved: IndexMap<usize, Resources>,
+    /// Reservations of the pass before.
+    pub former: IndexMap<TaskId, String>,
+    /// Executors reserved for long-running tasks, by task.
+    pub reservations: IndexMap<TaskId, String>,
     /// Resource needs that no executor could satisfy.
     unplaceable: Vec<Resources>,
     /// Executors compared so far, counted once per task.
     compared: usize,
     /// Time of the pass, in milliseconds.
-    now: u64,
+    pub now: u64,
 }
 
 impl Pass {
@@ -42,11 +48,11 @@
 }
 
 /// Constraints on the executor of one task, in addition to those of its step.
-struct Constraints<'a> {
-    occurrence: u32,
-    step: usize,
+pub(super) struct Constraints<'a> {
+    pub occurrence: u32,
+    pub step: usize,
     /// Number of tasks of the step that each executor already has.
-    task_counts: &'a IndexMap<String, u32>,
+    pub task_counts: &'a IndexMap<String, u32>,
     /// Rack of the step's other tasks, if one of them has an executor.
     rack: Option<&'a str>,
     /// Executors on which the task has failed.
@@ -88,8 +94,10 @@
             }
         }
         if ready.is_empty() {
+            self.reservations.clear();
             return;
         }
+        let former = std::mem::take(&mut self.reservations);
         ready.sort_by_key(|r| r.rank);
         let least_cpu = self.least_cpu_needed(&ready);
         let (mut accepting, mut excluded) = (Vec::new(), Vec::new());
@@ -112,6 +120,9 @@
             excluded,
             slow,
             starts_left: MAX_STARTS_PER_PASS,
+            reserved: IndexMap::new(),
+            former,
+            reservations: IndexMap::new(),
             unplaceable: Vec::new(),
             compared: 0,
             now,
@@ -121,9 +132,14 @@
             if pass.starts_left == 0 || no_executors {
                 break;
             }
+            if !self.jobs[item.job].candidate.long_running && !pass.reserved.is_empty() {
+                let reserved = std::mem::take(&mut pass.reserved);
+                pass.accepting.retain(|n| !reserved.contains_key(n));
+            }
             self.assign_job(item.job, &mut pass);
         }
         self.compared = pass.compared;
+        self.reservations = pass.reservations;
     }
 
     /// Least CPU that any open task needs, in thousandths of a core.
@@ -177,8 +193,8 @@
         let now = pass.now;
         let Some((id, entry)) = self.jobs.get_index(job) else { return };
         let spec = &entry.job.steps[step];
-        let may_use_excluded = spec.long_running && !pass.excluded.is_empty();
-        if !may_use_excluded && pass.cannot_fit(place::required_resources(spec)) {
+        let long_running = spec.long_running;
+        if !long_running && pass.cannot_fit(place::required_resources(spec)) {
             return;
         }
         let id = id.clone();
@@ -202,9 +218,15 @@
                 rack: rack.as_deref(),
                 avoid,
             };
-            let Some(worker) = self.choose_worker(job, &constraints, pass) else { return };
-            *task_counts.entry(worker.clone()).or_default() += 1;
             let task = TaskId { job: id.clone(), occurrence, step, index };
+            let Some(worker) = self.choose_worker(job, &constraints, pass) else {
+                if long_running && let Some(worker) = self.reserve(job, task, &constraints, pass) {
+                    *task_counts.entry(worker).or_default() += 1;
+                    continue;
+                }
+                return;
+            };
+            *task_counts.entry(worker.clone()).or_default() += 1;
             let run = self.jobs[job].occurrences[&occurrence][step].tasks[index as usize].last_run;
             self.start_task(job, &worker, task, self.next_run(run), now);
             pass.starts_left -= 1;
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -15,6 +15,7 @@
 mod outcome;
 mod poll;
 mod record;
+mod reserve;
 mod stall;
 mod wait;
 
@@ -216,6 +217,8 @@
     ended_jobs: IndexSet<String>,
     /// Whether an executor has seen orders of a later holder.
     superseded: bool,
+    /// Executors reserved for long-running tasks that fit nowhere yet, by task.
+    reservations: IndexMap<TaskId, String>,
     /// Executors that the last assignment pass compared, counted once per task.
     compared: usize,
 }
@@ -252,6 +255,7 @@
             leaving: IndexSet::new(),
             ended_jobs: IndexSet::new(),
             superseded: false,
+            reservations: IndexMap::new(),
             compared: 0,
         }
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -223,6 +223,8 @@
     pub runs: IndexMap<TaskId, Slot>,
     /// Number of long-running runs.
     pub long_running: usize,
+    /// Resources reserved for long-running runs.
+    pub long_running_use: Resources,
     /// Speed of its best-effort tasks, in percent of full speed.
     pub best_effort_pace: u64,
     /// Highest sequence number of the ended runs that were processed.
@@ -263,6 +265,7 @@
             used: Resources::default(),
             runs: IndexMap::new(),
             long_running: 0,
+            long_running_use: Resources::default(),
             best_effort_pace: 100,
             last_seen_end: 0,
             last_durable_end: 0,
@@ -340,7 +343,10 @@
     pub fn add_run(&mut self, task: TaskId, slot: Slot) {
         self.remove_run(&task);
         self.used.add(slot.resources);
-        self.long_running += usize::from(slot.long_running);
+        if slot.long_running {
+            self.long_running += 1;
+            self.long_running_use.add(slot.resources);
+        }
         self.runs.insert(task, slot);
     }
 
@@ -348,7 +354,10 @@
     pub fn remove_run(&mut self, task: &TaskId) -> Option<Slot> {
         let slot = self.runs.swap_remove(task)?;
         self.used = self.used.minus(slot.resources);
-        self.long_running -= usize::from(slot.long_running);
+        if slot.long_running {
+            self.long_running -= 1;
+            self.long_running_use = self.long_running_use.minus(slot.resources);
+        }
         Some(slot)
     }
 
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -3,6 +3,8 @@
 //! They cover leases, hand-over between holders, lost answers, draining, stalled and slow
 //! executors, the adviser, the order of assignment and the load figures.
 
+use std::collections::VecDeque;
+
 use jobs::admit::{self, Load, Verdict};
 use jobs::cell::{Arrival, Order, Refusal, StartOutcome};
 use jobs::flush::Selection;
@@ -849,59 +851,105 @@
     }
 }
 
-/// Guards against a long-running task that never gets room, because each piece of memory that a
-/// small task frees is given to the next one.
-#[test]
-fn a_large_long_running_task_gets_room_on_executors_full_of_small_tasks() {
-    let mut cell = Cell::new(config(1), 0);
-    let ids = ["a", "b"];
-    for id in ids {
-        let capacity = Resources { cpu: 16_000, memory: 64_000, gpus: 0 };
-        cell.register(Registration { capacity, ..executor(id) });
-        cell.handle_poll(id, &poll_answer(100), 0, 1);
+/// Executors that are full of small tasks, which end one after the other.
+struct FullPool {
+    cell: Cell,
+    /// Small tasks with their executors, the one that ends next first.
+    running: VecDeque<(String, TaskId, u64)>,
+    ends: u64,
+}
+
+impl FullPool {
+    /// Executors of 64 GB with tasks of 8 GB.
+    fn new(ids: &[&str]) -> Self {
+        let mut cell = Cell::new(config(1), 0);
+        for id in ids {
+            let capacity = Resources { cpu: 16_000, memory: 64_000, gpus: 0 };
+            cell.register(Registration { capacity, ..executor(id) });
+            cell.handle_poll(id, &poll_answer(100), 0, 1);
+        }
+        let small = Step {
+            resources: Resources { cpu: 500, memory: 8_000, gpus: 0 },
+            estimate: 1_000,
+            ..step(1_000, 500)
+        };
+        cell.admit(arrival(vec![small], false));
+        let mut running = starts(&cell.tick(2, 0));
+        // The executors take turns.
+        running.sort_by_key(|(_, task, _)| task.index % 8);
+        Self { cell, running: running.into(), ends: 0 }
+    }
+
+    /// Adds a job with one long-running task.
+    fn add_long_running(&mut self, id: &str, memory: u64) {
+        let long_running = Step {
+            long_running: true,
+            resources: Resources { cpu: 1_000, memory, gpus: 0 },
+            ..step(1, 1_000)
+        };
+        self.cell.admit(Arrival { id: id.to_owned(), ..arrival(vec![long_running], false) });
     }
-    let small = Step {
-        resources: Resources { cpu: 500, memory: 8_000, gpus: 0 },
-        estimate: 1_000,
-        ..step(1_000, 500)
-    };
-    cell.admit(arrival(vec![small], false));
-    let mut running: Vec<(String, TaskId, u64)> = starts(&cell.tick(2, 0));
-    assert_eq!(running.len(), 16, "the small tasks fill both executors");
-    let large = Step {
-        long_running: true,
-        max_per_executor: 1,
-        resources: Resources { cpu: 1_000, memory: 30_000, gpus: 0 },
-        ..step(1, 1_000)
-    };
-    let other = "00000000000000bb";
-    cell.admit(Arrival { id: other.to_owned(), ..arrival(vec![large], false) });
-    let mut sequence = 0;
-    // Each second, every small task ends once, one after the other.
-    for now in (100..3_000).step_by(60) {
-        let (id, ended, run) = running.remove(0);
-        sequence += 1;
-        for name in ids {
+
+    /// Ends the oldest small task and returns the starts that follow.
+    fn end_small_task(&mut self, now: u64) -> Vec<(String, TaskId, u64)> {
+        let (id, ended, run) = self.running.pop_front().unwrap();
+        self.ends += 1;
+        let names: Vec<String> = self.cell.workers().keys().cloned().collect();
+        for name in names {
             let mut answer = poll_answer(100 + now);
-            let is_here = |r: &&(String, TaskId, u64)| r.0 == name;
-            let here = running.iter().filter(is_here);
+            let here = self.running.iter().filter(|(worker, ..)| *worker == name);
             answer.present = here
                 .map(|(_, task, run)| PresentRun { percent: now, ..present(task.clone(), *run) })
                 .collect();
             if name == id {
-                answer.ended = vec![end(sequence, ended.clone(), run, RunOutcome::Done)];
+                answer.ended = vec![end(self.ends, ended.clone(), run, RunOutcome::Done)];
             }
-            cell.handle_poll(name, &answer, now - 5, now);
+            self.cell.handle_poll(&name, &answer, now - 5, now);
         }
-        for (id, task, run) in starts(&cell.tick(now + 1, 0)) {
-            if task.job == other {
-                return;
-            }
-            cell.handle_start_outcome(&id, &task, run, StartOutcome::Running(now), now + 2);
-            running.push((id, task, run));
+        let started = starts(&self.cell.tick(now + 1, 0));
+        for (id, task, run) in &started {
+            self.cell.handle_start_outcome(id, task, *run, StartOutcome::Running(now), now + 2);
+            self.running.push_back((id.clone(), task.clone(), *run));
         }
+        started
+    }
+}
+
+/// Guards against a long-running task that never gets room, because each piece of memory that a
+/// small task frees is given to the next one.
+#[test]
+fn a_large_long_running_task_gets_room_on_executors_full_of_small_tasks() {
+    let mut pool = FullPool::new(&["a", "b"]);
+    assert_eq!(pool.running.len(), 16, "the small tasks fill both executors");
+    let large = "00000000000000bb";
+    pool.add_long_running(large, 30_000);
+    let mut started = (100..3_000).step_by(60).flat_map(|now| pool.end_small_task(now));
+    assert!(started.any(|(_, task, _)| task.job == large), "the large task has not started");
+}
+
+/// Guards against executors that stay empty for a task that no executor can run.
+#[test]
+fn an_executor_is_reserved_only_for_a_task_that_it_can_run() {
+    let mut pool = FullPool::new(&["a", "b"]);
+    pool.add_long_running("00000000000000bb", 65_000);
+    for now in (100..3_000).step_by(60) {
+        assert_eq!(pool.end_small_task(now).len(), 1, "a small task takes the piece");
     }
-    panic!("the large task has not started");
+}
+
+/// Guards against an executor that stays reserved for a task that is no longer wanted, and against
+/// reservations that hold back more executors than the task needs.
+#[test]
+fn a_reservation_holds_back_one_executor_until_the_job_ends() {
+    let mut pool = FullPool::new(&["a", "b"]);
+    let large = "00000000000000bb";
+    pool.add_long_running(large, 60_000);
+    let started: Vec<_> = (100..800).step_by(60).flat_map(|now| pool.end_small_task(now)).collect();
+    let executors: indexmap::IndexSet<&String> = started.iter().map(|(id, ..)| id).collect();
+    assert_eq!(executors.len(), 1, "only the executor that is not reserved gets tasks");
+    pool.cell.cancel(large, 900);
+    let started = pool.end_small_task(910);
+    assert!(started.len() > 1, "the pieces held back are given to small tasks");
 }
 
 /// Guards against the late outcome of an earlier start, or of one that a poll has confirmed
--- a/crates/jobs/tests/liveness.rs
+++ b/crates/jobs/tests/liveness.rs
@@ -241,6 +241,8 @@
     waits: IndexMap<TaskId, Wait>,
     failing_jobs: bool,
     large_jobs: bool,
+    /// Memory of the large jobs' tasks, in mebibytes.
+    large_memory: u64,
     run_life: f64,
     /// What happened to each long-running task, for the failure message.
     trace: Vec<String>,
@@ -272,6 +274,7 @@
             waits: IndexMap::new(),
             failing_jobs: false,
             large_jobs: false,
+            large_memory: 0,
             run_life: 0.0,
             trace: Vec::new(),
             failure: None,
@@ -282,15 +285,21 @@
 
     /// Plans the pool, its jobs, peaks, duties and faults.
     fn plan(&mut self) {
-        let size = self.between(4, 13);
+        let size = self.between(5, 13);
         (0..size as usize).for_each(|machine| self.join(machine));
         self.failing_jobs = self.chance(0.3);
         self.large_jobs = self.chance(0.5);
+        self.large_memory = self.between(6_000, 24_000);
         self.run_life = if self.chance(0.3) { 5_000.0 } else { 40_000.0 };
+        let mut memory_left = size * self.capacity.memory * 2 / 5;
         for n in 0..self.between(1, 4) {
             let memory = self.between(2_000, 32_001);
+            if memory * 5 > memory_left {
+                continue;
+            }
+            memory_left -= memory * 5;
             let step = Step {
-                count: 5.min(size as u32),
+                count: 5,
                 resources: Resources { cpu: self.between(500, 3_001), memory, gpus: 0 },
                 max_per_executor: 1,
                 max_unavailable: 1,
@@ -305,13 +314,18 @@
             self.store_job(id, step, false);
         }
         for _ in 0..self.between(1, 4) {
-            let from = self.between(4_000, 45_000);
-            let length = self.between(3_000, 16_000);
+            let from = self.between(4_000, 40_000);
+            let length = self.between(3_000, 20_000);
             self.peaks.push((from, from + length));
+            // A peak makes machines move.
+            for _ in 0..self.between(0, 3) {
+                let at = from + self.between(0, 3_000);
+                self.schedule(at, Event::Relocate);
+            }
         }
-        for _ in 0..self.between(0, 5) {
+        for _ in 0..self.between(0, 3) {
             let at = self.between(5_000, 50_000);
-            let event = if self.chance(0.8) { Event::Relocate } else { Event::Drain };
+            let event = if self.chance(0.6) { Event::Relocate } else { Event::Drain };
             self.schedule(at, event);
         }
         for _ in 0..self.between(0, 5) {
@@ -798,7 +812,10 @@
         let wanted = if peak { 40 + 3 * self.hosts.len() } else { 6 };
         for _ in jobs..wanted.max(jobs).min(jobs + 20) {
             let (cpu, memory) = match () {
-                () if self.large_jobs => (self.between(500, 2_500), self.between(6_000, 20_000)),
+                () if self.large_jobs => {
+                    let size = self.large_memory;
+                    (self.between(500, 2_500), self.between(size, size + size / 8))
+                }
                 () if self.chance(0.5) => (self.between(200, 3_000), self.between(2_000, 9_000)),
                 () => (self.between(200, 3_000), self.between(200, 2_000)),
             };
