--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -15,6 +15,7 @@
 mod outcome;
 mod poll;
 mod record;
+mod reserve;
 mod stall;
 mod wait;
 
@@ -218,6 +219,8 @@
     superseded: bool,
     /// Whether no tasks are started for now.
     starts_held: bool,
+    /// Executors reserved for long-running tasks that fit nowhere yet, by task.
+    reservations: IndexMap<TaskId, String>,
     /// Executors that the last assignment pass compared, counted once per task.
     compared: usize,
 }
@@ -255,6 +258,7 @@
             ended_jobs: IndexSet::new(),
             superseded: false,
             starts_held: false,
+            reservations: IndexMap::new(),
             compared: 0,
         }
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -168,6 +168,8 @@
     Draining,
     /// The executor does not answer.
     Silent,
+    /// The executor was busy or full just now.
+    Busy,
     /// Tasks have failed on the executor lately.
     Excluded,
     /// Not enough resources are free.
@@ -225,6 +227,8 @@
     pub long_running: usize,
     /// Number of runs whose needs are unknown.
     pub unknown_sizes: usize,
+    /// Resources reserved for long-running runs.
+    pub long_running_use: Resources,
     /// Speed of its best-effort tasks, in percent of full speed.
     pub best_effort_pace: u64,
     /// Highest sequence number of the ended runs that were processed.
@@ -245,7 +249,9 @@
     pub slowdown_at: u64,
     /// Consecutive failures since the last success.
     pub failures: u32,
-    /// Time until which the executor gets no new tasks, in milliseconds.
+    /// Time until which the executor, busy or full, gets no new tasks, in milliseconds.
+    pub busy_until: u64,
+    /// Time until which new tasks avoid the executor after failures, in milliseconds.
     pub excluded_until: u64,
     /// Consecutive orders and polls without an answer.
     pub unanswered: u32,
@@ -264,6 +270,7 @@
             runs: IndexMap::new(),
             long_running: 0,
             unknown_sizes: 0,
+            long_running_use: Resources::default(),
             best_effort_pace: 100,
             last_seen_end: 0,
             last_durable_end: 0,
@@ -274,6 +281,7 @@
             slowdown: 0,
             slowdown_at: 0,
             failures: 0,
+            busy_until: 0,
             excluded_until: 0,
             unanswered: 0,
         }
@@ -322,6 +330,7 @@
             () if self.unanswered > 0 || now > self.last_answer_at + ANSWER_VALIDITY_MS => {
                 Some(Obstacle::Silent)
             }
+            () if now < self.busy_until => Some(Obstacle::Busy),
             () if now < self.excluded_until => Some(Obstacle::Excluded),
             () => None,
         }
@@ -357,8 +366,11 @@
     pub fn add_run(&mut self, task: TaskId, slot: Slot) {
         self.remove_run(&task);
         self.used.add(slot.resources);
-        self.long_running += usize::from(slot.long_running);
         self.unknown_sizes += usize::from(slot.unknown_size);
+        if slot.long_running {
+            self.long_running += 1;
+            self.long_running_use.add(slot.resources);
+        }
         self.runs.insert(task, slot);
     }
 
@@ -366,8 +378,11 @@
     pub fn remove_run(&mut self, task: &TaskId) -> Option<Slot> {
         let slot = self.runs.swap_remove(task)?;
         self.used = self.used.minus(slot.resources);
-        self.long_running -= usize::from(slot.long_running);
         self.unknown_sizes -= usize::from(slot.unknown_size);
+        if slot.long_running {
+            self.long_running -= 1;
+            self.long_running_use = self.long_running_use.minus(slot.resources);
+        }
         Some(slot)
     }
 
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -3,8 +3,10 @@
 //! They cover leases, hand-over between holders, lost answers, draining, stalled and slow
 //! executors, the adviser, the order of assignment and the load figures.
 
+use std::collections::VecDeque;
+
 use jobs::admit::{self, Load, Verdict};
-use jobs::cell::{Arrival, Order, StartOutcome};
+use jobs::cell::{Arrival, Order, Refusal, StartOutcome};
 use jobs::flush::Selection;
 use jobs::worker::{EndedRun, PresentRun};
 use jobs::{
@@ -801,3 +803,196 @@
     cell.handle_start_outcome("b", &task(0, 0), 1, StartOutcome::Running(101), 1_503);
     assert!(cell.waiting_tasks(0, 9_000).is_empty());
 }
+
+/// Guards against a long-running task that waits because its own failures, or those of others,
+/// have excluded every executor.
+#[test]
+fn a_long_running_task_restarts_though_every_executor_is_excluded() {
+    let mut cell = cell(1, &["a"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    for failure in 1..=8 {
+        let (now, run) = (failure * 20_000, 2 * failure - 1);
+        cell.confirm_ownership(now);
+        cell.handle_poll("a", &poll_answer(now), now - 10, now);
+        assert_eq!(starts(&cell.tick(now + 5, 0)), [("a".to_owned(), task(0, 0), run)]);
+        cell.handle_start_outcome("a", &task(0, 0), run, StartOutcome::Running(now), now + 10);
+        let mut answer = poll_answer(now + 9_000);
+        answer.ended = vec![end(failure, task(0, 0), run, RunOutcome::Failed)];
+        cell.handle_poll("a", &answer, now + 8_990, now + 9_000);
+        cell.confirm_ownership(now + 9_000);
+        let restarted = starts(&cell.tick(now + 9_100, 0));
+        assert_eq!(restarted.len(), 1, "after {failure} failures");
+        // The executor rejects the restart, so that each round has one failure.
+        let refused = StartOutcome::Refused(Refusal::Late);
+        cell.handle_start_outcome("a", &task(0, 0), run + 1, refused, now + 9_110);
+    }
+}
+
+/// Guards against exclusion for failures that a long-running task's time at work lies between.
+#[test]
+fn a_long_running_task_at_full_speed_clears_the_failures_of_its_executor() {
+    let mut cell = cell(1, &["a"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    for run in 1..=4 {
+        let now = run * 5_000;
+        cell.confirm_ownership(now);
+        cell.handle_poll("a", &poll_answer(now), now - 10, now);
+        cell.tick(now + 5, 0);
+        cell.handle_start_outcome("a", &task(0, 0), run, StartOutcome::Running(now), now + 10);
+        let mut answer = poll_answer(now + 1_000);
+        answer.present = vec![present(task(0, 0), run)];
+        cell.handle_poll("a", &answer, now + 990, now + 1_000);
+        let mut answer = poll_answer(now + 4_000);
+        answer.ended = vec![end(run, task(0, 0), run, RunOutcome::Failed)];
+        cell.handle_poll("a", &answer, now + 3_990, now + 4_000);
+        assert!(cell.workers()["a"].accepts_tasks(now + 4_001), "after {run} failures");
+    }
+}
+
+/// Executors that are full of small tasks, which end one after the other.
+struct FullPool {
+    cell: Cell,
+    /// Small tasks with their executors, the one that ends next first.
+    running: VecDeque<(String, TaskId, u64)>,
+    ends: u64,
+}
+
+impl FullPool {
+    /// Executors of 64 GB with tasks of 8 GB.
+    fn new(ids: &[&str]) -> Self {
+        let mut cell = Cell::new(config(1), 0);
+        for id in ids {
+            let capacity = Resources { cpu: 16_000, memory: 64_000, gpus: 0 };
+            cell.register(Registration { capacity, ..executor(id) });
+            cell.handle_poll(id, &poll_answer(100), 0, 1);
+        }
+        let small = Step {
+            resources: Resources { cpu: 500, memory: 8_000, gpus: 0 },
+            estimate: 1_000,
+            ..step(1_000, 500)
+        };
+        cell.admit(arrival(vec![small], false));
+        let mut running = starts(&cell.tick(2, 0));
+        // The executors take turns.
+        running.sort_by_key(|(_, task, _)| task.index % 8);
+        Self { cell, running: running.into(), ends: 0 }
+    }
+
+    /// Adds a job with one long-running task.
+    fn add_long_running(&mut self, id: &str, memory: u64) {
+        let long_running = Step {
+            long_running: true,
+            resources: Resources { cpu: 1_000, memory, gpus: 0 },
+            ..step(1, 1_000)
+        };
+        self.cell.admit(Arrival { id: id.to_owned(), ..arrival(vec![long_running], false) });
+    }
+
+    /// Ends the oldest small task and returns the starts that follow.
+    fn end_small_task(&mut self, now: u64) -> Vec<(String, TaskId, u64)> {
+        let (id, ended, run) = self.running.pop_front().unwrap();
+        self.ends += 1;
+        let names: Vec<String> = self.cell.workers().keys().cloned().collect();
+        for name in names {
+            let mut answer = poll_answer(100 + now);
+            let here = self.running.iter().filter(|(worker, ..)| *worker == name);
+            answer.present = here
+                .map(|(_, task, run)| PresentRun { percent: now, ..present(task.clone(), *run) })
+                .collect();
+            if name == id {
+                answer.ended = vec![end(self.ends, ended.clone(), run, RunOutcome::Done)];
+            }
+            self.cell.handle_poll(&name, &answer, now - 5, now);
+        }
+        let started = starts(&self.cell.tick(now + 1, 0));
+        for (id, task, run) in &started {
+            self.cell.handle_start_outcome(id, task, *run, StartOutcome::Running(now), now + 2);
+            self.running.push_back((id.clone(), task.clone(), *run));
+        }
+        started
+    }
+}
+
+/// Guards against a long-running task that never gets room, because each piece of memory that a
+/// small task frees is given to the next one.
+#[test]
+fn a_large_long_running_task_gets_room_on_executors_full_of_small_tasks() {
+    let mut pool = FullPool::new(&["a", "b"]);
+    assert_eq!(pool.running.len(), 16, "the small tasks fill both executors");
+    let large = "00000000000000bb";
+    pool.add_long_running(large, 30_000);
+    let mut started = (100..3_000).step_by(60).flat_map(|now| pool.end_small_task(now));
+    assert!(started.any(|(_, task, _)| task.job == large), "the large task has not started");
+}
+
+/// Guards against executors that stay empty for a task that no executor can run.
+#[test]
+fn an_executor_is_reserved_only_for_a_task_that_it_can_run() {
+    let mut pool = FullPool::new(&["a", "b"]);
+    pool.add_long_running("00000000000000bb", 65_000);
+    for now in (100..3_000).step_by(60) {
+        assert_eq!(pool.end_small_task(now).len(), 1, "a small task takes the piece");
+    }
+}
+
+/// Guards against an executor that stays reserved for a task that is no longer wanted, and against
+/// reservations that hold back more executors than the task needs.
+#[test]
+fn a_reservation_holds_back_one_executor_until_the_job_ends() {
+    let mut pool = FullPool::new(&["a", "b"]);
+    let large = "00000000000000bb";
+    pool.add_long_running(large, 60_000);
+    let started: Vec<_> = (100..800).step_by(60).flat_map(|now| pool.end_small_task(now)).collect();
+    let executors: indexmap::IndexSet<&String> = started.iter().map(|(id, ..)| id).collect();
+    assert_eq!(executors.len(), 1, "only the executor that is not reserved gets tasks");
+    pool.cell.cancel(large, 900);
+    let started = pool.end_small_task(910);
+    assert!(started.len() > 1, "the pieces held back are given to small tasks");
+}
+
+/// Guards against the late outcome of an earlier start, or of one that a poll has confirmed
+/// meanwhile, that stops a run at work.
+#[test]
+fn a_start_that_goes_unanswered_stops_no_run_known_to_work() {
+    let mut cell = cell(1, &["a"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    cell.handle_poll("a", &poll_answer(100), 0, 1);
+    assert_eq!(starts(&cell.tick(2, 0)).len(), 1);
+    let mut answer = poll_answer(150);
+    answer.ended = vec![end(1, task(0, 0), 1, RunOutcome::Failed)];
+    cell.handle_poll("a", &answer, 40, 50);
+    assert_eq!(starts(&cell.tick(51, 0)), [("a".to_owned(), task(0, 0), 2)]);
+    let mut answer = poll_answer(200);
+    answer.present = vec![present(task(0, 0), 2)];
+    cell.handle_poll("a", &answer, 90, 100);
+    cell.handle_start_outcome("a", &task(0, 0), 1, StartOutcome::Unknown, 902);
+    assert_eq!(cell.tick(903, 0), [], "the unanswered start was that of run 1");
+    cell.handle_start_outcome("a", &task(0, 0), 2, StartOutcome::Unknown, 951);
+    assert_eq!(cell.tick(952, 0), [], "run 2 is at work");
+}
+
+/// Guards against a long-running task that counts as running until its executor leaves, because its
+/// end is not among those that fit an answer while ends can't be acknowledged.
+#[test]
+fn a_long_running_task_restarts_while_ends_are_not_acknowledged() {
+    let mut cell = cell(1, &["a"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    cell.handle_poll("a", &poll_answer(100), 0, 1);
+    assert_eq!(starts(&cell.tick(2, 0)).len(), 1);
+    cell.handle_start_outcome("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    let other = |sequence| {
+        let job = format!("{:016x}", 1_000 + sequence);
+        end(sequence, TaskId { job, ..task(0, 0) }, 1, RunOutcome::Done)
+    };
+    let ended: Vec<EndedRun> = (1..=500).map(other).collect();
+    for now in [500, 1_000] {
+        let mut answer = poll_answer(100 + now);
+        answer.ended.clone_from(&ended);
+        cell.handle_poll("a", &answer, now - 10, now);
+    }
+    assert_eq!(starts(&cell.tick(1_001, 0)), [("a".to_owned(), task(0, 0), 2)]);
+}
