--- a/crates/jobs/src/cell/reserve.rs
+++ b/crates/jobs/src/cell/reserve.rs
@@ -33,11 +33,10 @@
         let suits = |n: usize, id: &String, worker: &Worker| {
             let task_count = constraints.task_counts.get(id).copied().unwrap_or(0);
             let reserved = pass.reserved.get(&n).copied().unwrap_or_default();
-            let lasting = worker.registration.capacity.minus(worker.long_running_use);
             worker.accepts_tasks(pass.now)
                 && advice.is_none_or(|advice| advice.ticket(id, pass.now).is_some())
                 && place::is_eligible(spec, worker, task_count)
-                && lasting.minus(reserved).fits(need)
+                && worker.free_beside_long_running().minus(reserved).fits(need)
         };
         let former = pass.former.get(&task).and_then(|id| self.workers.get_full(id));
         let former = former.filter(|(n, id, worker)| suits(*n, id, worker)).map(|(n, ..)| n);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -219,6 +219,8 @@
     pub dead: bool,
     /// Whether it is to be drained, for maintenance or a move of its machine.
     pub leaving: bool,
+    /// Time since which it has been leaving or not ready, in milliseconds.
+    pub leaving_since: Option<u64>,
     /// Resources reserved for `runs`.
     pub used: Resources,
     /// Runs that the executor has, or may have.
@@ -266,6 +268,7 @@
             joined: false,
             dead: false,
             leaving: false,
+            leaving_since: None,
             used: Resources::default(),
             runs: IndexMap::new(),
             long_running: 0,
@@ -300,6 +303,11 @@
         self.registration.capacity.minus(self.used)
     }
 
+    /// Resources that are free once its short tasks have ended.
+    pub fn free_beside_long_running(&self) -> Resources {
+        self.registration.capacity.minus(self.long_running_use)
+    }
+
     /// Whether a run with these needs can be added within the capacity.
     ///
     /// The capacity may have shrunk below what is in use. A run then has no room even if it needs
