--- a/crates/jobs/tests/liveness.rs
+++ b/crates/jobs/tests/liveness.rs
@@ -40,7 +40,7 @@
 const MAX_ENDS: usize = 500;
 
 /// First seed, and number of seeds of a short search.
-const FIRST_SEED: u64 = 30;
+const FIRST_SEED: u64 = 60;
 const DEFAULT_SEEDS: u64 = 10;
 
 /// What counts as room for a task.
