Leave executors alive whose machine's order may have been carried out before

Cause: an upkeep order without a response may be carried out. The machine's new executor was then emptied for another order, which the platform accepts as already done. Its executor counted as ended though it lived: the cell's holder stopped polling it and gave it no tasks until another holder took the cell.

Change: the duty keeps the last order on record when the machine is emptied again. The acceptance of a repeated order is no longer taken for the end of the executor.

Measured: by the code and a test of the duty; no play of the whole system was run.

--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -1,7 +1,7 @@
 //! Maintenance waves.
 
 use futures_util::future::{join, join_all};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jobs::wave::{self, ListedMachine, NextAction, Stage, Wave};
 
 use super::{Inner, new_duty};
@@ -55,8 +55,11 @@
                 })
             });
             for machine in free.chain(replaced).filter_map(|name| machines.get(name)) {
-                let next = new_duty(machine, wave.number, "", Stage::Emptying);
                 let place = keys::maintenance(wave.number, &machine.name);
+                let next = match self.duty(&place) {
+                    Some(duty) => duty.empty_again(&machine.executor),
+                    None => new_duty(machine, wave.number, "", Stage::Emptying),
+                };
                 changes.push(self.change(place, Some(next)));
             }
         }
@@ -148,7 +151,7 @@
                     }
                     NextAction::RepeatOrder => to_order.push(machine.name.clone()),
                     NextAction::EmptyAgain => {
-                        let next = new_duty(machine, wave.number, "", Stage::Emptying);
+                        let next = duty.empty_again(&machine.executor);
                         changes.push(self.change(place, Some(next)));
                     }
                 }
@@ -191,6 +194,12 @@
     /// Records and sends the orders for machines that go down.
     async fn order_machines_down(&self, names: &[String], wave: u64) {
         let names = &names[..self.take_wave_orders(names.len())];
+        let may_be_carried_out = |name: &String| {
+            let duty = self.duty(&keys::maintenance(wave, name));
+            duty.is_some_and(|duty| duty.may_be_carried_out())
+        };
+        let repeated: IndexSet<&String> =
+            names.iter().filter(|name| may_be_carried_out(name)).collect();
         let changes = {
             let machines = self.machines.borrow();
             let down = |m: &Machine| {
@@ -208,7 +217,8 @@
         };
         let accepted = join_all(recorded.map(send)).await;
         // The cells do not have to wait for the leases of executors that have certainly ended.
-        let ended = accepted.into_iter().flatten().filter_map(|name| {
+        let ended = accepted.into_iter().flatten().filter(|name| !repeated.contains(name));
+        let ended = ended.filter_map(|name| {
             let place = keys::maintenance(wave, &name);
             let duty = self.duty(&place)?;
             Some(self.change(place, Some(Duty { executor_ended: true, ..duty })))
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -237,6 +237,26 @@
         self.stage.parse().unwrap_or_default()
     }
 
+    /// Returns the duty with another executor of the machine, which is to be emptied.
+    ///
+    /// The last order stays on record, since it may have been carried out.
+    pub fn empty_again(&self, executor: &str) -> Self {
+        Self {
+            stage: Stage::Emptying.to_string(),
+            executor: executor.to_owned(),
+            executor_ended: false,
+            emptied: false,
+            ..self.clone()
+        }
+    }
+
+    /// Returns whether the next order may find its work done.
+    ///
+    /// The platform accepts such an order and does nothing, so that the executor lives on.
+    pub fn may_be_carried_out(&self) -> bool {
+        self.ordered_at > 0
+    }
+
     /// Returns whether the machine is being emptied or is down, so its executor gets no new tasks.
     pub fn is_in_progress(&self) -> bool {
         matches!(self.stage(), Stage::Emptying | Stage::Down)
--- a/crates/cells/tests/duties.rs
+++ b/crates/cells/tests/duties.rs
@@ -155,3 +155,16 @@
     assert_eq!(table.duty(&removed), None);
     assert!(duties.borrow().get(&removed.key).is_none());
 }
+
+/// Guards against a live executor that counts as ended, because an order for its machine was accepted
+/// that an earlier one without a response had carried out.
+#[test]
+fn an_order_after_one_without_a_response_may_leave_the_executor_alive() {
+    let due = Duty { machine: "m".to_owned(), wave: 1, ..Duty::default() };
+    assert!(!due.empty_again("e1").may_be_carried_out(), "no order was sent");
+    let ordered = Duty { stage: "down".to_owned(), emptied: true, ordered_at: 5, epoch: 3, ..due };
+    let again = ordered.empty_again("e2");
+    assert!(again.may_be_carried_out());
+    assert_eq!((again.stage.as_str(), again.executor.as_str()), ("emptying", "e2"));
+    assert!(!again.emptied && !again.executor_ended);
+}
