--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -996,3 +996,21 @@
     }
     assert_eq!(starts(&cell.tick(1_001, 0)), [("a".to_owned(), task(0, 0), 2)]);
 }
+
+/// Guards against a task that is held by an executor known to have ended, because an earlier answer
+/// of the executor arrives late.
+#[test]
+fn a_late_answer_of_an_ended_executor_holds_no_task() {
+    let mut cell = cell(1, &["a", "b"]);
+    let long_running = Step { long_running: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![long_running], false));
+    cell.handle_poll("a", &poll_answer(100), 0, 1);
+    assert_eq!(starts(&cell.tick(2, 0)).len(), 1);
+    cell.handle_start_outcome("a", &task(0, 0), 1, StartOutcome::Running(101), 3);
+    cell.mark_dead("a", 500);
+    let mut answer = poll_answer(550);
+    answer.present = vec![present(task(0, 0), 1)];
+    cell.handle_poll("a", &answer, 450, 510);
+    cell.handle_poll("b", &poll_answer(100), 500, 511);
+    assert_eq!(starts(&cell.tick(512, 0)), [("b".to_owned(), task(0, 0), 2)]);
+}
--- a/crates/jobs/tests/liveness.rs
+++ b/crates/jobs/tests/liveness.rs
@@ -196,6 +196,7 @@
     Fault,
     Kill { host: String, down: u64 },
     Unlist { host: String },
+    List { registration: Registration },
     Rejoin { machine: usize },
     Relocate,
     Relocated { host: String, deadline: u64 },
@@ -237,6 +238,8 @@
     tasks: Vec<(TaskId, Step)>,
     leaving: IndexSet<String>,
     last_fault: u64,
+    /// Until when the table takes no writes.
+    unwritable_until: u64,
     peaks: Vec<(u64, u64)>,
     waits: IndexMap<TaskId, Wait>,
     failing_jobs: bool,
@@ -270,6 +273,7 @@
             tasks: Vec::new(),
             leaving: IndexSet::new(),
             last_fault: 0,
+            unwritable_until: 0,
             peaks: Vec::new(),
             waits: IndexMap::new(),
             failing_jobs: false,
@@ -413,7 +417,7 @@
         );
     }
 
-    fn note(&mut self, text: String) {
+    fn note(&mut self, text: &str) {
         self.trace.push(format!("{:>6} {text}", self.now));
     }
 
@@ -457,13 +461,19 @@
                     holder.cell.unlist(&host);
                 }
             }
+            Event::List { registration } => {
+                let alive = self.hosts.get(&registration.id).is_some_and(|host| host.alive);
+                if let Some(holder) = self.holder.as_mut().filter(|_| alive) {
+                    holder.cell.register(registration);
+                }
+            }
             Event::Rejoin { machine } => self.join(machine),
             Event::Relocate => self.relocate(),
             Event::Relocated { host, deadline } => self.relocated(&host, deadline),
             Event::Drain => self.drain(),
             Event::LoseHolder => {
                 self.holder = None;
-                self.note("the holder is lost".to_owned());
+                self.note("the holder is lost");
                 let gap = self.between(300, 7_000);
                 self.last_fault = self.now + gap;
                 self.schedule(self.now + gap, Event::NewHolder);
@@ -502,7 +512,7 @@
             let arrival = Arrival { inherited: term > 1, ..job.arrival.clone() };
             cell.admit(arrival);
         }
-        self.note(format!("term {term} begins"));
+        self.note(&format!("term {term} begins"));
         self.holder = Some(Holder {
             cell,
             term,
@@ -538,7 +548,7 @@
                 }
                 Order::Stop { worker, task, run } => {
                     if task.job.starts_with("0000") {
-                        self.note(format!("stop {task} run {run} at {worker}"));
+                        self.note(&format!("stop {task} run {run} at {worker}"));
                     }
                     self.send(&worker, Call::Stop { task, run });
                 }
@@ -693,7 +703,7 @@
             self.failure = Some(format!("{now}: {task} runs twice, on {copies:?}"));
         }
         if spec.long_running {
-            self.note(format!("{task} run {run} begins on {name}"));
+            self.note(&format!("{task} run {run} begins on {name}"));
         }
         Answer::Done(clock)
     }
@@ -721,7 +731,7 @@
                     *in_use -= 1;
                 }
                 if task.job.starts_with("0000") && !matches!(outcome, StartOutcome::Running(_)) {
-                    self.note(format!("start {task} run {run} at {host}: {outcome:?}"));
+                    self.note(&format!("start {task} run {run} at {host}: {outcome:?}"));
                 }
                 self.send_starts(&host);
             }
@@ -795,6 +805,9 @@
     /// Writes the holder's changes to the table.
     fn flush(&mut self) {
         let Some(holder) = &mut self.holder else { return };
+        if self.now < self.unwritable_until {
+            return;
+        }
         let (changes, flush) = holder.cell.take_changes();
         for change in changes {
             let job = &mut self.store[&change.id];
@@ -835,13 +848,13 @@
     /// Begins a fault of one executor or of several.
     fn fault(&mut self) {
         let now = self.now;
-        let kind = self.between(0, 5);
+        let kind = self.between(0, 7);
         let until = now + self.between(500, 8_000);
         let share = if self.chance(0.3) { 1.0 } else { 0.3 };
         let names: Vec<String> =
             self.hosts.iter().filter(|(_, host)| host.alive).map(|(id, _)| id.clone()).collect();
         self.last_fault = self.last_fault.max(until);
-        self.note(format!("fault {kind} until {until}, share {share}"));
+        self.note(&format!("fault {kind} until {until}, share {share}"));
         for name in names {
             if !self.chance(share) {
                 continue;
@@ -854,6 +867,14 @@
                 1 => host.frozen_until = until,
                 2 => host.failing_until = until,
                 3 => host.noisy_until = until,
+                4 => {
+                    let registration = host.registration.clone();
+                    if let Some(holder) = &mut self.holder {
+                        holder.cell.unlist(&name);
+                    }
+                    self.schedule(until, Event::List { registration });
+                }
+                5 => self.unwritable_until = until,
                 _ if killed => {
                     let down = until - now;
                     self.schedule(now, Event::Kill { host: name, down });
@@ -874,7 +895,7 @@
         host.alive = false;
         host.runs.clear();
         let machine = host.machine;
-        self.note(format!("{name} ends"));
+        self.note(&format!("{name} ends"));
         self.schedule(now + 3_000, Event::Unlist { host: name.to_owned() });
         self.schedule(now + down, Event::Rejoin { machine });
     }
@@ -897,7 +918,7 @@
             .collect();
         let Some(last) = names.len().checked_sub(1) else { return };
         let host = names[self.between(0, last as u64 + 1) as usize].clone();
-        self.note(format!("{host} is to be emptied"));
+        self.note(&format!("{host} is to be emptied"));
         self.leaving.insert(host.clone());
         self.set_leaving();
         let deadline = self.now + self.between(3_000, 9_000);
@@ -935,7 +956,7 @@
         if let Some(holder) = &mut self.holder {
             holder.cell.register(registration);
         }
-        self.note(format!("{name} drains"));
+        self.note(&format!("{name} drains"));
         let (ends, down) = (self.between(5_000, 9_000), self.between(500, 4_000));
         self.schedule(now + ends, Event::Kill { host: name, down });
     }
