Take no runs from an answer of an executor that has ended

Cause: an answer to a poll may arrive after the executor is known to have ended. Its runs were taken over again and held their tasks until the lease would have expired, over six seconds later.

Change: such an answer adds no runs. Its ends still count.

--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -158,13 +158,13 @@
         self.check_progress(id, run, now);
     }
 
-    /// Adds a run that this holder has not started; returns false if the executor is unknown.
+    /// Adds a run that this holder has not started; returns false if the executor is unknown or has
+    /// ended, which its answer may be older than.
     fn adopt_run(&mut self, id: &str, run: &PresentRun, now: u64) -> bool {
         let task = &run.task;
         // The resources of a run of an unknown job are unknown too: they may be the whole executor.
-        let Some(mut resources) = self.workers.get(id).map(|w| w.registration.capacity) else {
-            return false;
-        };
+        let worker = self.workers.get(id).filter(|w| !w.dead);
+        let Some(mut resources) = worker.map(|w| w.registration.capacity) else { return false };
         let long_running = self.is_long_running(task);
         let entry =
             self.jobs.get_mut(&task.job).filter(|entry| task.occurrence >= entry.first_open);
