Release no orphaned leases while the held cells are being closed

Cause: a process that stops takes its cells out of the held ones and lets them write their last changes for up to 0.6 s. Its next read of the leases saw cells that it did not hold, and released them while they were still acting: in a replay 'cell-released' came 0.58 s before 'cell-lost, this process is stopping'. Change: nothing is released as an orphan once the cells are being closed; each of them releases its lease itself. Test: a_stopping_holder_releases_its_cell_only_after_it_has_stopped_acting_for_it failed before, and passes.

--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -61,6 +61,8 @@
 pub(crate) struct Member {
     ctx: Rc<Context>,
     held: RefCell<Held>,
+    /// Whether the held cells are being closed, each of which releases its lease itself.
+    closing: Cell<bool>,
     /// Whether the process is a candidate rather than an observer.
     candidate: Cell<bool>,
     /// Triggers the heartbeats of a new candidate.
@@ -84,6 +86,7 @@
         let member = Rc::new(Self {
             ctx,
             held: RefCell::default(),
+            closing: Cell::new(false),
             candidate: Cell::new(false),
             became_candidate: Notify::new(),
             census: RefCell::default(),
@@ -101,6 +104,7 @@
 
     /// Releases the leases of all held cells and of the fleet's duties.
     pub async fn close(&self) {
+        self.closing.set(true);
         let held = std::mem::take(&mut *self.held.borrow_mut());
         let closing = held.owners.into_values().map(Owner::close);
         join_all(closing).await;
@@ -405,6 +409,9 @@
     /// A holder that stops acting for a cell, such as after an executor has refused its epoch, keeps the
     /// lease. As long as the process lives, no other process would claim the cell.
     async fn release_orphans(&self) {
+        if self.closing.get() {
+            return;
+        }
         let orphans = {
             let held = self.held.borrow();
             let unconfirmed = self.unconfirmed.borrow();
