Take a recorded acceptance for the end of a machine's maintenance

Cause: only the holder that received the acceptance knew it, though it is written to the duty's row. Change: a machine that is up with another executor after a recorded acceptance is done. Test: a_machine_that_is_back_after_a_recorded_acceptance_is_not_emptied_again failed before (EmptyAgain instead of Done).

--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -149,7 +149,7 @@
                 if duty.stage() != Stage::Down || !machine.up {
                     continue;
                 }
-                match self.listed(wave.number, machine, &duty.executor).next_action() {
+                match self.listed(wave.number, machine, &duty).next_action() {
                     NextAction::RepeatOrder if self.is_busy(&machine.name) => {}
                     NextAction::Wait => {}
                     NextAction::Done => {
@@ -178,15 +178,14 @@
         }
     }
 
-    /// Returns the state of a machine that is listed as up after an order.
-    ///
-    /// `emptied` is the executor that was emptied before the order.
-    fn listed(&self, wave: u64, machine: &Machine, emptied: &str) -> ListedMachine {
+    /// Returns the state of a machine that is listed as up after an order, which `duty` records.
+    fn listed(&self, wave: u64, machine: &Machine, duty: &Duty) -> ListedMachine {
         let accepted_at = self.accepted.borrow().get(&(wave, machine.name.clone())).copied();
         ListedMachine {
             listed_after_order: accepted_at.map(|at| self.listed_at.get() > at),
+            accepted: duty.executor_ended,
             recently_ordered: self.is_recently_ordered(&machine.name),
-            still_empty: machine.executor == emptied || self.runs_no_tasks(machine),
+            still_empty: machine.executor == duty.executor || self.runs_no_tasks(machine),
         }
     }
 
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -52,6 +52,8 @@
     /// `None` if no order of this holder was accepted; otherwise whether the list is newer than the
     /// acceptance.
     pub listed_after_order: Option<bool>,
+    /// Whether the acceptance of an order is on record, by whichever holder.
+    pub accepted: bool,
     /// Whether an order of a former holder may still be on its way.
     pub recently_ordered: bool,
     /// Whether its executor is still the one that was emptied, or it has no executor.
@@ -81,6 +83,7 @@
     /// use jobs::wave::{ListedMachine, NextAction};
     /// let seen = ListedMachine {
     ///     listed_after_order: None,
+    ///     accepted: false,
     ///     recently_ordered: false,
     ///     still_empty: true,
     /// };
@@ -89,11 +92,15 @@
     /// assert_eq!(replaced.next_action(), NextAction::EmptyAgain);
     /// let back = ListedMachine { listed_after_order: Some(true), ..seen };
     /// assert_eq!(back.next_action(), NextAction::Done);
+    /// let back = ListedMachine { accepted: true, ..replaced };
+    /// assert_eq!(back.next_action(), NextAction::Done);
     /// ```
     pub fn next_action(self) -> NextAction {
         match self.listed_after_order {
             Some(true) => NextAction::Done,
             Some(false) => NextAction::Wait,
+            // The accepted order has ended the executor that was emptied, and this is the next one.
+            None if self.accepted && !self.still_empty => NextAction::Done,
             None if self.recently_ordered => NextAction::Wait,
             None if self.still_empty => NextAction::RepeatOrder,
             None => NextAction::EmptyAgain,
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -329,8 +329,12 @@
 
 #[test]
 fn an_order_is_not_repeated_to_a_machine_that_has_another_executor() {
-    let emptied =
-        ListedMachine { listed_after_order: None, recently_ordered: false, still_empty: true };
+    let emptied = ListedMachine {
+        listed_after_order: None,
+        accepted: false,
+        recently_ordered: false,
+        still_empty: true,
+    };
     assert_eq!(emptied.next_action(), NextAction::RepeatOrder);
     // Tasks may have started on the new executor, and the outcome of the first order is unknown.
     assert_eq!(
@@ -350,6 +354,22 @@
     );
 }
 
+/// Guards against maintenance that a new holder of the duties begins again, although its predecessor
+/// has recorded that the order was accepted.
+#[test]
+fn a_machine_that_is_back_after_a_recorded_acceptance_is_not_emptied_again() {
+    let back = ListedMachine {
+        listed_after_order: None,
+        accepted: true,
+        recently_ordered: false,
+        still_empty: false,
+    };
+    assert_eq!(back.next_action(), NextAction::Done);
+    assert_eq!(ListedMachine { recently_ordered: true, ..back }.next_action(), NextAction::Done);
+    // The list still shows the executor that was emptied.
+    assert_eq!(ListedMachine { still_empty: true, ..back }.next_action(), NextAction::RepeatOrder);
+}
+
 #[test]
 fn a_late_backlog_after_an_outage_refuses_no_job_that_can_be_in_time() {
     // 30 s of late work for the few machines that a pool has when its peak begins.
