Keep no refused order of a machine on record

An order that the platform refused was not carried out. Left on record, it made the next acceptance count as one of work done before, so that the cell's holder had to find out by itself that the executor had ended.

--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -240,10 +240,13 @@
         let refused = names.iter().filter(|name| self.is_busy(name)).filter_map(|name| {
             let place = keys::maintenance(wave, name);
             let duty = self.duty(&place)?;
-            let open = self.open_orders.borrow().contains(&(wave, name.clone()))
-                || duty.epoch != self.tenure.epoch;
+            let open = repeated.contains(name)
+                || self.open_orders.borrow().contains(&(wave, name.clone()));
             let stage = wave::after_refusal(open).to_string();
-            (duty.stage != stage).then(|| self.change(place, Some(Duty { stage, ..duty })))
+            // A refused order is none that may have been carried out.
+            let (ordered_at, epoch) = if open { (duty.ordered_at, duty.epoch) } else { (0, 0) };
+            let next = Duty { stage, ordered_at, epoch, ..duty.clone() };
+            (next != duty).then(|| self.change(place, Some(next)))
         });
         self.ctx.write_duties(ended.chain(refused).collect()).await;
     }
