Record a repeated order for maintenance before it is sent

Cause: an order without a response is repeated while the machine is listed as up. The repeat went out under the new holder's epoch, but the row kept the epoch and time of the former one, so that a successor could not see it. Change: the repeat is written to the duty's row first, like every other order, and only sent if that was confirmed. Tests: crates/cells/tests/fleet.rs runs a process with its tasks against a table, executors and machines in memory. a_repeated_maintenance_order_is_recorded_before_it_is_sent failed before (order of epoch 8, recorded epoch 1).

--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -166,9 +166,15 @@
             }
         }
         to_order.truncate(self.take_wave_orders(to_order.len()));
-        let orders =
-            join_all(to_order.iter().map(|name| self.order_machine_down(name, wave.number)));
-        let (written, _) = join(self.ctx.write_duties(changes), orders).await;
+        let place = |name: &String| keys::maintenance(wave.number, name);
+        // As before each order, the row records its time and epoch for a successor.
+        changes.extend(to_order.iter().filter_map(|name| {
+            let next = self.with_order(self.duty(&place(name))?);
+            Some(self.change(place(name), Some(next)))
+        }));
+        let written = self.ctx.write_duties(changes).await;
+        let recorded = to_order.iter().filter(|name| written.contains(&place(name).key));
+        join_all(recorded.map(|name| self.order_machine_down(name, wave.number))).await;
         for key in returned.iter().filter(|key| written.contains(*key)) {
             let duty = self.ctx.duties.borrow().get(key).map(|(_, duty)| duty.machine.clone());
             self.ctx.timeline.record(
