--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -24,12 +24,16 @@
 use crate::keys;
 use crate::ports::{Executor, Place, Row, Transaction, TransactionError};
 use crate::rows::{self, Lease, Load, PoolState};
+use crate::supervise;
 
 /// Time for which a holder sends orders after its lease was last confirmed, in milliseconds.
 ///
 /// Together with the executors' lease it keeps tasks running while the table is unavailable for
 /// eight seconds. A successor waits no longer than that for executors that it can't reach.
 const ORDER_VALIDITY_MS: u64 = 3_500;
+/// Age up to which the registry's last read counts for starts, in milliseconds; less than the time in
+/// which a capacity that has shrunk has to take effect.
+const MAX_REGISTRY_AGE_MS: u64 = 4_000;
 /// Interval between scheduler passes without events, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 25;
 /// Least time between two scheduler passes, in durations of a pass, unless that is longer than the
@@ -181,7 +185,7 @@
             wake: Notify::new(),
             tenure,
         });
-        actix::spawn(Rc::clone(&inner).run());
+        inner.spawn_task("scheduler", Rc::clone(&inner).run());
         Self { inner }
     }
 
@@ -277,6 +281,11 @@
         self.is_active() && clock::now() < self.confirmed_at.get() + ORDER_VALIDITY_MS
     }
 
+    /// Whether the registry was read recently enough to start tasks by its capacities.
+    pub fn is_registry_current(&self) -> bool {
+        clock::now() < self.ctx.registry_read_at.get() + MAX_REGISTRY_AGE_MS
+    }
+
     /// Marks the cell as lost, which stops all activity for it, and logs the reason.
     pub fn mark_lost(&self, why: &str) {
         if !self.lost.replace(true) {
@@ -287,6 +296,12 @@
         }
     }
 
+    /// Spawns a task of the cell; if it panics, the cell is lost and another process takes it.
+    fn spawn_task(self: &Rc<Self>, name: &'static str, task: impl Future<Output = ()> + 'static) {
+        let inner = Rc::clone(self);
+        supervise::spawn(task, move || inner.mark_lost(&format!("its task for the {name} failed")));
+    }
+
     /// Address and id of an executor; `None` if the scheduler does not have it.
     pub fn executor(&self, id: &str) -> Option<Executor> {
         let cell = self.cell.borrow();
@@ -314,11 +329,11 @@
             base::Event::CellReady,
             &[("cell", &self.tenure.cell), ("jobs", &count), ("inherited", &inherited)],
         );
-        actix::spawn(Rc::clone(&self).publish_load());
+        self.spawn_task("load", Rc::clone(&self).publish_load());
         for copy in 0..POOL_STATE_COPIES {
-            actix::spawn(Rc::clone(&self).publish_pool_state(copy));
+            self.spawn_task("pool state", Rc::clone(&self).publish_pool_state(copy));
         }
-        actix::spawn(Rc::clone(&self).write_loop());
+        self.spawn_task("writes", Rc::clone(&self).write_loop());
         let mut version = self.ctx.config().map(|c| c.version);
         while self.is_active() {
             let pass_start = Instant::now();
@@ -332,6 +347,7 @@
             self.start_polls();
             self.apply_duties();
             if self.may_order() {
+                self.cell.borrow_mut().hold_starts(!self.is_registry_current());
                 let orders = self.cell.borrow_mut().tick(clock::now(), clock::wall());
                 for order in orders {
                     self.send(order);
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -1,30 +1,40 @@
 //! Assignment of open tasks to executors.
 
+use std::cmp::Reverse;
+
 use indexmap::IndexMap;
 
 use super::{Cell, JobEntry, Order, StepState, new_steps};
 use crate::job::{State, TaskId};
 use crate::order::{Candidate, Rank};
 use crate::place;
-use crate::worker::{Phase, Resources, Slot};
+use crate::worker::{Obstacle, Phase, Resources, Slot};
 
 /// Most starts in one pass; bounds the duration of a pass and the burst of calls to executors.
 const MAX_STARTS_PER_PASS: usize = 256;
 
 /// State of one assignment pass.
-struct Pass {
+pub(super) struct Pass {
     /// Positions of the executors that accept tasks.
     accepting: Vec<usize>,
-    /// Positions of those that are much slower than the others.
+    /// Positions of the executors that would accept tasks if tasks had not failed on them.
+    excluded: Vec<usize>,
+    /// Positions of the accepting executors that are much slower than the others.
     slow: Vec<usize>,
     /// Starts that this pass may still make.
     starts_left: usize,
+    /// Resources reserved in this pass, by position of the executor.
+    pub reserved: IndexMap<usize, Resources>,
+    /// Reservations of the pass before.
+    pub former: IndexMap<TaskId, String>,
+    /// Executors reserved for long-running tasks, by task.
+    pub reservations: IndexMap<TaskId, String>,
     /// Resource needs that no executor could satisfy.
     unplaceable: Vec<Resources>,
     /// Executors compared so far, counted once per task.
     compared: usize,
     /// Time of the pass, in milliseconds.
-    now: u64,
+    pub now: u64,
 }
 
 impl Pass {
@@ -38,11 +48,11 @@
 }
 
 /// Constraints on the executor of one task, in addition to those of its step.
-struct Constraints<'a> {
-    occurrence: u32,
-    step: usize,
+pub(super) struct Constraints<'a> {
+    pub occurrence: u32,
+    pub step: usize,
     /// Number of tasks of the step that each executor already has.
-    task_counts: &'a IndexMap<String, u32>,
+    pub task_counts: &'a IndexMap<String, u32>,
     /// Rack of the step's other tasks, if one of them has an executor.
     rack: Option<&'a str>,
     /// Executors on which the task has failed.
@@ -59,7 +69,7 @@
 impl Cell {
     /// Runs one assignment pass: starts open tasks in the scheduling order of their jobs.
     pub(super) fn assign(&mut self, now: u64, wall: u64) {
-        if self.superseded {
+        if self.superseded || self.starts_held {
             return;
         }
         let inherited_settled = self.inherited_settled();
@@ -84,17 +94,21 @@
             }
         }
         if ready.is_empty() {
+            self.reservations.clear();
             return;
         }
+        let former = std::mem::take(&mut self.reservations);
         ready.sort_by_key(|r| r.rank);
         let least_cpu = self.least_cpu_needed(&ready);
-        let accepting: Vec<usize> = (0..self.workers.len())
-            .filter(|n| {
-                self.workers
-                    .get_index(*n)
-                    .is_some_and(|(_, w)| w.free().cpu >= least_cpu && w.accepts_tasks(now))
-            })
-            .collect();
+        let (mut accepting, mut excluded) = (Vec::new(), Vec::new());
+        let workers = self.workers.values().enumerate();
+        for (n, worker) in workers.filter(|(_, w)| w.free().cpu >= least_cpu) {
+            match worker.obstacle(now) {
+                None => accepting.push(n),
+                Some(Obstacle::Excluded) => excluded.push(n),
+                Some(_) => {}
+            }
+        }
         let median = self.median_slowdown(now);
         let slow = |n: &usize| {
             let id = self.workers.get_index(*n).map(|(id, _)| id);
@@ -103,19 +117,29 @@
         let slow = accepting.iter().copied().filter(slow).collect();
         let mut pass = Pass {
             accepting,
+            excluded,
             slow,
             starts_left: MAX_STARTS_PER_PASS,
+            reserved: IndexMap::new(),
+            former,
+            reservations: IndexMap::new(),
             unplaceable: Vec::new(),
             compared: 0,
             now,
         };
         for item in ready {
-            if pass.starts_left == 0 || pass.accepting.is_empty() {
+            let no_executors = pass.accepting.is_empty() && pass.excluded.is_empty();
+            if pass.starts_left == 0 || no_executors {
                 break;
             }
+            if !self.jobs[item.job].candidate.long_running && !pass.reserved.is_empty() {
+                let reserved = std::mem::take(&mut pass.reserved);
+                pass.accepting.retain(|n| !reserved.contains_key(n));
+            }
             self.assign_job(item.job, &mut pass);
         }
         self.compared = pass.compared;
+        self.reservations = pass.reservations;
     }
 
     /// Least CPU that any open task needs, in thousandths of a core.
@@ -168,7 +192,9 @@
     fn assign_step(&mut self, job: usize, occurrence: u32, step: usize, pass: &mut Pass) {
         let now = pass.now;
         let Some((id, entry)) = self.jobs.get_index(job) else { return };
-        if pass.cannot_fit(place::required_resources(&entry.job.steps[step])) {
+        let spec = &entry.job.steps[step];
+        let long_running = spec.long_running;
+        if !long_running && pass.cannot_fit(place::required_resources(spec)) {
             return;
         }
         let id = id.clone();
@@ -192,9 +218,15 @@
                 rack: rack.as_deref(),
                 avoid,
             };
-            let Some(worker) = self.choose_worker(job, &constraints, pass) else { return };
-            *task_counts.entry(worker.clone()).or_default() += 1;
             let task = TaskId { job: id.clone(), occurrence, step, index };
+            let Some(worker) = self.choose_worker(job, &constraints, pass) else {
+                if long_running && let Some(worker) = self.reserve(job, task, &constraints, pass) {
+                    *task_counts.entry(worker).or_default() += 1;
+                    continue;
+                }
+                return;
+            };
+            *task_counts.entry(worker.clone()).or_default() += 1;
             let run = self.jobs[job].occurrences[&occurrence][step].tasks[index as usize].last_run;
             self.start_task(job, &worker, task, self.next_run(run), now);
             pass.starts_left -= 1;
@@ -272,6 +304,8 @@
     /// Chooses the executor for one more task of a step.
     ///
     /// An executor on which the task has failed, or that is slow, is chosen only if no other suits.
+    /// So is one that is excluded after failures, but only for a long-running task: it has no
+    /// attempts to lose, while the wait costs as much as another failure.
     fn choose_worker(
         &self,
         job: usize,
@@ -281,16 +315,16 @@
         let (_, entry) = self.jobs.get_index(job)?;
         let spec = &entry.job.steps[constraints.step];
         let need = place::required_resources(spec);
-        let mut has_room = false;
+        let has_room = std::cell::Cell::new(false);
         let advice = self
             .needs_advice(&entry.queue)
             .then(|| &entry.occurrences[&constraints.occurrence][constraints.step].advice);
         let rate = |n: &usize| {
             let (id, worker) = self.workers.get_index(*n)?;
-            if !worker.free().fits(need) {
+            if !worker.has_room(need) {
                 return None;
             }
-            has_room = true;
+            has_room.set(true);
             let allowed = advice.is_none_or(|advice| advice.ticket(id, pass.now).is_some());
             let task_count = constraints.task_counts.get(id).copied().unwrap_or(0);
             if worker.dead || !allowed || !place::is_eligible(spec, worker, task_count) {
@@ -301,11 +335,17 @@
         };
         pass.compared += pass.accepting.len();
         let best = pass.accepting.iter().filter_map(rate).max().map(|(.., id)| id.clone());
-        if !has_room {
+        if !has_room.get() {
             pass.unplaceable.retain(|failed| !failed.fits(need));
             pass.unplaceable.push(need);
         }
-        best
+        if best.is_some() || !spec.long_running {
+            return best;
+        }
+        let failures = |n: &usize| self.workers.get_index(*n).map_or(0, |(_, w)| w.failures);
+        let rate_excluded = |n| Some((Reverse(failures(n)), rate(n)?));
+        let best = pass.excluded.iter().filter_map(rate_excluded).max();
+        best.map(|(_, (.., id))| id.clone())
     }
 
     /// Orders the start of a run and reserves its resources on the executor.
@@ -336,6 +376,7 @@
             progressed_at: now,
             resumed_from: checkpoint.clone(),
             long_running: entry.job.steps[task.step].long_running,
+            unknown_size: false,
         };
         self.workers[worker].add_run(task.clone(), slot);
         self.orders.push(Order::Start {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -15,6 +15,7 @@
 mod outcome;
 mod poll;
 mod record;
+mod reserve;
 mod stall;
 mod wait;
 
@@ -216,6 +217,10 @@
     ended_jobs: IndexSet<String>,
     /// Whether an executor has seen orders of a later holder.
     superseded: bool,
+    /// Whether no tasks are started for now.
+    starts_held: bool,
+    /// Executors reserved for long-running tasks that fit nowhere yet, by task.
+    reservations: IndexMap<TaskId, String>,
     /// Executors that the last assignment pass compared, counted once per task.
     compared: usize,
 }
@@ -252,6 +257,8 @@
             leaving: IndexSet::new(),
             ended_jobs: IndexSet::new(),
             superseded: false,
+            starts_held: false,
+            reservations: IndexMap::new(),
             compared: 0,
         }
     }
@@ -312,6 +319,11 @@
         self.end_job(id, State::Cancelled, now);
     }
 
+    /// Sets whether no tasks are started for now, as the executors' capacities are not known.
+    pub fn hold_starts(&mut self, held: bool) {
+        self.starts_held = held;
+    }
+
     /// Allows a job to start: the table now records that it may have started.
     pub fn allow_start(&mut self, id: &str) {
         if let Some(entry) = self.jobs.get_mut(id) {
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -59,10 +59,8 @@
         for run in &answer.present {
             self.handle_present(id, run, now);
         }
-        if answer.ended.len() < MAX_ENDS_PER_POLL {
-            self.release_missing(id, answer, sent, now);
-            self.stop_unsure(id, sent, now);
-        }
+        self.release_missing(id, answer, sent, now);
+        self.stop_unsure(id, sent, now);
         self.adjust_best_effort_pace(id, answer);
     }
 
@@ -163,7 +161,9 @@
     /// Adds a run that this holder has not started; returns false if the executor is unknown.
     fn adopt_run(&mut self, id: &str, run: &PresentRun, now: u64) -> bool {
         let task = &run.task;
-        // The resources of a run of an unknown job are unknown too: they may be the whole executor.
+        // The resources of a run of an unknown job are unknown too: they may be the whole executor,
+        // whose capacity may change or not be known yet.
+        let mut unknown_size = true;
         let Some(mut resources) = self.workers.get(id).map(|w| w.registration.capacity) else {
             return false;
         };
@@ -173,6 +173,7 @@
         if let Some(entry) = entry {
             if let Some(spec) = entry.job.steps.get(task.step) {
                 resources = place::required_resources(spec);
+                unknown_size = false;
             }
             let job = &entry.job;
             let step = entry
@@ -208,6 +209,7 @@
             // progress gives no measure of speed.
             resumed_from: "unknown".to_owned(),
             long_running,
+            unknown_size,
         };
         worker.add_run(task.clone(), slot);
         true
@@ -226,8 +228,16 @@
     }
 
     /// Releases runs that an executor should report as present but does not.
+    ///
+    /// A full answer may omit the end of such a run. Only long-running tasks are released then,
+    /// since they start again however they ended.
     fn release_missing(&mut self, id: &str, answer: &ExecutorReport, sent: u64, now: u64) {
         let Some(worker) = self.workers.get(id) else { return };
+        let restarts = |task: &TaskId| {
+            let spec = self.jobs.get(&task.job).and_then(|e| e.job.steps.get(task.step));
+            spec.is_some_and(|spec| spec.long_running)
+        };
+        let is_full = answer.ended.len() >= MAX_ENDS_PER_POLL;
         let missing: Vec<TaskId> = worker
             .runs
             .iter()
@@ -235,6 +245,7 @@
                 // A run whose order was answered before the poll was sent must be in the answer.
                 matches!(slot.phase, Phase::Running | Phase::Stopped) && slot.phase_since < sent
             })
+            .filter(|(task, _)| !is_full || restarts(task))
             .filter(|(task, slot)| {
                 !answer.present.iter().any(|p| p.task == **task && p.run == slot.run)
             })
@@ -251,6 +262,7 @@
     fn stop_unsure(&mut self, id: &str, sent: u64, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         for (task, slot) in &mut worker.runs {
+            // Only long-running tasks are in this phase, whose ends need not be known.
             if slot.phase == Phase::Unsure && slot.phase_since < sent {
                 order_stop(&mut self.orders, id, task, slot, now);
             }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -168,6 +168,8 @@
     Draining,
     /// The executor does not answer.
     Silent,
+    /// The executor was busy or full just now.
+    Busy,
     /// Tasks have failed on the executor lately.
     Excluded,
     /// Not enough resources are free.
@@ -200,6 +202,8 @@
     pub resumed_from: String,
     /// Whether the run is known or assumed to be long-running.
     pub long_running: bool,
+    /// Whether the needs of the run are unknown, so that it may use the whole executor.
+    pub unknown_size: bool,
 }
 
 /// State that a cell keeps for one executor.
@@ -215,12 +219,18 @@
     pub dead: bool,
     /// Whether it is to be drained, for maintenance or a move of its machine.
     pub leaving: bool,
+    /// Time since which it has been leaving or not ready, in milliseconds.
+    pub leaving_since: Option<u64>,
     /// Resources reserved for `runs`.
     pub used: Resources,
     /// Runs that the executor has, or may have.
     pub runs: IndexMap<TaskId, Slot>,
     /// Number of long-running runs.
     pub long_running: usize,
+    /// Number of runs whose needs are unknown.
+    pub unknown_sizes: usize,
+    /// Resources reserved for long-running runs.
+    pub long_running_use: Resources,
     /// Speed of its best-effort tasks, in percent of full speed.
     pub best_effort_pace: u64,
     /// Highest sequence number of the ended runs that were processed.
@@ -241,7 +251,9 @@
     pub slowdown_at: u64,
     /// Consecutive failures since the last success.
     pub failures: u32,
-    /// Time until which the executor gets no new tasks, in milliseconds.
+    /// Time until which the executor, busy or full, gets no new tasks, in milliseconds.
+    pub busy_until: u64,
+    /// Time until which new tasks avoid the executor after failures, in milliseconds.
     pub excluded_until: u64,
     /// Consecutive orders and polls without an answer.
     pub unanswered: u32,
@@ -256,9 +268,12 @@
             joined: false,
             dead: false,
             leaving: false,
+            leaving_since: None,
             used: Resources::default(),
             runs: IndexMap::new(),
             long_running: 0,
+            unknown_sizes: 0,
+            long_running_use: Resources::default(),
             best_effort_pace: 100,
             last_seen_end: 0,
             last_durable_end: 0,
@@ -269,6 +284,7 @@
             slowdown: 0,
             slowdown_at: 0,
             failures: 0,
+            busy_until: 0,
             excluded_until: 0,
             unanswered: 0,
         }
@@ -281,9 +297,32 @@
 
     /// Resources that are free for new tasks.
     pub fn free(&self) -> Resources {
+        if self.unknown_sizes > 0 {
+            return Resources::default();
+        }
         self.registration.capacity.minus(self.used)
     }
 
+    /// Resources that are free once its short tasks have ended.
+    pub fn free_beside_long_running(&self) -> Resources {
+        self.registration.capacity.minus(self.long_running_use)
+    }
+
+    /// Whether a run with these needs can be added within the capacity.
+    ///
+    /// The capacity may have shrunk below what is in use. A run then has no room even if it needs
+    /// nothing of the resource that is short.
+    pub fn has_room(&self, need: Resources) -> bool {
+        let mut total = self.used;
+        total.add(need);
+        self.unknown_sizes == 0 && self.registration.capacity.fits(total)
+    }
+
+    /// Whether the runs that the executor has, or may have, are within its capacity.
+    pub fn is_within_capacity(&self) -> bool {
+        self.has_room(Resources::default())
+    }
+
     /// Whether new tasks may be sent to the executor.
     pub fn accepts_tasks(&self, now: u64) -> bool {
         self.obstacle(now).is_none()
@@ -299,6 +338,7 @@
             () if self.unanswered > 0 || now > self.last_answer_at + ANSWER_VALIDITY_MS => {
                 Some(Obstacle::Silent)
             }
+            () if now < self.busy_until => Some(Obstacle::Busy),
             () if now < self.excluded_until => Some(Obstacle::Excluded),
             () => None,
         }
@@ -334,7 +374,11 @@
     pub fn add_run(&mut self, task: TaskId, slot: Slot) {
         self.remove_run(&task);
         self.used.add(slot.resources);
-        self.long_running += usize::from(slot.long_running);
+        self.unknown_sizes += usize::from(slot.unknown_size);
+        if slot.long_running {
+            self.long_running += 1;
+            self.long_running_use.add(slot.resources);
+        }
         self.runs.insert(task, slot);
     }
 
@@ -342,7 +386,11 @@
     pub fn remove_run(&mut self, task: &TaskId) -> Option<Slot> {
         let slot = self.runs.swap_remove(task)?;
         self.used = self.used.minus(slot.resources);
-        self.long_running -= usize::from(slot.long_running);
+        self.unknown_sizes -= usize::from(slot.unknown_size);
+        if slot.long_running {
+            self.long_running -= 1;
+            self.long_running_use = self.long_running_use.minus(slot.resources);
+        }
         Some(slot)
     }
 
