--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -1,7 +1,7 @@
 //! Maintenance waves.
 
 use futures_util::future::{join, join_all};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jobs::wave::{self, ListedMachine, NextAction, Stage, Wave};
 
 use super::{Inner, new_duty};
@@ -62,8 +62,11 @@
                 })
             });
             for machine in free.chain(replaced).filter_map(|name| machines.get(name)) {
-                let next = new_duty(machine, wave.number, "", Stage::Emptying);
                 let place = keys::maintenance(wave.number, &machine.name);
+                let next = match self.duty(&place) {
+                    Some(duty) => duty.empty_again(&machine.executor),
+                    None => new_duty(machine, wave.number, "", Stage::Emptying),
+                };
                 changes.push(self.change(place, Some(next)));
             }
         }
@@ -146,7 +149,7 @@
                 if duty.stage() != Stage::Down || !machine.up {
                     continue;
                 }
-                match self.listed(wave.number, machine, &duty.executor).next_action() {
+                match self.listed(wave.number, machine, &duty).next_action() {
                     NextAction::RepeatOrder if self.is_busy(&machine.name) => {}
                     NextAction::Wait => {}
                     NextAction::Done => {
@@ -156,7 +159,7 @@
                     }
                     NextAction::RepeatOrder => to_order.push(machine.name.clone()),
                     NextAction::EmptyAgain => {
-                        let next = new_duty(machine, wave.number, "", Stage::Emptying);
+                        let next = duty.empty_again(&machine.executor);
                         changes.push(self.change(place, Some(next)));
                     }
                 }
@@ -175,15 +178,14 @@
         }
     }
 
-    /// Returns the state of a machine that is listed as up after an order.
-    ///
-    /// `emptied` is the executor that was emptied before the order.
-    fn listed(&self, wave: u64, machine: &Machine, emptied: &str) -> ListedMachine {
+    /// Returns the state of a machine that is listed as up after an order, which `duty` records.
+    fn listed(&self, wave: u64, machine: &Machine, duty: &Duty) -> ListedMachine {
         let accepted_at = self.accepted.borrow().get(&(wave, machine.name.clone())).copied();
         ListedMachine {
             listed_after_order: accepted_at.map(|at| self.listed_at.get() > at),
+            accepted: duty.executor_ended,
             recently_ordered: self.is_recently_ordered(&machine.name),
-            still_empty: machine.executor == emptied || self.runs_no_tasks(machine),
+            still_empty: machine.executor == duty.executor || self.runs_no_tasks(machine),
         }
     }
 
@@ -205,6 +207,12 @@
     /// Records and sends the orders for machines that go down.
     async fn order_machines_down(&self, names: &[String], wave: u64) {
         let names = &names[..self.take_wave_orders(names.len())];
+        let may_be_carried_out = |name: &String| {
+            let duty = self.duty(&keys::maintenance(wave, name));
+            duty.is_some_and(|duty| duty.may_be_carried_out())
+        };
+        let repeated: IndexSet<&String> =
+            names.iter().filter(|name| may_be_carried_out(name)).collect();
         let changes = {
             let machines = self.machines.borrow();
             let down = |m: &Machine| {
@@ -222,7 +230,8 @@
         };
         let accepted = join_all(recorded.map(send)).await;
         // The cells do not have to wait for the leases of executors that have certainly ended.
-        let ended = accepted.into_iter().flatten().filter_map(|name| {
+        let ended = accepted.into_iter().flatten().filter(|name| !repeated.contains(name));
+        let ended = ended.filter_map(|name| {
             let place = keys::maintenance(wave, &name);
             let duty = self.duty(&place)?;
             Some(self.change(place, Some(Duty { executor_ended: true, ..duty })))
@@ -231,10 +240,13 @@
         let refused = names.iter().filter(|name| self.is_busy(name)).filter_map(|name| {
             let place = keys::maintenance(wave, name);
             let duty = self.duty(&place)?;
-            let open = self.open_orders.borrow().contains(&(wave, name.clone()))
-                || duty.epoch != self.tenure.epoch;
+            let open = repeated.contains(name)
+                || self.open_orders.borrow().contains(&(wave, name.clone()));
             let stage = wave::after_refusal(open).to_string();
-            (duty.stage != stage).then(|| self.change(place, Some(Duty { stage, ..duty })))
+            // A refused order is none that may have been carried out.
+            let (ordered_at, epoch) = if open { (duty.ordered_at, duty.epoch) } else { (0, 0) };
+            let next = Duty { stage, ordered_at, epoch, ..duty.clone() };
+            (next != duty).then(|| self.change(place, Some(next)))
         });
         self.ctx.write_duties(ended.chain(refused).collect()).await;
     }
--- a/crates/jobs/tests/liveness.rs
+++ b/crates/jobs/tests/liveness.rs
@@ -40,7 +40,7 @@
 const MAX_ENDS: usize = 500;
 
 /// First seed, and number of seeds of a short search.
-const FIRST_SEED: u64 = 30;
+const FIRST_SEED: u64 = 60;
 const DEFAULT_SEEDS: u64 = 10;
 
 /// What counts as room for a task.
@@ -196,6 +196,7 @@
     Fault,
     Kill { host: String, down: u64 },
     Unlist { host: String },
+    List { registration: Registration },
     Rejoin { machine: usize },
     Relocate,
     Relocated { host: String, deadline: u64 },
@@ -237,6 +238,8 @@
     tasks: Vec<(TaskId, Step)>,
     leaving: IndexSet<String>,
     last_fault: u64,
+    /// Until when the table takes no writes.
+    unwritable_until: u64,
     peaks: Vec<(u64, u64)>,
     waits: IndexMap<TaskId, Wait>,
     failing_jobs: bool,
@@ -270,6 +273,7 @@
             tasks: Vec::new(),
             leaving: IndexSet::new(),
             last_fault: 0,
+            unwritable_until: 0,
             peaks: Vec::new(),
             waits: IndexMap::new(),
             failing_jobs: false,
@@ -457,6 +461,12 @@
                     holder.cell.unlist(&host);
                 }
             }
+            Event::List { registration } => {
+                let alive = self.hosts.get(&registration.id).is_some_and(|host| host.alive);
+                if let Some(holder) = self.holder.as_mut().filter(|_| alive) {
+                    holder.cell.register(registration);
+                }
+            }
             Event::Rejoin { machine } => self.join(machine),
             Event::Relocate => self.relocate(),
             Event::Relocated { host, deadline } => self.relocated(&host, deadline),
@@ -795,6 +805,9 @@
     /// Writes the holder's changes to the table.
     fn flush(&mut self) {
         let Some(holder) = &mut self.holder else { return };
+        if self.now < self.unwritable_until {
+            return;
+        }
         let (changes, flush) = holder.cell.take_changes();
         for change in changes {
             let job = &mut self.store[&change.id];
@@ -835,7 +848,7 @@
     /// Begins a fault of one executor or of several.
     fn fault(&mut self) {
         let now = self.now;
-        let kind = self.between(0, 5);
+        let kind = self.between(0, 7);
         let until = now + self.between(500, 8_000);
         let share = if self.chance(0.3) { 1.0 } else { 0.3 };
         let names: Vec<String> =
@@ -854,6 +867,14 @@
                 1 => host.frozen_until = until,
                 2 => host.failing_until = until,
                 3 => host.noisy_until = until,
+                4 => {
+                    let registration = host.registration.clone();
+                    if let Some(holder) = &mut self.holder {
+                        holder.cell.unlist(&name);
+                    }
+                    self.schedule(until, Event::List { registration });
+                }
+                5 => self.unwritable_until = until,
                 _ if killed => {
                     let down = until - now;
                     self.schedule(now, Event::Kill { host: name, down });
