Late work gets machines that no pool needs for timely work

Callers waited for accepted jobs that were late while most of the fleet stood idle. Jobs that can no longer be in time counted for nothing when a pool's size was decided: the timely backlog leaves them out on purpose, as they must not take machines from jobs that can be in time or have new jobs refused. So a pool of late jobs kept its even share or less, whatever waited, and machines went from it to standby.

Cell::late_cpu now gives the capacity that late jobs use and could use: their waiting tasks as far as they can start, to be processed within four seconds, but a gang with all its tasks at once. Once every pool has what it needs for timely work, late work gets machines from standby and, if no pool has had a peak for three seconds, idle machines that other pools keep for their next peak, down to half of an even share. The first peak takes them back as before: late work raises neither the need of a pool nor what it keeps while others lack machines. Admission reads the same figures as before.

--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -123,6 +123,7 @@
             backlog: load.timely_backlog,
             long_running: load.long_running,
             used: load.useful,
+            late: load.late,
             min_machines: load.min_executors,
             idle: state.spares.iter().take(state.idle).filter(free).count(),
             machines: staying + arriving.count(),
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -577,6 +577,7 @@
             incoming_by,
             used,
             useful: cell.useful_cpu(now),
+            late: cell.late_cpu(now),
             arrival_rate: self.inflow.borrow_mut().rate(now),
             long_running: limits.long_running_cpu,
             min_executors: limits.min_executors,
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -67,6 +67,9 @@
     /// Capacity used by long-running tasks and by jobs that are in time, in thousandths of a core.
     #[serde(rename = "v", default)]
     pub useful: u64,
+    /// Capacity that late jobs use or could use, in thousandths of a core.
+    #[serde(rename = "e", default)]
+    pub late: u64,
     /// Rate at which work arrives, in thousandths of a core.
     #[serde(rename = "a", default)]
     pub arrival_rate: u64,
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -5,7 +5,10 @@
 use super::{Cell, JobEntry};
 use crate::job::{State, Step, TaskId};
 use crate::place;
-use crate::worker::Worker;
+use crate::worker::{Resources, Worker};
+
+/// Time in which late work should be processed, in milliseconds; about twice a machine's move.
+const LATE_DRAIN_MS: u64 = 4_000;
 
 /// Limits on shrinking a pool, and the executors that could be removed.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -66,16 +69,61 @@
             }
             let work = open_work(entry);
             all += work;
-            let started = entry.state == State::Running;
-            let deadline =
-                if started { entry.candidate.objective } else { entry.candidate.latest_start() };
-            if now <= deadline {
+            if !is_late(entry, now) {
                 timely += work - self.blocked_work(entry);
             }
         }
         (timely, all)
     }
 
+    /// CPU that late jobs use or could use, in thousandths of a core, whether or not their results
+    /// are still of use.
+    ///
+    /// Their waiting tasks count as far as they can start, with the CPU that processes them within
+    /// [`LATE_DRAIN_MS`], but a gang with all its tasks. Tasks too large for every executor are left
+    /// out.
+    pub fn late_cpu(&self, now: u64) -> u64 {
+        let settled = self.inherited_settled();
+        let largest = self.largest_executor();
+        let (mut work, mut open, mut largest_gang) = (0, 0, 0);
+        for entry in self.jobs.values().filter(|e| is_late_work(e, now)) {
+            if entry.start_blocked || (entry.inherited && !settled) {
+                continue;
+            }
+            for steps in entry.occurrences.values() {
+                for (state, spec) in steps.iter().zip(&entry.job.steps) {
+                    let need = place::required_resources(spec);
+                    let can_start = spec.depends_on.iter().all(|n| steps[*n].is_done());
+                    if !can_start || !largest.fits(need) {
+                        continue;
+                    }
+                    let cpu = state.open_count as u64 * need.cpu;
+                    open += cpu;
+                    work += cpu * spec.estimate;
+                    largest_gang = largest_gang.max(if spec.gang { cpu } else { 0 });
+                }
+            }
+        }
+        let runs = self.workers.values().flat_map(|worker| &worker.runs);
+        let is_late =
+            |task: &TaskId| self.jobs.get(&task.job).is_some_and(|e| is_late_work(e, now));
+        let used: u64 =
+            runs.filter(|(task, _)| is_late(task)).map(|(_, slot)| slot.resources.cpu).sum();
+        used + (work / LATE_DRAIN_MS).min(open).max(largest_gang)
+    }
+
+    /// Largest amount of each resource that any listed executor has.
+    fn largest_executor(&self) -> Resources {
+        let listed = self.workers.values().filter(|worker| worker.listed);
+        listed.map(|worker| worker.registration.capacity).fold(Resources::default(), |all, one| {
+            Resources {
+                cpu: all.cpu.max(one.cpu),
+                memory: all.memory.max(one.memory),
+                gpus: all.gpus.max(one.gpus),
+            }
+        })
+    }
+
     /// Part of a job's open work that waits for a task on an executor that does not answer.
     fn blocked_work(&self, entry: &JobEntry) -> u64 {
         let Some((_, steps)) = entry.occurrences.get_index(0) else { return 0 };
@@ -180,6 +228,17 @@
     }
 }
 
+/// Whether a job can no longer be in time.
+fn is_late(entry: &JobEntry, now: u64) -> bool {
+    let started = entry.state == State::Running;
+    now > if started { entry.candidate.objective } else { entry.candidate.latest_start() }
+}
+
+/// Whether a job has yet to end and can no longer be in time.
+fn is_late_work(entry: &JobEntry, now: u64) -> bool {
+    !entry.state.is_final() && !entry.candidate.long_running && is_late(entry, now)
+}
+
 /// Estimated work of a job's tasks that have not started, in thousandths of a core times
 /// milliseconds.
 fn open_work(entry: &JobEntry) -> u64 {
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -5,6 +5,9 @@
 //! times as long as the move of a machine. Machines therefore follow the arriving work: first those
 //! on standby move, then those that other pools do not need. Between peaks the pools return to even
 //! shares, and only the remainder of an even division goes to standby.
+//!
+//! Late work earns little, but accepted jobs have to end. It gets machines that no pool needs for
+//! timely work: those on standby, and while no pool has a peak also idle ones of other pools.
 
 use std::collections::VecDeque;
 
@@ -29,6 +32,9 @@
 /// Time for which a pool has to be larger than needed before it releases machines, in milliseconds;
 /// an idle machine costs as much in this time as a move.
 const SURPLUS_HOLD_MS: u64 = 1_200;
+/// Time without a peak after which late work gets idle machines that other pools keep for their next
+/// peak, in milliseconds; longer than the pause between two peaks.
+const CALM_MS: u64 = 3_000;
 /// Fewest machines of a pool, as one may fail while another is down for maintenance.
 const MIN_POOL_MACHINES: usize = 3;
 
@@ -126,13 +132,15 @@
 pub struct Demand {
     /// Rate at which work arrives, in thousandths of a core.
     pub arrival_rate: u64,
-    /// Waiting work, in thousandths of a core times milliseconds.
+    /// Waiting work that can be in time, in thousandths of a core times milliseconds.
     pub backlog: u64,
     /// CPU reserved by long-running tasks, in thousandths of a core.
     pub long_running: u64,
     /// CPU in use by long-running tasks and by jobs that have not passed their objective, in
     /// thousandths of a core.
     pub used: u64,
+    /// CPU that late work uses or could use, in thousandths of a core.
+    pub late: u64,
     /// Fewest machines on which its long-running tasks fit.
     pub min_machines: usize,
     /// Number of machines in the pool or moving to it, without those that move away.
@@ -156,10 +164,12 @@
 
 /// Plans the moves of machines between pools.
 ///
-/// Keeps the time since which each pool has been larger than needed.
+/// Keeps the time since which each pool has been larger than needed, and the time since which no
+/// pool has had a peak.
 #[derive(Debug, Clone, Default)]
 pub struct Rebalancer {
     surplus_since: IndexMap<String, u64>,
+    calm_since: Option<u64>,
 }
 
 /// Number of machines that a pool needs, each with `size` thousandths of a core.
@@ -185,6 +195,22 @@
     machine_count(demand, 0, size)
 }
 
+/// Number of machines that a pool can use, late work included.
+fn machines_with_late_work(demand: &Demand, size: u64) -> usize {
+    machine_count(demand, demand.backlog / BACKLOG_DRAIN_MS + demand.late, size)
+}
+
+/// Whether a pool needs more machines than its long-running tasks do, and more than the reserve
+/// that it always keeps.
+fn has_peak(demand: &Demand, size: u64, reserve: usize) -> bool {
+    let lasting = Demand {
+        long_running: demand.long_running,
+        min_machines: demand.min_machines,
+        ..Demand::default()
+    };
+    machines_needed(demand, size) > machines_needed(&lasting, size).max(reserve)
+}
+
 fn machine_count(demand: &Demand, backlog_cpu: u64, size: u64) -> usize {
     // Large jobs arrive in bursts: between two bursts, the resources in use are still needed.
     let required_cpu =
@@ -213,11 +239,13 @@
         // Between peaks, a pool keeps an even share of the machines for the start of its next peak.
         // It keeps half of that share even while the demand of another pool peaks.
         let even_share = total / pools.len().max(1);
+        let calm = self.is_calm(pools, size, even_share / 2, now);
         let mut states: Vec<PoolState<'_>> = pools
             .iter()
             .map(|(name, demand)| {
                 let need = machines_needed(demand, size);
-                let keep = need.max(even_share);
+                let late_need = machines_with_late_work(demand, size);
+                let keep = need.max(even_share).max(if calm { late_need } else { 0 });
                 if demand.machines <= keep {
                     self.surplus_since.swap_remove(name);
                 } else {
@@ -229,6 +257,7 @@
                     name,
                     machines: demand.machines,
                     need,
+                    late_need,
                     keep_while_others_lack: need.max(even_share / 2),
                     firm_need: machines_needed_without_backlog(demand, size),
                     reserve: even_share / 2,
@@ -291,9 +320,26 @@
             add_move(machine, states[from].name, states[to].name);
             states[to].machines += 1;
         }
+        // Late work gets what is left.
+        while let Some(to) =
+            pool_with_most(&states, |state| state.late_need.saturating_sub(state.machines))
+        {
+            if let Some(machine) = standby_machines.pop_front() {
+                add_move(machine, standby_pool, states[to].name);
+            } else {
+                let from = pool_with_most(&states, |s| {
+                    let least = s.keep_while_others_lack.max(s.late_need);
+                    if calm { s.available_above(least).min(s.idle) } else { 0 }
+                });
+                let Some(from) = from else { break };
+                let Some(machine) = states[from].release_machine() else { break };
+                add_move(machine, states[from].name, states[to].name);
+            }
+            states[to].machines += 1;
+        }
         if standby.is_some() {
             while let Some(from) = pool_with_most(&states, |s| {
-                if s.surplus_persists { s.available_above(s.keep) } else { 0 }
+                if s.surplus_persists { s.available_above(s.keep.max(s.late_need)) } else { 0 }
             }) {
                 let Some(machine) = states[from].release_machine() else { break };
                 add_move(machine, states[from].name, standby_pool);
@@ -301,21 +347,39 @@
         }
         moves
     }
+
+    /// Whether no pool has had a peak for [`CALM_MS`].
+    fn is_calm(
+        &mut self,
+        pools: &IndexMap<String, Demand>,
+        size: u64,
+        reserve: usize,
+        now: u64,
+    ) -> bool {
+        if pools.values().any(|demand| has_peak(demand, size, reserve)) {
+            self.calm_since = None;
+            return false;
+        }
+        now >= *self.calm_since.get_or_insert(now) + CALM_MS
+    }
 }
 
 /// Working state of a pool while moves are planned.
 struct PoolState<'a> {
     name: &'a String,
     machines: usize,
-    /// Machines needed for arriving, running and waiting work.
+    /// Machines needed for arriving, running and waiting work that can be in time.
     need: usize,
+    /// Machines that the pool can use, late work included.
+    late_need: usize,
     /// Machines that the pool keeps while other pools lack machines.
     keep_while_others_lack: usize,
     /// Machines needed for arriving and running work.
     firm_need: usize,
     /// Machines that the pool keeps in any case.
     reserve: usize,
-    /// Machines to keep between peaks: the need, or an even share if that is larger.
+    /// Machines to keep between peaks: the need, or an even share if that is larger. While no pool has
+    /// a peak, the need includes late work.
     keep: usize,
     /// Whether the pool has been larger than `keep` for [`SURPLUS_HOLD_MS`].
     surplus_persists: bool,
