Machines return from late work to standby only after a while

A pool beyond its even share gave a machine to standby in the very round in which its late work fell below it, and got it back in the next: the time for which a pool has to be too large ran from the moment at which it had more than its even share, while late work still used the machines. That time is now counted with late work for standby, and without it for the even shares of the other pools, which late work must not delay.

jobs/tests/sizing, seen failing: late_work_that_falls_and_rises_moves_no_machines_back_and_forth.

--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -164,11 +164,12 @@
 
 /// Plans the moves of machines between pools.
 ///
-/// Keeps the time since which each pool has been larger than needed, and the time since which no
-/// pool has had a peak.
+/// Keeps the time since which each pool has been larger than needed, with and without its late
+/// work, and the time since which no pool has had a peak.
 #[derive(Debug, Clone, Default)]
 pub struct Rebalancer {
     surplus_since: IndexMap<String, u64>,
+    unused_since: IndexMap<String, u64>,
     calm_since: Option<u64>,
 }
 
@@ -246,12 +247,8 @@
                 let need = machines_needed(demand, size);
                 let late_need = machines_with_late_work(demand, size);
                 let keep = need.max(even_share).max(if calm { late_need } else { 0 });
-                if demand.machines <= keep {
-                    self.surplus_since.swap_remove(name);
-                } else {
-                    self.surplus_since.entry(name.clone()).or_insert(now);
-                }
-                let since = self.surplus_since.get(name).copied().unwrap_or(now);
+                let surplus = demand.machines > keep;
+                let unused = demand.machines > keep.max(late_need);
                 let removable = demand.removable.iter().collect();
                 PoolState {
                     name,
@@ -262,7 +259,8 @@
                     firm_need: machines_needed_without_backlog(demand, size),
                     reserve: even_share / 2,
                     keep,
-                    surplus_persists: now >= since + SURPLUS_HOLD_MS,
+                    surplus_persists: persists(&mut self.surplus_since, name, surplus, now),
+                    unused_persist: persists(&mut self.unused_since, name, unused, now),
                     removable,
                     idle: demand.idle,
                 }
@@ -339,7 +337,7 @@
         }
         if standby.is_some() {
             while let Some(from) = pool_with_most(&states, |s| {
-                if s.surplus_persists { s.available_above(s.keep.max(s.late_need)) } else { 0 }
+                if s.unused_persist { s.available_above(s.keep.max(s.late_need)) } else { 0 }
             }) {
                 let Some(machine) = states[from].release_machine() else { break };
                 add_move(machine, states[from].name, standby_pool);
@@ -364,6 +362,16 @@
     }
 }
 
+/// Whether a pool has had more machines than needed for [`SURPLUS_HOLD_MS`]; `since` keeps the start
+/// of that time.
+fn persists(since: &mut IndexMap<String, u64>, pool: &str, surplus: bool, now: u64) -> bool {
+    if !surplus {
+        since.swap_remove(pool);
+        return false;
+    }
+    now >= *since.entry(pool.to_owned()).or_insert(now) + SURPLUS_HOLD_MS
+}
+
 /// Working state of a pool while moves are planned.
 struct PoolState<'a> {
     name: &'a String,
@@ -383,6 +391,8 @@
     keep: usize,
     /// Whether the pool has been larger than `keep` for [`SURPLUS_HOLD_MS`].
     surplus_persists: bool,
+    /// Whether the pool has been larger than `keep` and `late_need` for that time.
+    unused_persist: bool,
     removable: VecDeque<&'a String>,
     /// Number of removable machines without runs.
     idle: usize,
--- a/crates/jobs/tests/sizing.rs
+++ b/crates/jobs/tests/sizing.rs
@@ -430,6 +430,24 @@
     assert_eq!(moves.len(), 18, "{moves:?}");
 }
 
+#[test]
+fn late_work_that_falls_and_rises_moves_no_machines_back_and_forth() {
+    let mut rebalancer = Rebalancer::default();
+    let mut pools = IndexMap::from([late_pool(13), idle_pool("b", 12), idle_pool("c", 12)]);
+    pools["late"].removable = names("l", 13);
+    let mut plan = |late: u64, now| {
+        pools["late"].late = late * MACHINE.cpu;
+        rebalancer.plan_moves(&pools, Some((STANDBY, &[])), 37, MACHINE.cpu, now)
+    };
+    for now in (0..2_000).step_by(500) {
+        assert_eq!(plan(13, now), []);
+    }
+    assert_eq!(plan(5, 2_000), []);
+    assert_eq!(plan(13, 2_500), []);
+    assert_eq!(plan(5, 3_000), []);
+    assert_eq!(plan(5, 4_200).len(), 1, "the machine from standby returns");
+}
+
 #[test]
 fn late_work_that_cannot_use_more_machines_gets_none() {
     let mut fleet = Fleet::new(&[("late", 4), ("b", 4), ("c", 4), ("d", 4), (STANDBY, 1)]);
