Machines that are down for long are replaced for late work

A pool counted a machine whose executor had not been there for long, or was silent or excluded, as one that works for it. The holder of the duties now tracks since when a machine has had no executor, the cell publishes its silent and excluded executors, and such machines are added to what late work needs once they have been out for four seconds. Timely work is decided as before.

Four seconds are longer than a restart or a move.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -74,6 +74,8 @@
     /// Newest known states of the pools.
     pool_states: RefCell<IndexMap<String, PoolState>>,
     rebalancer: RefCell<Rebalancer>,
+    /// Times since which machines have had no executor, in milliseconds.
+    down_since: RefCell<IndexMap<String, u64>>,
     order_rate: RefCell<OrderRate>,
     /// Number of orders sent.
     order_count: Cell<usize>,
@@ -100,6 +102,7 @@
             wave_starts: RefCell::default(),
             pool_states: RefCell::default(),
             rebalancer: RefCell::default(),
+            down_since: RefCell::default(),
             order_rate,
             order_count: Cell::new(0),
             round_logged_at: Cell::new(0),
--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -18,6 +18,9 @@
 
 /// Time after which a move is dropped, in milliseconds; over twice the duration of a move.
 const MOVE_TIMEOUT_MS: u64 = 4_000;
+/// Time after which a machine without an executor counts as unusable, in milliseconds; longer than a
+/// restart or a move takes.
+const LONG_DOWN_MS: u64 = 4_000;
 /// Age up to which the published load of a cell is used, in milliseconds.
 const MAX_LOAD_AGE_MS: u64 = 2_500;
 /// Age of the first copy of a pool's state above which the other copies are read too, in
@@ -31,6 +34,7 @@
     pub(super) async fn move_machines(&self) {
         let Some(config) = self.ctx.config() else { return };
         self.drop_settled_moves();
+        self.update_down_since();
         self.continue_moves().await;
         let states = self.pool_states.borrow().clone();
         let now = self.ctx.table_now();
@@ -109,6 +113,13 @@
         });
         let leaving = |m: &&Machine| moving.get(&m.name).is_some_and(|(to, _)| to != pool);
         let staying = machines.values().filter(|m| m.pool == pool && !leaving(m)).count();
+        let down_since = self.down_since.borrow();
+        let is_down = |m: &&Machine| {
+            m.pool == pool
+                && !self.is_reserved(&m.name)
+                && down_since.get(&m.name).is_some_and(|at| clock::now() >= at + LONG_DOWN_MS)
+        };
+        let down = machines.values().filter(is_down).count();
         let by_executor: IndexMap<&str, &Machine> =
             machines.values().map(|m| (m.executor.as_str(), m)).collect();
         let free = |id: &&String| {
@@ -127,6 +138,7 @@
             min_machines: load.min_executors,
             idle: state.spares.iter().take(state.idle).filter(free).count(),
             machines: staying + arriving.count(),
+            unusable: (down + load.unusable).min(staying),
             removable,
         }
     }
@@ -186,6 +198,17 @@
         count
     }
 
+    /// Updates the times since which machines have had no executor.
+    fn update_down_since(&self) {
+        let machines = self.machines.borrow();
+        let mut down_since = self.down_since.borrow_mut();
+        let is_down = |m: &Machine| !m.up || m.executor.is_empty();
+        down_since.retain(|name, _| machines.get(name).is_some_and(is_down));
+        for machine in machines.values().filter(|m| is_down(m)) {
+            down_since.entry(machine.name.clone()).or_insert_with(clock::now);
+        }
+    }
+
     /// Drops moves whose machine has arrived or that have timed out.
     fn drop_settled_moves(&self) {
         let machines = self.machines.borrow();
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -578,6 +578,7 @@
             used,
             useful: cell.useful_cpu(now),
             late: cell.late_cpu(now),
+            unusable: cell.unusable_executors(now),
             arrival_rate: self.inflow.borrow_mut().rate(now),
             long_running: limits.long_running_cpu,
             min_executors: limits.min_executors,
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -70,6 +70,9 @@
     /// Capacity that late jobs use or could use, in thousandths of a core.
     #[serde(rename = "e", default)]
     pub late: u64,
+    /// Listed executors that are silent or excluded and not about to leave.
+    #[serde(rename = "x", default)]
+    pub unusable: usize,
     /// Rate at which work arrives, in thousandths of a core.
     #[serde(rename = "a", default)]
     pub arrival_rate: u64,
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -5,11 +5,15 @@
 use super::{Cell, JobEntry};
 use crate::job::{State, Step, TaskId};
 use crate::place;
-use crate::worker::{Resources, Worker};
+use crate::worker::{Obstacle, Resources, Worker};
 
 /// Time in which late work should be processed, in milliseconds; about twice a machine's move.
 const LATE_DRAIN_MS: u64 = 4_000;
 
+/// Time without an answer after which an executor counts as unusable, in milliseconds; longer than
+/// another machine takes to replace it.
+const SILENCE_MS: u64 = 4_000;
+
 /// Limits on shrinking a pool, and the executors that could be removed.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ShrinkLimits {
@@ -124,6 +128,16 @@
         })
     }
 
+    /// Number of listed executors that are silent or excluded and not about to leave.
+    pub fn unusable_executors(&self, now: u64) -> usize {
+        let unusable = |w: &&Worker| match w.obstacle(now) {
+            Some(Obstacle::Excluded) => true,
+            Some(Obstacle::Silent) => now >= w.last_answer_at + SILENCE_MS,
+            _ => false,
+        };
+        self.workers.values().filter(unusable).count()
+    }
+
     /// Part of a job's open work that waits for a task on an executor that does not answer.
     fn blocked_work(&self, entry: &JobEntry) -> u64 {
         let Some((_, steps)) = entry.occurrences.get_index(0) else { return 0 };
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -145,6 +145,9 @@
     pub min_machines: usize,
     /// Number of machines in the pool or moving to it, without those that move away.
     pub machines: usize,
+    /// Number of these machines on which no task has been able to start for longer than a move takes,
+    /// although no duty is in progress there.
+    pub unusable: usize,
     /// Machines that can leave at little cost, the cheapest first.
     pub removable: Vec<String>,
     /// Number of removable machines without runs; they come first in `removable`.
@@ -196,9 +199,10 @@
     machine_count(demand, 0, size)
 }
 
-/// Number of machines that a pool can use, late work included.
+/// Number of machines that a pool can use, late work included. Machines on which no task can start
+/// are replaced.
 fn machines_with_late_work(demand: &Demand, size: u64) -> usize {
-    machine_count(demand, demand.backlog / BACKLOG_DRAIN_MS + demand.late, size)
+    machine_count(demand, demand.backlog / BACKLOG_DRAIN_MS + demand.late, size) + demand.unusable
 }
 
 /// Whether a pool needs more machines than its long-running tasks do, and more than the reserve
--- a/crates/jobs/tests/sizing.rs
+++ b/crates/jobs/tests/sizing.rs
@@ -20,6 +20,8 @@
 const MOVE_MS: u64 = 1_500;
 /// Time until a crashed executor is up again, in milliseconds.
 const RESTART_MS: u64 = 2_500;
+/// Time after which a machine without an executor counts as unusable, in milliseconds.
+const LONG_DOWN_MS: u64 = 4_000;
 /// Time after the end of the traffic in which accepted jobs have to end, in milliseconds.
 const FINISH_MS: u64 = 14_000;
 /// Start of the simulation, in milliseconds.
@@ -47,6 +49,8 @@
     moving_to: Option<String>,
     /// Time at which an executor starts, in milliseconds; none while one is up or none starts.
     starts_at: Option<u64>,
+    /// Time of its last crash, in milliseconds.
+    crashed_at: u64,
     runs: Vec<Run>,
     ended: Vec<EndedRun>,
     ended_count: u64,
@@ -111,11 +115,18 @@
             return;
         }
         machine.starts_at = Some(self.now + RESTART_MS);
+        machine.crashed_at = self.now;
         let cell = &mut self.cells[&machine.pool];
         cell.unlist(&executor);
         cell.mark_dead(&executor, self.now);
     }
 
+    /// Ends a machine's executor for good.
+    fn break_down(&mut self, name: &str) {
+        self.crash(name);
+        self.machines[name].starts_at = None;
+    }
+
     /// Machines of a pool whose executors are up.
     fn up(&self, pool: &str) -> usize {
         self.machines.values().filter(|m| m.pool == pool && !m.executor.is_empty()).count()
@@ -228,13 +239,19 @@
             Some(to) => to == pool,
             None => m.pool == pool,
         });
+        let is_down = |m: &&Machine| {
+            m.moving_to.is_none()
+                && m.executor.is_empty()
+                && self.now >= m.crashed_at + LONG_DOWN_MS
+        };
         Demand {
             backlog: cell.backlog(self.now).0,
             long_running: limits.long_running_cpu,
             used: cell.useful_cpu(self.now),
             late: cell.late_cpu(self.now),
             min_machines: limits.min_executors,
-            machines: machines.count(),
+            machines: machines.clone().count(),
+            unusable: machines.filter(is_down).count() + cell.unusable_executors(self.now),
             idle: limits.spares.iter().take(limits.idle).filter_map(name).count(),
             removable: limits.spares.iter().filter_map(name).collect(),
             ..Demand::default()
@@ -364,6 +381,65 @@
     assert_eq!((fleet.up("late"), fleet.up("b")), (4, 4), "moves {:?}", fleet.moves);
 }
 
+#[test]
+fn late_jobs_end_in_time_although_most_machines_of_their_pool_are_down() {
+    let mut fleet = Fleet::new(&[("late", 8), ("b", 8), ("c", 8), ("d", 8), (STANDBY, 1)]);
+    submit_late_jobs(&mut fleet, "late", 400);
+    fleet.run_for(500);
+    (1..8).for_each(|n| fleet.break_down(&format!("late-{n}")));
+    fleet.run_for(FINISH_MS - 500);
+    assert_eq!(fleet.job_count("late"), 0, "jobs that have not ended; moves {:?}", fleet.moves);
+}
+
+/// A crashed executor is back sooner than another machine can replace it, and a task that crashes
+/// executors would crash those of further machines too.
+#[test]
+fn machines_whose_executors_restart_are_not_replaced() {
+    let mut fleet = Fleet::new(&[("late", 8), ("b", 8), ("c", 8), ("d", 8), (STANDBY, 1)]);
+    submit_late_jobs(&mut fleet, "late", 80);
+    for _ in 0..20 {
+        fleet.run_for(500);
+        (0..8).for_each(|n| fleet.crash(&format!("late-{n}")));
+    }
+    assert!(fleet.moves.is_empty(), "{:?}", fleet.moves);
+}
+
+#[test]
+fn silent_and_excluded_executors_count_as_unusable_but_not_after_one_lost_answer() {
+    let mut fleet = Fleet::new(&[("late", 3)]);
+    fleet.submit("late", "job", vec![step(3, 1_000, 100)], 0);
+    fleet.run_for(500);
+    let (now, cell) = (fleet.now, &mut fleet.cells["late"]);
+    let is_idle = |id: &String| cell.workers()[id].runs.is_empty();
+    let (idle, busy): (Vec<String>, Vec<String>) =
+        cell.workers().keys().cloned().partition(is_idle);
+    // All three tasks fail on one executor.
+    let failed = |(n, task): (u64, &TaskId)| EndedRun {
+        sequence: n,
+        task: task.clone(),
+        run: 1,
+        outcome: RunOutcome::Failed,
+        checkpoint: String::new(),
+    };
+    let tasks = cell.workers()[&busy[0]].runs.keys();
+    let report = ExecutorReport {
+        clock: now,
+        ended: (1..).zip(tasks).map(failed).collect(),
+        ..ExecutorReport::default()
+    };
+    cell.handle_poll(&busy[0], &report, now, now);
+    assert_eq!(cell.unusable_executors(now + 300), 1);
+    cell.handle_no_answer(&idle[0]);
+    assert_eq!(cell.unusable_executors(now + 300), 1, "one lost answer");
+    for id in [&busy[0], &idle[1]] {
+        let report = ExecutorReport { clock: now + 4_000, ..ExecutorReport::default() };
+        cell.handle_poll(id, &report, now + 4_000, now + 4_000);
+    }
+    assert_eq!(cell.unusable_executors(now + 4_000), 1, "the exclusion is over");
+    cell.set_leaving(IndexSet::from([idle[0].clone()]));
+    assert_eq!(cell.unusable_executors(now + 4_000), 0);
+}
+
 fn names(prefix: &str, count: usize) -> Vec<String> {
     (0..count).map(|n| format!("{prefix}{n}")).collect()
 }
