--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -83,12 +83,15 @@
         let arriving_cores = |demand: &Demand| (demand.arrival_rate / 1_000).to_string();
         let pools_text: Vec<String> = pools.iter().map(share).collect();
         let arriving: Vec<String> = pools.values().map(arriving_cores).collect();
+        let late_cores = |demand: &Demand| (demand.late / 1_000).to_string();
+        let late: Vec<String> = pools.values().map(late_cores).collect();
         self.ctx.timeline.record(
             base::Event::SharesChanged,
             &[
                 ("moves", &moves),
                 ("pools", &pools_text.join(", ")),
                 ("arriving", &arriving.join(", ")),
+                ("late", &late.join(", ")),
             ],
         );
     }
