Memory counts in the machines for long-running tasks

A pool was sized by the processor time of its long-running tasks and their limits per executor. Where they need 11 GB on average, and up to 34 GB of an executor's 64, that is far fewer machines than they fit on: tasks waited with machines on standby, and nothing asked for those.

The fewest machines are now found by placing all tasks, the largest first, on executors of the pool's largest size, by processor, memory and accelerators; the limits per executor hold as before. Tasks that no executor can run ask for no machine.

jobs/tests/sizing, seen failing with the former count: a_pool_gets_the_machines_that_its_long_running_tasks_need_for_their_ memory. Tasks already spread over executors may need more machines than that; they are not counted apart.

--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -79,7 +79,7 @@
     /// Capacity for long-running tasks, in thousandths of a core.
     #[serde(rename = "l", default)]
     pub long_running: u64,
-    /// Fewest executors on which the long-running tasks can be placed.
+    /// Fewest executors on which the long-running tasks fit, by processor, memory and limits.
     #[serde(rename = "f", default)]
     pub min_executors: usize,
     /// Time of publication, by the table's clock in milliseconds.
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -19,7 +19,7 @@
 pub struct ShrinkLimits {
     /// CPU that the long-running tasks need, in thousandths of a core.
     pub long_running_cpu: u64,
-    /// Fewest executors on which the long-running tasks fit by their limits per executor.
+    /// Fewest executors on which the long-running tasks fit.
     pub min_executors: usize,
     /// Executors without long-running tasks, those with the least CPU in use first.
     pub spares: Vec<String>,
@@ -198,13 +198,11 @@
         let mut limits = ShrinkLimits::default();
         let long_running =
             self.jobs.values().filter(|e| e.candidate.long_running && !e.state.is_final());
-        for step in long_running.flat_map(|e| &e.job.steps).filter(|step| step.long_running) {
-            limits.long_running_cpu += u64::from(step.count) * place::required_resources(step).cpu;
-            let machines = step.count.div_ceil(step.max_per_executor.max(1)) as usize;
-            if step.max_per_executor > 0 {
-                limits.min_executors = limits.min_executors.max(machines);
-            }
-        }
+        let steps: Vec<&Step> =
+            long_running.flat_map(|e| &e.job.steps).filter(|step| step.long_running).collect();
+        limits.long_running_cpu =
+            steps.iter().map(|s| u64::from(s.count) * place::required_resources(s).cpu).sum();
+        limits.min_executors = place::executors_needed(&steps, self.largest_executor());
         let mut spares: Vec<(u64, &String)> = self
             .workers
             .iter()
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -47,6 +47,16 @@
         self.gpus += more.gpus;
     }
 
+    /// Resources that `count` times this need takes.
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        Self {
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
     /// Subtracts `part`; no amount falls below 0.
     #[must_use]
     pub fn minus(self, part: Self) -> Self {
--- a/crates/jobs/tests/sizing.rs
+++ b/crates/jobs/tests/sizing.rs
@@ -440,6 +440,18 @@
     assert_eq!(cell.unusable_executors(now + 4_000), 0);
 }
 
+#[test]
+fn a_pool_gets_the_machines_that_its_long_running_tasks_need_for_their_memory() {
+    let mut fleet = Fleet::new(&[("lasting", 3), ("b", 3), ("c", 3), ("d", 3), (STANDBY, 5)]);
+    let task = |memory| Step { long_running: true, ..step(4, 1_000, memory) };
+    fleet.submit("lasting", LASTING, vec![task(34_000), task(12_000), task(25_000)], 0);
+    fleet.run_for(5_000);
+    assert_eq!(fleet.cells["lasting"].waiting_tasks(0, fleet.now), []);
+    let moved = fleet.moves.len();
+    fleet.run_for(10_000);
+    assert_eq!(fleet.moves.len(), moved, "{:?}", fleet.moves);
+}
+
 fn names(prefix: &str, count: usize) -> Vec<String> {
     (0..count).map(|n| format!("{prefix}{n}")).collect()
 }
