--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -89,7 +89,7 @@
     pub fn late_cpu(&self, now: u64) -> u64 {
         let settled = self.inherited_settled();
         let largest = self.largest_executor();
-        let (mut work, mut open, mut largest_gang) = (0, 0, 0);
+        let (mut work, mut open, mut largest_gang) = (0_u64, 0, 0);
         for entry in self.jobs.values().filter(|e| is_late_work(e, now)) {
             if entry.start_blocked || (entry.inherited && !settled) {
                 continue;
@@ -103,7 +103,7 @@
                     }
                     let cpu = state.open_count as u64 * need.cpu;
                     open += cpu;
-                    work += cpu * spec.estimate;
+                    work = work.saturating_add(cpu.saturating_mul(spec.estimate));
                     largest_gang = largest_gang.max(if spec.gang { cpu } else { 0 });
                 }
             }
