Merge the size of pools with late work, machines without an executor, and the memory of long-running tasks

Two faults: jobs that are no longer timely counted for nothing in a pool's size, so that accepted jobs had one or two executors beside a free fleet; and long-running tasks were counted by CPU alone, though their memory decides how many executors they need.

--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -67,13 +67,19 @@
     /// Capacity used by long-running tasks and by jobs that are in time, in thousandths of a core.
     #[serde(rename = "v", default)]
     pub useful: u64,
+    /// Capacity that late jobs use or could use, in thousandths of a core.
+    #[serde(rename = "e", default)]
+    pub late: u64,
+    /// Listed executors that are silent or excluded and not about to leave.
+    #[serde(rename = "x", default)]
+    pub unusable: usize,
     /// Rate at which work arrives, in thousandths of a core.
     #[serde(rename = "a", default)]
     pub arrival_rate: u64,
     /// Capacity for long-running tasks, in thousandths of a core.
     #[serde(rename = "l", default)]
     pub long_running: u64,
-    /// Fewest executors on which the long-running tasks can be placed.
+    /// Fewest executors on which the long-running tasks fit, by processor, memory and limits.
     #[serde(rename = "f", default)]
     pub min_executors: usize,
     /// Time of publication, by the table's clock in milliseconds.
