Count machines in maintenance beside those that long-running tasks need

Cause: a pool has at least one machine more than its long-running tasks need. Change: a pool with long-running tasks needs as many more machines as are away for maintenance or shut down. Test: a_pool_with_machines_in_maintenance_gets_others_for_its_long_running_tasks; with machines that are away not counted no machine moves, and it fails.

--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -134,6 +134,17 @@
                 && down_since.get(&m.name).is_some_and(|at| clock::now() >= at + LONG_DOWN_MS)
         };
         let down = machines.values().filter(is_down).count();
+        let duties = self.ctx.duties.borrow();
+        let in_maintenance: IndexSet<&String> = duties
+            .in_progress()
+            .filter(|(.., duty)| duty.wave > 0)
+            .map(|(.., duty)| &duty.machine)
+            .collect();
+        let is_away = |m: &&&Machine| {
+            in_maintenance.contains(&m.name)
+                || registry.get(&m.executor).is_some_and(|registration| !registration.ready)
+        };
+        let away = staying.iter().filter(is_away).count();
         let by_executor: IndexMap<&str, &Machine> =
             machines.values().map(|m| (m.executor.as_str(), m)).collect();
         let free = |id: &&String| {
@@ -153,6 +164,7 @@
             idle: state.spares.iter().take(state.idle).filter(free).count(),
             machines: staying.len() + arriving.count(),
             shortfall,
+            away,
             unusable: (down + load.unusable).min(staying.len()),
             removable,
         }
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -148,6 +148,8 @@
     /// CPU by which these machines are smaller than the fleet's largest ones, all together, in
     /// thousandths of a core.
     pub shortfall: u64,
+    /// Number of these machines that are emptied or down for maintenance, or that shut down.
+    pub away: usize,
     /// Number of these machines on which no task has been able to start for longer than a move takes,
     /// although no duty is in progress there.
     pub unusable: usize,
@@ -214,6 +216,7 @@
     let lasting = Demand {
         long_running: demand.long_running,
         min_machines: demand.min_machines,
+        away: demand.away,
         ..Demand::default()
     };
     machines_needed(demand, size) > machines_needed(&lasting, size).max(reserve)
@@ -233,9 +236,11 @@
     } else {
         (required_cpu * demand.machines as u64).div_ceil(capacity.max(1))
     };
+    // A long-running task is stopped for maintenance only once another machine can take it.
+    let away = if demand.long_running > 0 { demand.away } else { 0 };
     usize::try_from(machines)
         .unwrap_or(usize::MAX)
-        .max(demand.min_machines + 1)
+        .max(demand.min_machines + 1 + away)
         .max(MIN_POOL_MACHINES)
 }
 
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -62,6 +62,22 @@
     assert!(moves.iter().all(|s| s.from == "standby" && s.to == "shrunken"));
 }
 
+/// Guards against long-running tasks that can't leave a machine for its maintenance, or have no place
+/// to go, as the pool has just as many machines as they need.
+#[test]
+fn a_pool_with_machines_in_maintenance_gets_others_for_its_long_running_tasks() {
+    let lasting = Demand { long_running: 20_000, min_machines: 5, ..pool(6, 0, Vec::new()) };
+    assert_eq!(machines_needed(&lasting, MACHINE_CPU), 6);
+    let mut pools = IndexMap::new();
+    pools.insert("p".to_owned(), Demand { away: 2, ..lasting.clone() });
+    let standby = names("s", 4);
+    let moves =
+        Rebalancer::default().plan_moves(&pools, Some(("standby", &standby)), 6, MACHINE_CPU, 0);
+    assert_eq!(moves.len(), 2, "{moves:?}");
+    let none = Demand { away: 2, ..pool(6, 0, Vec::new()) };
+    assert_eq!(machines_needed(&none, MACHINE_CPU), 3, "other tasks need not move");
+}
+
 #[test]
 fn a_pool_releases_machines_only_after_it_was_too_large_for_a_while() {
     let mut pools = IndexMap::new();
