Give up tasks that crash the executors that start them

Cause: the end of an executor released its runs, and their tasks started again at once, on any executor and together. Nothing counted crashes: only ends that an executor reports are attempts, and a crashed executor reports none.

Ruled out: ends reported as failed (none), holders that take turns (one holder made all 41 starts), lapsed leases.

What changes: a crash is an end that was not announced, drained for or ordered. Its suspects are the runs that the executor has not outlived by 300 ms of its own clock. Their counts are written before they start again, and they start on an executor that is kept for their job and on which all other runs are past that time. Two crashes with no other job to blame end the job as failed; three while executors crash without any suspect. A suspect whose executor lives on is cleared. Rows without counts stay readable.

Why it works: after its first crash a task only starts where it alone can be blamed, so it takes at most four starts, of the five that the rule permits; the fifth is left for a count that is lost with its holder. An innocent neighbour is cleared by its next start.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -89,6 +89,10 @@
     RunEnded = 2205,
     /// A long-running task has not run for seconds; the fields hold the reasons.
     TaskWaits = 2206,
+    /// An executor ended unexpectedly; the fields hold the tasks that may have caused it.
+    ExecutorCrashed = 2207,
+    /// A job was given up, since one of its tasks crashes the executors that start it.
+    JobGivenUp = 2208,
     /// An executor answered the cell's lease holder for the first time.
     ExecutorJoined = 2301,
     /// An executor did not answer, was replaced by another incarnation or left the machine list.
--- a/crates/cells/src/owner/duty.rs
+++ b/crates/cells/src/owner/duty.rs
@@ -29,7 +29,7 @@
             for duty in duties.values().filter(|duty| duty.executor_ended) {
                 let alive = cell.workers().get(&duty.executor).is_some_and(|w| !w.dead);
                 if alive {
-                    cell.mark_dead(&duty.executor, clock::now());
+                    cell.mark_ended(&duty.executor, clock::now());
                 }
             }
         }
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -47,6 +47,8 @@
 const WAITING_TASK_LOG_MS: u64 = 2_000;
 /// Maximum number of waiting tasks logged at a time.
 const MAX_LOGGED_WAITING_TASKS: usize = 4;
+/// Maximum number of suspects named in the log line about a crash.
+const MAX_LOGGED_SUSPECTS: usize = 4;
 /// Time from the order that moves a machine into a pool until the pool's published capacity
 /// includes it, in milliseconds: the move, the registration, the first poll and the publication.
 const MACHINE_MOVE_MS: u64 = 2_000;
@@ -332,6 +334,7 @@
                     self.send(order);
                 }
             }
+            self.log_crashes();
             if self.cell.borrow().is_superseded() {
                 self.mark_lost("an executor has received orders with a higher epoch");
             }
@@ -532,6 +535,36 @@
         );
     }
 
+    /// Logs crashes of executors, and jobs that are given up because of them.
+    fn log_crashes(&self) {
+        let crashes = self.cell.borrow_mut().take_crashes();
+        for crash in &crashes {
+            let suspects = crash.suspects.iter().take(MAX_LOGGED_SUSPECTS).map(ToString::to_string);
+            self.ctx.timeline.record(
+                base::Event::ExecutorCrashed,
+                &[
+                    ("cell", &self.tenure.cell),
+                    ("executor", &crash.executor),
+                    ("runs", &crash.runs),
+                    ("suspects", &crash.suspects.len()),
+                    ("jobs", &crash.suspect_jobs),
+                    ("first", &suspects.collect::<Vec<_>>().join(" ")),
+                ],
+            );
+            for (job, count) in &crash.given_up {
+                self.ctx.timeline.record(
+                    base::Event::JobGivenUp,
+                    &[
+                        ("cell", &self.tenure.cell),
+                        ("job", &job),
+                        ("executor", &crash.executor),
+                        ("crashes", &count),
+                    ],
+                );
+            }
+        }
+    }
+
     /// Logs long-running tasks that do not run, with the reasons.
     fn log_waiting_tasks(&self) {
         let waiting = self.cell.borrow().waiting_tasks(WAITING_TASK_LOG_MS, clock::now());
--- a/crates/cells/src/owner/poll.rs
+++ b/crates/cells/src/owner/poll.rs
@@ -213,7 +213,9 @@
             || !worker.joined;
         let outcome_pending =
             worker.runs.values().any(|slot| matches!(slot.phase, Phase::Stopped | Phase::Unsure));
-        let wait = if immediate || outcome_pending { 0 } else { END_WAIT_MS };
+        // Suspects and the jobs behind them wait for the executor to outlive their start.
+        let may_crash = cell.is_quarantined(id);
+        let wait = if immediate || outcome_pending || may_crash { 0 } else { END_WAIT_MS };
         let lease_end =
             if worker.runs.is_empty() { None } else { cell.grant_lease(id, clock::now()) };
         Some(PollRequest { lease_end, acked_through, wait: Duration::from_millis(wait) })
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use super::quarantine::{CrashRecord, is_turn};
 use super::{Cell, JobEntry, Order, StepState, new_steps};
 use crate::job::{State, TaskId};
 use crate::order::{Candidate, Rank};
@@ -23,6 +24,8 @@
     unplaceable: Vec<Resources>,
     /// Executors compared so far, counted once per task.
     compared: usize,
+    /// Whether only suspects of the job may start.
+    suspects_only: bool,
     /// Time of the pass, in milliseconds.
     now: u64,
 }
@@ -87,11 +90,15 @@
             return;
         }
         ready.sort_by_key(|r| r.rank);
+        let waiting: Vec<usize> =
+            ready.iter().map(|r| r.job).filter(|job| self.has_waiting_suspects(*job)).collect();
+        self.reserve_executors(&waiting, now);
         let least_cpu = self.least_cpu_needed(&ready);
         let accepting: Vec<usize> = (0..self.workers.len())
             .filter(|n| {
                 self.workers
                     .get_index(*n)
+                    .filter(|(id, _)| !self.reserved.contains_key(*id))
                     .is_some_and(|(_, w)| w.free().cpu >= least_cpu && w.accepts_tasks(now))
             })
             .collect();
@@ -107,13 +114,18 @@
             starts_left: MAX_STARTS_PER_PASS,
             unplaceable: Vec::new(),
             compared: 0,
+            suspects_only: false,
             now,
         };
         for item in ready {
-            if pass.starts_left == 0 || pass.accepting.is_empty() {
+            if pass.starts_left == 0 || (pass.accepting.is_empty() && self.reserved.is_empty()) {
                 break;
             }
-            self.assign_job(item.job, &mut pass);
+            if self.jobs[item.job].suspects.is_empty() {
+                self.assign_job(item.job, &mut pass);
+            } else {
+                self.assign_suspects(item.job, &mut pass);
+            }
         }
         self.compared = pass.compared;
     }
@@ -138,6 +150,30 @@
         least
     }
 
+    /// Starts suspects of a job on the executors that are kept for it; its other tasks wait.
+    fn assign_suspects(&mut self, job: usize, pass: &mut Pass) {
+        let Some((id, entry)) = self.jobs.get_index(job) else { return };
+        if entry.crash_record != CrashRecord::Durable {
+            return;
+        }
+        let kept = self.quiet_reserved(id, pass.now);
+        if kept.is_empty() {
+            let suspect = entry.suspects.iter().find(|task| is_turn(entry, task));
+            let step = suspect.map(|task| (task.occurrence, task.step));
+            if let Some((occurrence, step)) = step.filter(|_| self.needs_advice(&entry.queue)) {
+                self.request_advice(job, occurrence, step, &pass.accepting, pass.now);
+            }
+            return;
+        }
+        let accepting = std::mem::replace(&mut pass.accepting, kept);
+        let unplaceable = std::mem::take(&mut pass.unplaceable);
+        pass.suspects_only = true;
+        self.assign_job(job, pass);
+        pass.suspects_only = false;
+        pass.unplaceable = unplaceable;
+        pass.accepting = accepting;
+    }
+
     /// Starts the open tasks of each step whose predecessors are done.
     fn assign_job(&mut self, job: usize, pass: &mut Pass) {
         let Some((_, entry)) = self.jobs.get_index(job) else { return };
@@ -178,6 +214,7 @@
         let tasks: Vec<u32> = (0u32..)
             .zip(&state.tasks)
             .filter(|(_, t)| !t.done && t.worker.is_none() && t.not_before <= now)
+            .filter(|(_, t)| !pass.suspects_only || t.crashes.is_suspect())
             .map(|(n, _)| n)
             .collect();
         for index in tasks {
@@ -210,6 +247,9 @@
         if state.open_count != state.tasks.len() || state.tasks.iter().any(|t| t.not_before > now) {
             return;
         }
+        if pass.suspects_only && !state.tasks.iter().any(|t| t.crashes.is_suspect()) {
+            return;
+        }
         let run = self.next_run(state.tasks.iter().map(|t| t.last_run).max().unwrap_or(0));
         // All members resume from the same checkpoint.
         let checkpoint = state.tasks.iter().map(|t| t.checkpoint.clone()).max().unwrap_or_default();
@@ -255,7 +295,7 @@
     }
 
     /// Number of tasks of a step that each executor has.
-    fn tasks_per_worker(&self, state: &StepState) -> IndexMap<String, u32> {
+    pub(super) fn tasks_per_worker(&self, state: &StepState) -> IndexMap<String, u32> {
         let mut task_counts = IndexMap::new();
         for worker in state.tasks.iter().filter_map(|t| t.worker.as_ref()) {
             *task_counts.entry(worker.clone()).or_default() += 1;
@@ -336,6 +376,8 @@
             progressed_at: now,
             resumed_from: checkpoint.clone(),
             long_running: entry.job.steps[task.step].long_running,
+            start_clock: None,
+            cleared: false,
         };
         self.workers[worker].add_run(task.clone(), slot);
         self.orders.push(Order::Start {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -14,6 +14,7 @@
 mod load;
 mod outcome;
 mod poll;
+mod quarantine;
 mod record;
 mod stall;
 mod wait;
@@ -25,9 +26,12 @@
 use advice::Advice;
 pub use load::{ShrinkLimits, Usage};
 pub use outcome::{Refusal, StartOutcome};
+pub use quarantine::Crash;
+use quarantine::{CrashRecord, Reservation};
 pub use record::{Flush, JobChange};
 pub use wait::WaitingTask;
 
+use crate::crash::Crashes;
 use crate::job::{Job, State, TaskId};
 use crate::order::Candidate;
 use crate::progress::Progress;
@@ -120,6 +124,8 @@
     not_before: u64,
     /// Executors on which the task has failed.
     avoid: Vec<String>,
+    /// Crashes that the task may have caused.
+    crashes: Crashes,
 }
 
 /// Scheduling state of one step of an occurrence.
@@ -166,6 +172,10 @@
     first_start: Option<u64>,
     /// CPU time reserved by its ended runs, in thousandths of a core times milliseconds.
     cpu_time: u64,
+    /// Tasks that may have crashed an executor and have not been cleared.
+    suspects: IndexSet<TaskId>,
+    /// Whether the table holds the crashes of these tasks.
+    crash_record: CrashRecord,
 }
 
 /// A job to admit to a cell.
@@ -214,6 +224,14 @@
     leaving: IndexSet<String>,
     /// Ids of jobs whose end is durable, the latest [`MAX_ENDED_JOBS`] of them.
     ended_jobs: IndexSet<String>,
+    /// Executors that are kept for suspects of a job.
+    reserved: IndexMap<String, Reservation>,
+    /// When the last of these executors was released, in milliseconds.
+    released_at: u64,
+    /// Time until which a crash that no task has caused makes others doubtful, in milliseconds.
+    unexplained_until: u64,
+    /// Crashes that have not been read for the log.
+    crashes: Vec<Crash>,
     /// Whether an executor has seen orders of a later holder.
     superseded: bool,
     /// Executors that the last assignment pass compared, counted once per task.
@@ -251,6 +269,10 @@
             unknown_inherited: false,
             leaving: IndexSet::new(),
             ended_jobs: IndexSet::new(),
+            reserved: IndexMap::new(),
+            released_at: 0,
+            unexplained_until: 0,
+            crashes: Vec::new(),
             superseded: false,
             compared: 0,
         }
@@ -293,6 +315,8 @@
             duration_ratio: (0, 0),
             first_start: None,
             cpu_time: 0,
+            suspects: IndexSet::new(),
+            crash_record: CrashRecord::default(),
             job: arrival.job,
         };
         for (occurrence, steps) in &arrival.progress.occurrences {
@@ -300,6 +324,7 @@
             for (state, durable) in states.iter_mut().zip(steps) {
                 record::restore(state, durable);
             }
+            entry.suspects.extend(quarantine::suspects(&arrival.id, *occurrence, &states));
             entry.occurrences.insert(*occurrence, states);
         }
         self.jobs.insert(arrival.id.clone(), entry);
@@ -437,7 +462,15 @@
     }
 
     /// Marks an incarnation of an executor as dead and releases its runs.
+    ///
+    /// Unless the executor was about to leave, its end counts as a crash, and the runs that had just
+    /// begun are suspected of having caused it.
     pub fn mark_dead(&mut self, id: &str, now: u64) {
+        self.handle_crash(id, now);
+    }
+
+    /// Like [`Self::mark_dead`], for an executor that has ended by an order.
+    pub fn mark_ended(&mut self, id: &str, now: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.dead = true;
         }
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -67,7 +67,11 @@
                     slot.phase_since = now;
                     slot.progressed_at = now;
                 }
+                if let Some(slot) = worker.runs.get_mut(task).filter(|slot| slot.run == run) {
+                    slot.start_clock.get_or_insert(clock);
+                }
                 worker.record_answer(clock, now);
+                self.clear_runs(id);
                 let unwanted = self.jobs.get(&task.job).is_none_or(|e| e.state.is_final());
                 if unwanted {
                     self.stop_run(id, task, now);
@@ -78,7 +82,10 @@
                 worker.unanswered += 1;
                 self.release_unstarted(id, task, run, now);
             }
-            StartOutcome::Gone => self.mark_dead(id, now),
+            StartOutcome::Gone => {
+                self.release_unstarted(id, task, run, now);
+                self.mark_dead(id, now);
+            }
             StartOutcome::Unknown => {
                 // A long-running task may be working by now, and other tasks of its step may be
                 // unavailable. The next poll shows whether it runs.
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -45,6 +45,7 @@
             worker.lease_end = worker.lease_end.max(worker.clock + self.config.lease);
             worker.joined = true;
         }
+        self.clear_runs(id);
         for end in &answer.ended {
             let Some(worker) = self.workers.get_mut(id) else { return };
             if end.sequence > worker.last_seen_end {
@@ -57,7 +58,7 @@
             worker.settle_ends();
         }
         for run in &answer.present {
-            self.handle_present(id, run, now);
+            self.handle_present(id, run, answer.clock, now);
         }
         if answer.ended.len() < MAX_ENDS_PER_POLL {
             self.release_missing(id, answer, sent, now);
@@ -112,6 +113,9 @@
                 } else {
                     mark_done(step, task.index as usize);
                 }
+                entry
+                    .suspects
+                    .retain(|suspect| *suspect != *task && !(gang && suspect.is_in_step_of(task)));
                 self.dirty.insert(task.job.clone());
                 self.complete_if_done(&task.job);
             }
@@ -132,7 +136,7 @@
     }
 
     /// Handles a run that an executor reports as present.
-    fn handle_present(&mut self, id: &str, run: &PresentRun, now: u64) {
+    fn handle_present(&mut self, id: &str, run: &PresentRun, clock: u64, now: u64) {
         let task = &run.task;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let known = worker.runs.get(task).is_some_and(|slot| slot.run == run.run);
@@ -148,6 +152,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.runs.get_mut(task) else { return };
+        slot.start_clock.get_or_insert(clock);
         if matches!(slot.phase, Phase::Sent | Phase::Unsure) {
             slot.phase = Phase::Running;
             slot.phase_since = now;
@@ -208,8 +213,11 @@
             // progress gives no measure of speed.
             resumed_from: "unknown".to_owned(),
             long_running,
+            start_clock: None,
+            cleared: false,
         };
         worker.add_run(task.clone(), slot);
+        self.reserve_adopted(id, task, now);
         true
     }
 
@@ -220,7 +228,7 @@
     }
 
     /// Returns the scheduling state of a task.
-    fn task(&mut self, task: &TaskId) -> Option<&mut super::Task> {
+    pub(super) fn task(&mut self, task: &TaskId) -> Option<&mut super::Task> {
         let steps = self.jobs.get_mut(&task.job)?.occurrences.get_mut(&task.occurrence)?;
         steps.get_mut(task.step)?.tasks.get_mut(task.index as usize)
     }
--- /dev/null
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -0,0 +1,307 @@
+//! Crashes of executors, and the quarantine of tasks that may have caused them.
+//!
+//! The decisions are those of [`crash`]. A suspect waits until its crash is durable, so that a
+//! successor knows of it, and until an executor is kept for its job. No other job starts there
+//! meanwhile, and all runs that are already there must have outlived their probation.
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{Cell, JobEntry, StepState};
+use crate::crash;
+use crate::job::{State, TaskId};
+use crate::place;
+
+/// Time for which an executor is kept for a job that does not start there, in milliseconds.
+const RESERVATION_MS: u64 = 2_000;
+/// Time between two reservations of a pool's only executor, in milliseconds, so that other jobs
+/// start as well.
+const SINGLE_EXECUTOR_PAUSE_MS: u64 = 500;
+/// Most jobs that are given executors in one pass; bounds the duration of a pass.
+const MAX_NEW_RESERVATIONS: usize = 16;
+/// Most crashes kept for the log between two reads of it.
+const MAX_CRASH_RECORDS: usize = 64;
+
+/// An executor that is kept for the suspects of one job.
+#[derive(Debug, Clone)]
+pub(super) struct Reservation {
+    job: String,
+    /// Time since which the executor is kept without a start, in milliseconds.
+    since: u64,
+}
+
+/// State of the table's record of a job's crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) enum CrashRecord {
+    /// The table holds all crashes.
+    #[default]
+    Durable,
+    /// A write that holds all crashes is under way.
+    Taken,
+    /// The latest crash is not in any write.
+    Unwritten,
+}
+
+/// An unexpected end of an executor, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Crash {
+    /// Incarnation of the executor.
+    pub executor: String,
+    /// Number of runs that it had.
+    pub runs: usize,
+    /// Tasks that may be to blame.
+    pub suspects: Vec<TaskId>,
+    /// Number of jobs that these tasks belong to.
+    pub suspect_jobs: usize,
+    /// Jobs given up, with the largest number of crashes under one of their tasks.
+    pub given_up: Vec<(String, u32)>,
+}
+
+impl Cell {
+    /// Takes the crashes since the last call.
+    pub fn take_crashes(&mut self) -> Vec<Crash> {
+        std::mem::take(&mut self.crashes)
+    }
+
+    /// Whether an executor's end was to be expected, so that no task is to blame.
+    fn end_was_expected(&self, id: &str) -> bool {
+        self.workers.get(id).is_none_or(|w| w.dead || w.leaving || !w.registration.ready)
+    }
+
+    /// Records an executor's crash under the runs that may have caused it, and releases its runs.
+    pub(super) fn handle_crash(&mut self, id: &str, now: u64) {
+        if self.end_was_expected(id) {
+            self.mark_ended(id, now);
+            return;
+        }
+        let Some(worker) = self.workers.get(id) else { return };
+        let (runs, joined) = (worker.runs.len(), worker.joined);
+        let uncleared: Vec<(TaskId, bool)> = worker
+            .runs
+            .iter()
+            .filter(|(_, slot)| !slot.cleared)
+            .map(|(task, slot)| (task.clone(), crash::is_to_blame(slot.start_clock, worker.clock)))
+            .collect();
+        self.mark_ended(id, now);
+        let mut jobs: Vec<&str> = uncleared.iter().map(|(task, _)| task.job.as_str()).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        let suspect_jobs = jobs.len();
+        if uncleared.is_empty() && joined {
+            self.unexplained_until = now + crash::UNEXPLAINED_MS;
+        }
+        let unsure = now < self.unexplained_until;
+        let mut hopeless: IndexMap<String, u32> = IndexMap::new();
+        let mut suspects = Vec::new();
+        for (task, just_started) in uncleared {
+            let Some(state) = self.task(&task).filter(|t| !t.done) else { continue };
+            state.crashes.record(just_started && suspect_jobs == 1);
+            let crashes = state.crashes;
+            let Some(entry) = self.jobs.get_mut(&task.job).filter(|e| !e.state.is_final()) else {
+                continue;
+            };
+            entry.crash_record = CrashRecord::Unwritten;
+            entry.suspects.insert(task.clone());
+            self.dirty.insert(task.job.clone());
+            if crashes.is_hopeless(unsure) {
+                let most = hopeless.entry(task.job.clone()).or_default();
+                *most = crashes.suspected.max(*most);
+            }
+            suspects.push(task);
+        }
+        for job in hopeless.keys() {
+            self.end_job(job, State::Failed, now);
+        }
+        if self.crashes.len() < MAX_CRASH_RECORDS {
+            self.crashes.push(Crash {
+                executor: id.to_owned(),
+                runs,
+                suspects,
+                suspect_jobs,
+                given_up: hopeless.into_iter().collect(),
+            });
+        }
+    }
+
+    /// Clears the runs that their executor has outlived by its last answer.
+    pub(super) fn clear_runs(&mut self, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let clock = worker.clock;
+        let mut cleared = Vec::new();
+        for (task, slot) in worker.runs.iter_mut().filter(|(_, slot)| !slot.cleared) {
+            if slot.start_clock.is_some_and(|started| crash::is_cleared(started, clock)) {
+                slot.cleared = true;
+                cleared.push(task.clone());
+            }
+        }
+        for task in cleared {
+            self.clear_task(&task);
+        }
+    }
+
+    /// Clears a task of the crashes that it was suspected of.
+    pub(super) fn clear_task(&mut self, task: &TaskId) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        if !entry.suspects.swap_remove(task) {
+            return;
+        }
+        if let Some(state) = self.task(task) {
+            state.crashes = crash::Crashes::default();
+            self.dirty.insert(task.job.clone());
+        }
+    }
+
+    /// Keeps an executor for a job whose suspect a former holder has started there.
+    pub(super) fn reserve_adopted(&mut self, id: &str, task: &TaskId, now: u64) {
+        if self.jobs.get(&task.job).is_some_and(|entry| entry.suspects.contains(task)) {
+            self.reserved.insert(id.to_owned(), Reservation { job: task.job.clone(), since: now });
+        }
+    }
+
+    /// Whether a job has suspects that may start.
+    pub(super) fn has_waiting_suspects(&self, job: usize) -> bool {
+        let Some((_, entry)) = self.jobs.get_index(job) else { return false };
+        entry.crash_record == CrashRecord::Durable
+            && entry.suspects.iter().any(|task| is_turn(entry, task))
+    }
+
+    /// Positions of the executors that are kept for a job and on which it alone may be to blame.
+    pub(super) fn quiet_reserved(&self, job: &str, now: u64) -> Vec<usize> {
+        let kept = self.reserved.iter().filter(|(_, reservation)| reservation.job == job);
+        kept.filter_map(|(id, _)| self.workers.get_full(id))
+            .filter(|(.., worker)| worker.accepts_tasks(now) && worker.is_quiet(job))
+            .map(|(position, ..)| position)
+            .collect()
+    }
+
+    /// Whether an executor is kept for suspects.
+    pub fn is_quarantined(&self, id: &str) -> bool {
+        self.reserved.contains_key(id)
+    }
+
+    /// Updates the executors that are kept for suspects of `waiting`, the positions of jobs in the
+    /// scheduling order.
+    pub(super) fn reserve_executors(&mut self, waiting: &[usize], now: u64) {
+        let mut reserved = std::mem::take(&mut self.reserved);
+        let had_some = !reserved.is_empty();
+        reserved.retain(|id, reservation| {
+            let Some(worker) = self.workers.get(id).filter(|w| !w.dead) else { return false };
+            let Some(entry) = self.jobs.get(&reservation.job) else { return false };
+            if worker.has_uncleared(&reservation.job) {
+                reservation.since = now;
+                return true;
+            }
+            !entry.suspects.is_empty()
+                && worker.accepts_tasks(now)
+                && now < reservation.since + RESERVATION_MS
+        });
+        if had_some && reserved.is_empty() {
+            self.released_at = now;
+        }
+        if !waiting.is_empty() {
+            let accepting: Vec<&String> = self
+                .workers
+                .iter()
+                .filter(|(_, w)| w.accepts_tasks(now))
+                .map(|(id, _)| id)
+                .collect();
+            let in_use = |id: &String| self.workers.get(id).is_some_and(|w| w.accepts_tasks(now));
+            let limit = crash::max_quarantined(accepting.len());
+            let limit = limit + reserved.keys().filter(|id| !in_use(id)).count();
+            let paused = accepting.len() == 1 && now < self.released_at + SINGLE_EXECUTOR_PAUSE_MS;
+            let kept = reserved.iter().filter(|(id, _)| in_use(id));
+            let kept: IndexSet<String> = kept.map(|(_, r)| r.job.clone()).collect();
+            let new = waiting.iter().filter_map(|job| self.jobs.get_index(*job));
+            let new = new.filter(|(id, _)| !kept.contains(*id)).take(MAX_NEW_RESERVATIONS);
+            for (id, entry) in new {
+                if paused || reserved.len() >= limit {
+                    break;
+                }
+                for worker in self.quarantine_for(entry, &accepting, &reserved, now) {
+                    reserved.insert(worker, Reservation { job: id.clone(), since: now });
+                }
+            }
+        }
+        self.reserved = reserved;
+    }
+
+    /// Chooses the executors to keep for a job's suspects: one, or those that a gang needs.
+    fn quarantine_for(
+        &self,
+        entry: &JobEntry,
+        accepting: &[&String],
+        reserved: &IndexMap<String, Reservation>,
+        now: u64,
+    ) -> Vec<String> {
+        let Some(task) = entry.suspects.iter().find(|task| is_turn(entry, task)) else {
+            return Vec::new();
+        };
+        let step = &entry.occurrences[&task.occurrence][task.step];
+        let spec = &entry.job.steps[task.step];
+        let need = place::required_resources(spec);
+        let advised = self.needs_advice(&entry.queue);
+        let siblings = self.tasks_per_worker(step);
+        let mut rated = Vec::new();
+        for id in accepting {
+            let worker = &self.workers[id.as_str()];
+            let assigned = siblings.get(id.as_str()).copied().unwrap_or(0);
+            let suits = !reserved.contains_key(id.as_str())
+                && place::is_eligible(spec, worker, assigned)
+                && worker.registration.capacity.fits(need)
+                && (!advised || step.advice.ticket(id, now).is_some());
+            if suits {
+                // A crash costs least where the least work is lost.
+                let full = !worker.free().fits(need);
+                rated.push((full, worker.long_running, worker.used.cpu, id.as_str()));
+            }
+        }
+        rated.sort_unstable();
+        let wanted = if spec.gang { spec.count } else { 1 };
+        let mut placed = 0;
+        let mut chosen = Vec::new();
+        for (.., id) in rated {
+            if placed >= wanted {
+                break;
+            }
+            let worker = &self.workers[id];
+            let mut free = worker.free();
+            let first = placed;
+            while placed < wanted
+                && free.fits(need)
+                && place::is_eligible(spec, worker, placed - first)
+            {
+                free = free.minus(need);
+                placed += 1;
+            }
+            if placed > first {
+                chosen.push(id.to_owned());
+            } else if !spec.gang {
+                // Room becomes free while no other tasks start there.
+                return vec![id.to_owned()];
+            }
+        }
+        chosen
+    }
+}
+
+/// Whether a task waits for its start and all steps before it are done.
+pub(super) fn is_turn(entry: &JobEntry, task: &TaskId) -> bool {
+    let Some(steps) = entry.occurrences.get(&task.occurrence) else { return false };
+    let is_open = steps
+        .get(task.step)
+        .and_then(|step| step.tasks.get(task.index as usize))
+        .is_some_and(|t| !t.done && t.worker.is_none());
+    is_open && entry.job.steps[task.step].depends_on.iter().all(|n| steps[*n].is_done())
+}
+
+/// Suspects among the tasks of an occurrence.
+pub(super) fn suspects(job: &str, occurrence: u32, steps: &[StepState]) -> Vec<TaskId> {
+    let mut suspects = Vec::new();
+    for (step, state) in steps.iter().enumerate() {
+        for (index, task) in (0u32..).zip(&state.tasks) {
+            if task.crashes.is_suspect() {
+                suspects.push(TaskId { job: job.to_owned(), occurrence, step, index });
+            }
+        }
+    }
+    suspects
+}
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -6,7 +6,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Cell, JobEntry, MAX_ENDED_JOBS, StepState};
+use super::{Cell, CrashRecord, JobEntry, MAX_ENDED_JOBS, StepState};
 use crate::flush::{MAX_PROGRESS_CHANGES, Selection};
 use crate::job::State;
 use crate::progress::{Progress, StepProgress};
@@ -69,7 +69,7 @@
         let mut progress_counts: IndexMap<String, usize> = IndexMap::new();
         let mut taken: IndexSet<String> = IndexSet::new();
         for id in std::mem::take(&mut self.dirty) {
-            let Some(entry) = self.jobs.get(&id) else { continue };
+            let Some(entry) = self.jobs.get_mut(&id) else { continue };
             let selection = select(&entry.part);
             let selected = if entry.state.is_final() {
                 selection != Selection::None
@@ -82,6 +82,9 @@
                 self.dirty.insert(id);
                 continue;
             }
+            if entry.crash_record == CrashRecord::Unwritten {
+                entry.crash_record = CrashRecord::Taken;
+            }
             let (changes, flush) = parts.entry(entry.part.clone()).or_default();
             flush.jobs.push((id.clone(), entry.state));
             taken.insert(id.clone());
@@ -124,6 +127,9 @@
         for (id, state) in &flush.jobs {
             if let Some(entry) = self.jobs.get_mut(id) {
                 entry.durable_state = *state;
+                if entry.crash_record == CrashRecord::Taken {
+                    entry.crash_record = CrashRecord::Durable;
+                }
             }
         }
         for (id, sequence) in &flush.ends {
@@ -145,7 +151,14 @@
 
     /// Records that changes could not be written; [`Cell::take_changes`] returns them again.
     pub fn flush_failed(&mut self, flush: &Flush) {
-        self.dirty.extend(flush.jobs.iter().map(|(id, _)| id.clone()));
+        for (id, _) in &flush.jobs {
+            if let Some(entry) = self.jobs.get_mut(id)
+                && entry.crash_record == CrashRecord::Taken
+            {
+                entry.crash_record = CrashRecord::Unwritten;
+            }
+            self.dirty.insert(id.clone());
+        }
     }
 }
 
@@ -159,6 +172,10 @@
                 .filter(|(_, t)| !t.done)
                 .flat_map(|(n, t)| t.failed_runs.iter().map(move |run| (n, *run)))
                 .collect(),
+            crashes: tasks()
+                .filter(|(_, t)| !t.done && t.crashes.is_suspect())
+                .map(|(n, t)| (n, t.crashes))
+                .collect(),
         }
     };
     Progress {
@@ -189,4 +206,9 @@
             task.last_run = task.last_run.max(*run);
         }
     }
+    for (index, crashes) in &durable.crashes {
+        if let Some(task) = step.tasks.get_mut(*index as usize).filter(|t| !t.done) {
+            task.crashes = *crashes;
+        }
+    }
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -196,6 +196,13 @@
     pub index: u32,
 }
 
+impl TaskId {
+    /// Whether both tasks belong to the same step of the same occurrence.
+    pub(crate) fn is_in_step_of(&self, other: &Self) -> bool {
+        (&self.job, self.occurrence, self.step) == (&other.job, other.occurrence, other.step)
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod cell;
+pub mod crash;
 pub mod flush;
 pub mod job;
 pub mod order;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -2,6 +2,8 @@
 
 use indexmap::IndexMap;
 
+use crate::crash::Crashes;
+
 /// Durable progress of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Progress {
@@ -20,4 +22,6 @@
     pub done: Vec<u32>,
     /// Failed runs: position of the task and number of the run.
     pub failed: Vec<(u32, u64)>,
+    /// Crashes that tasks are suspected of, by position of the task.
+    pub crashes: Vec<(u32, Crashes)>,
 }
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::crash::Crashes;
 use crate::job::{Job, Schedule, Step};
 use crate::progress::{Progress, StepProgress};
 use crate::worker::Resources;
@@ -175,6 +176,9 @@
     done: String,
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     failed: Vec<(u32, u64)>,
+    /// Position of a task, crashes that it is suspected of, and those that it is blamed for.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    crashes: Vec<(u32, u32, u32)>,
 }
 
 impl From<&Progress> for ProgressRow {
@@ -182,6 +186,7 @@
         let step = |s: &StepProgress| StepProgressRow {
             done: format_ranges(&s.done),
             failed: s.failed.clone(),
+            crashes: s.crashes.iter().map(|(n, c)| (*n, c.suspected, c.blamed)).collect(),
         };
         Self {
             started: progress.started,
@@ -203,7 +208,14 @@
         for (number, steps) in row.occurrences {
             let mut all = Vec::with_capacity(steps.len());
             for s in steps {
-                all.push(StepProgress { done: parse_ranges(&s.done)?, failed: s.failed });
+                let crashes = s.crashes.into_iter();
+                let crashes =
+                    crashes.map(|(n, suspected, blamed)| (n, Crashes { suspected, blamed }));
+                all.push(StepProgress {
+                    done: parse_ranges(&s.done)?,
+                    failed: s.failed,
+                    crashes: crashes.collect(),
+                });
             }
             occurrences.insert(number, all);
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -200,6 +200,10 @@
     pub resumed_from: String,
     /// Whether the run is known or assumed to be long-running.
     pub long_running: bool,
+    /// Clock of the executor when the run had certainly begun, in milliseconds; `None` before.
+    pub start_clock: Option<u64>,
+    /// Whether the executor has outlived the start for long enough that the run does not crash it.
+    pub cleared: bool,
 }
 
 /// State that a cell keeps for one executor.
@@ -274,6 +278,16 @@
         }
     }
 
+    /// Whether a run of the job may still crash the executor.
+    pub fn has_uncleared(&self, job: &str) -> bool {
+        self.runs.iter().any(|(task, slot)| task.job == job && !slot.cleared)
+    }
+
+    /// Whether no run but those of the job may crash the executor.
+    pub fn is_quiet(&self, job: &str) -> bool {
+        self.runs.iter().all(|(task, slot)| task.job == job || slot.cleared)
+    }
+
     /// Rack of the executor: the second of its labels, after the kind of machine.
     pub fn rack(&self) -> Option<&str> {
         self.registration.labels.get(1).map(String::as_str)
