Test that no other job starts beside a suspect

The simulation checks the rule; this checks the decision: of two suspects on a crashed executor one starts alone on an executor that is kept for it, new jobs start on the other, and the second follows once the first is cleared.

--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -698,3 +698,39 @@
         assert!(start_of(&cell.tick(START_MS + 30, 0)).is_some());
     }
 }
+
+/// Guards against a crash in quarantine that could be blamed on a second job.
+#[test]
+fn no_other_job_starts_beside_a_suspect_until_it_is_cleared() {
+    let others = ["00000000000000bb", "00000000000000cc"];
+    let (mut cell, first) = cell_with_new_run(&["m0-0", "m1-0", "m2-0"]);
+    cell.admit(arrival(others[0], &small_job(1), false));
+    let second = start_of(&cell.tick(START_MS + 2, 0)).expect("the second job starts");
+    assert_eq!(second, first, "tasks share executors while there is room");
+    cell.mark_dead(&first, START_MS + 20);
+    let (_, flush) = cell.take_changes();
+    cell.flush_done(&flush);
+    cell.admit(arrival(others[1], &small_job(1), false));
+    let orders = cell.tick(START_MS + 30, 0);
+    let starts: Vec<(&str, &str)> = orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Start { worker, task, .. } => Some((task.job.as_str(), worker.as_str())),
+            _ => None,
+        })
+        .collect();
+    // One of two executors may be kept for suspects; the other is for new jobs.
+    let kept = starts.iter().find(|(job, _)| *job == JOB).expect("a suspect starts").1.to_owned();
+    let open = starts.iter().find(|(job, _)| *job == others[1]).expect("a new job starts").1;
+    assert_ne!(kept, open);
+    assert_eq!(starts.len(), 2, "the second suspect waits: {starts:?}");
+    let task = TaskId { job: JOB.to_owned(), occurrence: 0, step: 0, index: 0 };
+    let running = StartOutcome::Running(START_MS + 40);
+    cell.handle_start_outcome(&kept, &task, 2, running, START_MS + 40);
+    assert_eq!(start_of(&cell.tick(START_MS + 200, 0)), None);
+    let present = PresentRun { task, run: 2, checkpoint: String::new(), percent: 50, gauge: 0 };
+    let report =
+        ExecutorReport { clock: START_MS + 400, present: vec![present], ..Default::default() };
+    cell.handle_poll(&kept, &report, START_MS + 400, START_MS + 400);
+    assert!(start_of(&cell.tick(START_MS + 410, 0)).is_some(), "the second suspect follows");
+}
