--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -173,6 +173,11 @@
             .collect()
     }
 
+    /// Whether an executor is kept for suspects of another job.
+    pub(super) fn is_kept_from(&self, id: &str, job: &str) -> bool {
+        self.reserved.get(id).is_some_and(|reservation| reservation.job != job)
+    }
+
     /// Whether an executor is kept for suspects.
     pub fn is_quarantined(&self, id: &str) -> bool {
         self.reserved.contains_key(id)
--- a/crates/jobs/src/cell/wait.rs
+++ b/crates/jobs/src/cell/wait.rs
@@ -65,6 +65,7 @@
             let siblings = step.tasks.iter().filter(|t| t.worker.as_ref() == Some(id)).count();
             let siblings = u32::try_from(siblings).unwrap_or(u32::MAX);
             let obstacle = worker.obstacle(now).or_else(|| match () {
+                () if self.is_kept_from(id, &task.job) => Some(Obstacle::Reserved),
                 () if !place::is_eligible(spec, worker, siblings) => Some(Obstacle::Constrained),
                 () if !worker.free().fits(need) => Some(Obstacle::Full),
                 () => None,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -170,6 +170,8 @@
     Silent,
     /// Tasks have failed on the executor lately.
     Excluded,
+    /// The executor is kept for suspects of a crash.
+    Reserved,
     /// Not enough resources are free.
     Full,
     /// A label that the task needs is missing, or too many tasks of the step run there.
