--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -734,3 +734,50 @@
     cell.handle_poll(&kept, &report, START_MS + 400, START_MS + 400);
     assert!(start_of(&cell.tick(START_MS + 410, 0)).is_some(), "the second suspect follows");
 }
+
+/// Number of crashes after which the job is given up, if each executor that starts it crashes.
+fn crashes_until_given_up(cell: &mut Cell, first: String) -> u32 {
+    let mut current = first;
+    for count in 1..10 {
+        let now = START_MS + 100 * u64::from(count);
+        cell.mark_dead(&current, now);
+        let (changes, flush) = cell.take_changes();
+        cell.flush_done(&flush);
+        if changes.iter().any(|change| change.id == JOB && change.state == State::Failed) {
+            return count;
+        }
+        current = start_of(&cell.tick(now + 10, 0)).expect("the suspect starts again");
+    }
+    panic!("the job is not given up")
+}
+
+/// Guards against a good job that is given up because machines crash for reasons of their own.
+#[test]
+fn more_crashes_are_needed_while_idle_executors_crash_as_well() {
+    let executors = ["m0-0", "m1-0", "m2-0", "m3-0", "m4-0", "m5-0"];
+    let (mut cell, first) = cell_with_new_run(&executors);
+    assert_eq!(crashes_until_given_up(&mut cell, first), 2);
+    let (mut cell, first) = cell_with_new_run(&executors);
+    let idle = executors.iter().find(|id| **id != first).unwrap();
+    cell.mark_dead(idle, START_MS + 10);
+    assert_eq!(crashes_until_given_up(&mut cell, first), 3);
+}
+
+/// Guards against blame for a crash that a task of another job may have caused.
+#[test]
+fn a_crash_under_new_runs_of_two_jobs_is_blamed_on_neither() {
+    let blamed = |jobs: usize| {
+        let (mut cell, first) = cell_with_new_run(&["m0-0", "m1-0"]);
+        if jobs > 1 {
+            cell.admit(arrival("00000000000000bb", &small_job(1), false));
+            assert_eq!(start_of(&cell.tick(START_MS + 2, 0)), Some(first.clone()));
+        }
+        cell.mark_dead(&first, START_MS + 20);
+        let (changes, _) = cell.take_changes();
+        assert_eq!(changes.len(), jobs);
+        let crashes = changes.iter().flat_map(|c| &c.progress.occurrences[&0][0].crashes);
+        crashes.map(|(_, crashes)| (crashes.suspected, crashes.blamed)).collect::<Vec<_>>()
+    };
+    assert_eq!(blamed(1), [(1, 1)]);
+    assert_eq!(blamed(2), [(1, 0), (1, 0)]);
+}
