--- /dev/null
+++ b/crates/jobs/tests/review.rs
@@ -0,0 +1,227 @@
+//! Long-running tasks that are stopped without a place, or not started though executors suit them.
+//!
+//! Each test shows one state in which a holder leaves such a task without a run.
+
+use indexmap::IndexSet;
+use jobs::cell::{Arrival, Order, StartOutcome};
+use jobs::worker::{EndedRun, PresentRun};
+use jobs::{
+    Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources, RunOutcome,
+    Step, TaskId,
+};
+
+const CONFIG: CellConfig = CellConfig {
+    lease: 4_500,
+    inherited_lease: 12_000,
+    stop_timeout: 900,
+    early_start: 0,
+    term: 1,
+};
+
+fn new_cell(advised: bool) -> Cell {
+    let mut cell = Cell::new(CONFIG, 0);
+    let queue = Queue { name: "q".to_owned(), max_attempts: 3, advised, ..Queue::default() };
+    cell.configure(std::iter::once(&queue));
+    cell
+}
+
+/// Registers an executor and answers its first poll.
+fn join(cell: &mut Cell, id: &str, cpu: u64, now: u64) {
+    cell.register(Registration {
+        id: id.to_owned(),
+        pool: "p".to_owned(),
+        ready: true,
+        capacity: Resources { cpu, memory: 4_000, gpus: 0 },
+        ..Registration::default()
+    });
+    cell.handle_poll(id, &report(now, Vec::new()), now - 1, now);
+}
+
+fn long_running(count: u32, cpu: u64) -> Step {
+    Step { long_running: true, ..short(count, cpu, 10) }
+}
+
+fn short(count: u32, cpu: u64, memory: u64) -> Step {
+    let resources = Resources { cpu, memory, gpus: 0 };
+    Step { count, resources, estimate: 60_000, ..Step::default() }
+}
+
+fn admit(cell: &mut Cell, id: &str, step: Step) {
+    cell.admit(Arrival {
+        id: id.to_owned(),
+        part: "q".to_owned(),
+        queue: "q".to_owned(),
+        job: Job { payload: "x".to_owned(), steps: vec![step], schedule: None },
+        progress: Progress::default(),
+        requested_at: 0,
+        inherited: false,
+        start_blocked: false,
+    });
+}
+
+fn report(clock: u64, present: Vec<PresentRun>) -> ExecutorReport {
+    ExecutorReport { clock, present, ended: Vec::new() }
+}
+
+/// Runs a pass and confirms its starts; returns the executor and job of each.
+fn start_all(cell: &mut Cell, now: u64) -> Vec<(String, TaskId, u64)> {
+    let mut started = Vec::new();
+    for order in cell.tick(now, 0) {
+        if let Order::Start { worker, task, run, .. } = order {
+            cell.handle_start_outcome(&worker, &task, run, StartOutcome::Running(now), now);
+            started.push((worker, task, run));
+        }
+    }
+    started
+}
+
+/// Renews the lease and answers a poll with all runs that the cell knows of on the executor, at full speed.
+fn poll(cell: &mut Cell, id: &str, now: u64) {
+    cell.grant_lease(id, now);
+    let runs = cell.workers()[id].runs.iter();
+    let present = runs.map(|(task, slot)| PresentRun {
+        task: task.clone(),
+        run: slot.run,
+        checkpoint: String::new(),
+        percent: 100,
+        gauge: 0,
+    });
+    let answer = report(now, present.collect());
+    cell.handle_poll(id, &answer, now, now);
+}
+
+fn stopped_jobs(cell: &mut Cell, now: u64) -> Vec<String> {
+    let stop = |order| match order {
+        Order::Stop { task, .. } => Some(task.job),
+        _ => None,
+    };
+    cell.tick(now, 0).into_iter().filter_map(stop).collect()
+}
+
+/// Guards against several tasks that are stopped for the same place, of which only one gets it.
+#[test]
+fn a_place_for_one_task_lets_a_drain_stop_only_one() {
+    let mut cell = new_cell(false);
+    join(&mut cell, "a", 4_000, 1);
+    admit(&mut cell, "first", long_running(1, 2_000));
+    admit(&mut cell, "second", long_running(1, 2_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 2);
+    join(&mut cell, "b", 2_000, 3);
+    poll(&mut cell, "a", 4);
+    cell.set_leaving(IndexSet::from(["a".to_owned()]));
+    assert_eq!(stopped_jobs(&mut cell, 5).len(), 1);
+}
+
+/// Guards against a task that is stopped for a place that is reserved for a task that waits.
+#[test]
+fn a_place_that_another_task_waits_for_lets_a_drain_stop_none() {
+    let mut cell = new_cell(false);
+    join(&mut cell, "a", 2_000, 1);
+    admit(&mut cell, "runs", long_running(1, 2_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    join(&mut cell, "b", 2_000, 3);
+    admit(&mut cell, "short", short(1, 2_000, 10));
+    assert_eq!(start_all(&mut cell, 4).len(), 1);
+    admit(&mut cell, "waits", long_running(1, 2_000));
+    assert!(start_all(&mut cell, 5).is_empty(), "the executor with the short task is reserved");
+    poll(&mut cell, "a", 6);
+    poll(&mut cell, "b", 6);
+    cell.set_leaving(IndexSet::from(["a".to_owned()]));
+    assert_eq!(stopped_jobs(&mut cell, 7), Vec::<String>::new());
+}
+
+/// Guards against a reservation of an executor that has shrunk below what its long-running tasks
+/// use, and so has no room for any other task.
+#[test]
+fn an_executor_that_has_shrunk_is_not_reserved_for_a_best_effort_task() {
+    let mut cell = new_cell(false);
+    join(&mut cell, "shrunk", 4_000, 1);
+    admit(&mut cell, "serves", long_running(1, 4_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    let mut registration = cell.workers()["shrunk"].registration.clone();
+    registration.capacity.cpu = 2_000;
+    cell.register(registration);
+    join(&mut cell, "b", 4_000, 3);
+    admit(&mut cell, "small", short(10, 1_000, 2_000));
+    let small = start_all(&mut cell, 4);
+    assert_eq!(small.len(), 2, "the memory is used up");
+    let fills = Step { long_running: true, best_effort: true, ..short(1, 1_000, 3_000) };
+    admit(&mut cell, "fills", fills);
+    let mut ends: Vec<(TaskId, u64)> =
+        small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    for sequence in 1..=8 {
+        let now = 100 * sequence;
+        poll(&mut cell, "shrunk", now);
+        let (task, run) = ends.remove(0);
+        let present: Vec<PresentRun> = ends
+            .iter()
+            .map(|(task, run)| PresentRun {
+                task: task.clone(),
+                run: *run,
+                checkpoint: String::new(),
+                percent: sequence,
+                gauge: 0,
+            })
+            .collect();
+        let mut answer = report(now, present);
+        let outcome = RunOutcome::Done;
+        answer.ended.push(EndedRun { sequence, task, run, outcome, checkpoint: String::new() });
+        cell.handle_poll("b", &answer, now, now);
+        let started = start_all(&mut cell, now + 1);
+        if started.iter().any(|(_, task, _)| task.job == "fills") {
+            return;
+        }
+        ends.extend(started.into_iter().map(|(_, task, run)| (task, run)));
+    }
+    panic!("each piece that became free was given to a small task");
+}
+
+/// Guards against a task that waits for the end of tickets which only executors have that already
+/// run as many tasks of its step as they may.
+#[test]
+fn tickets_of_executors_that_may_run_no_more_tasks_of_a_step_do_not_keep_it_from_asking() {
+    let mut cell = new_cell(true);
+    join(&mut cell, "a", 4_000, 1);
+    join(&mut cell, "b", 4_000, 1);
+    admit(&mut cell, "apart", Step { max_per_executor: 1, ..long_running(2, 1_000) });
+    let orders = cell.tick(2, 0);
+    let Some(Order::Advise { step, workers }) = orders.into_iter().next() else {
+        panic!("the adviser is asked first")
+    };
+    let tickets = workers.iter().map(|id| (id.clone(), "ticket".to_owned())).collect();
+    cell.handle_advice(&step, &workers, Some((tickets, 60_000)), 3);
+    assert_eq!(start_all(&mut cell, 4).len(), 2);
+    cell.mark_dead("b", 5);
+    cell.unlist("b");
+    join(&mut cell, "c", 4_000, 6);
+    for now in (100..12_000).step_by(100) {
+        poll(&mut cell, "a", now);
+        poll(&mut cell, "c", now);
+        let orders = cell.tick(now, 0);
+        if orders.iter().any(|order| matches!(order, Order::Advise { .. })) {
+            return;
+        }
+    }
+    panic!("the adviser was not asked about the new executor in 12 s");
+}
+
+/// Guards against a task that is held for ever by a start order whose sender has ended without a
+/// result. The executor answers all polls, and reports no such run.
+#[test]
+fn a_start_without_any_result_does_not_hold_its_task_for_ever() {
+    let mut cell = new_cell(false);
+    join(&mut cell, "a", 4_000, 1);
+    join(&mut cell, "b", 4_000, 1);
+    admit(&mut cell, "lost", long_running(1, 1_000));
+    assert_eq!(cell.tick(2, 0).len(), 1);
+    for now in (100..12_000).step_by(100) {
+        for id in ["a", "b"] {
+            cell.grant_lease(id, now);
+            cell.handle_poll(id, &report(now, Vec::new()), now, now);
+        }
+        if !cell.tick(now, 0).is_empty() {
+            return;
+        }
+    }
+    panic!("neither a stop nor a new start in 12 s");
+}
