--- a/crates/cells/tests/review.rs
+++ b/crates/cells/tests/review.rs
@@ -24,7 +24,6 @@
 use jobs::{Configuration, ExecutorReport, Queue, Registration, Resources, RunOutcome, TaskId};
 
 const POOL: &str = "p";
-const EXECUTOR: &str = "executor-2";
 const MACHINE: &str = "m-1";
 const STANDBY: &str = "s";
 const OTHER_KIND: &str = "m-3";
@@ -42,11 +41,19 @@
     waves: RefCell<Vec<Wave>>,
     present: RefCell<Vec<PresentRun>>,
     ended: RefCell<Vec<EndedRun>>,
-    /// Times of the latest calls, in milliseconds.
+    /// Times of the latest poll of the machine's executor and of the latest list of machines, in
+    /// milliseconds.
     polled_at: Cell<u64>,
     listed_at: Cell<u64>,
     /// Number of orders for maintenance.
     orders: Cell<usize>,
+    /// Whether the answers to orders for maintenance are lost.
+    loses_answers: Cell<bool>,
+    /// Time from which the machine is up, in milliseconds, and number of its maintenances.
+    up_from: Cell<u64>,
+    maintained: Cell<usize>,
+    /// Epochs of the orders for maintenance, each with the one that the duty's row held then.
+    epochs: RefCell<Vec<(u64, u64)>>,
     /// Machines on standby.
     standby: RefCell<Vec<String>>,
     /// Machines ordered into the pool.
@@ -72,6 +79,11 @@
         self.write(place, Some(value));
     }
 
+    fn write_registry(&self, value: Option<Vec<u8>>) {
+        self.version.set(self.version.get() + 1);
+        self.write(&Place::new("registry", "", &self.executor()), value);
+    }
+
     fn get<T: serde::de::DeserializeOwned>(&self, place: &Place) -> Option<T> {
         let rows = self.rows.borrow();
         rows.get(place).map(|(_, value)| rows::decode(value).expect("the row can be decoded"))
@@ -81,6 +93,11 @@
         Page { rows, more: false, version: self.version.get(), clock: clock::now() }
     }
 
+    /// Id of the machine's executor, a new one after each maintenance.
+    fn executor(&self) -> String {
+        format!("executor-2{}", "b".repeat(self.maintained.get()))
+    }
+
     fn is_released(&self, cell: &str) -> bool {
         self.get::<Lease>(&keys::lease(cell)).is_some_and(|lease| lease.holder.is_empty())
     }
@@ -227,12 +244,14 @@
 
     fn poll<'a>(
         &'a self,
-        _: &'a Executor,
+        to: &'a Executor,
         _: u64,
         _: &'a PollRequest,
     ) -> LocalBoxFuture<'a, Result<ExecutorReport, OrderError>> {
         Box::pin(async move {
-            self.0.polled_at.set(clock::now());
+            if to.id == self.0.executor() {
+                self.0.polled_at.set(clock::now());
+            }
             Ok(ExecutorReport {
                 clock: clock::now(),
                 present: self.0.present.borrow().clone(),
@@ -253,7 +272,9 @@
                 executor: executor.to_owned(),
                 cpu: 4_000,
             };
-            let mut machines = vec![machine(MACHINE, POOL, EXECUTOR)];
+            let mut first = machine(MACHINE, POOL, &self.0.executor());
+            first.up = clock::now() >= self.0.up_from.get();
+            let mut machines = vec![first];
             machines.push(machine("m-2", POOL, "executor-3"));
             let standby = self.0.standby.borrow();
             machines.extend(standby.iter().map(|name| machine(name, STANDBY, "")));
@@ -261,15 +282,29 @@
         })
     }
 
-    /// Accepts the order without any effect, as the platform does if the maintenance is done.
+    /// Accepts the order, without any effect if the maintenance is done. The machine then has a new
+    /// executor after half a second.
     fn start_maintenance<'a>(
         &'a self,
-        _: &'a str,
-        _: u64,
-        _: u64,
+        machine: &'a str,
+        wave: u64,
+        epoch: u64,
     ) -> LocalBoxFuture<'a, Result<(), MachineError>> {
-        self.0.orders.set(self.0.orders.get() + 1);
-        Box::pin(async { Ok(()) })
+        let world = &self.0;
+        world.orders.set(world.orders.get() + 1);
+        let duty = world.get::<Duty>(&keys::maintenance(wave, machine));
+        world.epochs.borrow_mut().push((epoch, duty.map_or(0, |duty| duty.epoch)));
+        let lost = world.loses_answers.replace(false);
+        if lost {
+            world.write_registry(None);
+            world.maintained.set(world.maintained.get() + 1);
+            world.write_registry(Some(Vec::new()));
+            world.up_from.set(clock::now() + 500);
+        }
+        Box::pin(async move {
+            let detail = "no response".to_owned();
+            if lost { Err(MachineError::Unknown { detail }) } else { Ok(()) }
+        })
     }
 
     /// Refuses the machines of another kind.
@@ -365,7 +400,7 @@
 /// Starts a process in a world with one executor.
 fn start(world: &Rc<World>) -> Node {
     world.put(&Place::new("instructions", "", "configuration"), Vec::new());
-    world.put(&Place::new("registry", "", EXECUTOR), Vec::new());
+    world.put(&Place::new("registry", "", &world.executor()), Vec::new());
     let client = Client(Rc::clone(world));
     let ports = Ports {
         store: Rc::new(client.clone()),
@@ -393,35 +428,76 @@
     actix::System::new().block_on(async {
         let world = Rc::new(World::default());
         // A former holder's order was carried out, but its answer was lost or not recorded.
-        let duty = Duty {
-            machine: MACHINE.to_owned(),
-            wave: 1,
-            stage: "down".to_owned(),
-            executor: "executor-1".to_owned(),
-            emptied: true,
-            ordered_at: 1,
-            epoch: 1,
-            ..Duty::default()
-        };
-        world.put(&keys::maintenance(1, MACHINE), rows::encode(&duty));
-        world.waves.borrow_mut().push(Wave {
-            number: 1,
-            machines: vec![MACHINE.to_owned()],
-            max_down: 1,
-            time_limit: 26_000,
-        });
-        world.put(&Place::new("instructions", "", "wave"), Vec::new());
+        put_ordered_duty(&world, "executor-1");
+        expect_polls_after_wave(&world).await;
+    });
+}
+
+/// Guards against the same fault under one holder, which got no answer to its order.
+#[test]
+fn an_executor_that_began_after_an_unanswered_maintenance_order_is_still_polled() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        world.loses_answers.set(true);
+        expect_polls_after_wave(&world).await;
+    });
+}
+
+/// Guards against an order that a successor can't see: it would order the same machine at once.
+#[test]
+fn a_repeated_maintenance_order_is_recorded_before_it_is_sent() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        // A former holder's order was not carried out.
+        put_ordered_duty(&world, &world.executor());
+        put_wave(&world);
         let _node = start(&world);
-        let report = Place::new("reports", "", "wave");
-        wait_for("end of the wave", || world.get(&report) == Some(true)).await;
-        sleep(500).await;
-        let since = clock::now();
-        sleep(4_000).await;
-        let (orders, polled) = (world.orders.get(), world.polled_at.get());
-        assert!(polled > since, "not polled for 4 s after {orders} orders that had no effect");
+        wait_for("order", || world.orders.get() > 0).await;
+        let epochs = world.epochs.borrow();
+        assert!(epochs.iter().all(|(order, recorded)| order == recorded), "{epochs:?}");
     });
 }
 
+/// Writes the duty of a machine that a former holder has ordered down after emptying an executor.
+fn put_ordered_duty(world: &World, executor: &str) {
+    let duty = Duty {
+        machine: MACHINE.to_owned(),
+        wave: 1,
+        stage: "down".to_owned(),
+        executor: executor.to_owned(),
+        emptied: true,
+        ordered_at: 1,
+        epoch: 1,
+        ..Duty::default()
+    };
+    world.put(&keys::maintenance(1, MACHINE), rows::encode(&duty));
+}
+
+/// Orders a wave of one machine.
+fn put_wave(world: &World) {
+    world.waves.borrow_mut().push(Wave {
+        number: 1,
+        machines: vec![MACHINE.to_owned()],
+        max_down: 1,
+        time_limit: 26_000,
+    });
+    world.put(&Place::new("instructions", "", "wave"), Vec::new());
+}
+
+/// Lets a process carry out a wave of one machine, and expects polls of the machine's executor after
+/// it.
+async fn expect_polls_after_wave(world: &Rc<World>) {
+    put_wave(world);
+    let _node = start(world);
+    let report = Place::new("reports", "", "wave");
+    wait_for("end of the wave", || world.get(&report) == Some(true)).await;
+    sleep(500).await;
+    let since = clock::now();
+    sleep(4_000).await;
+    let (orders, polled) = (world.orders.get(), world.polled_at.get());
+    assert!(polled > since, "not polled for 4 s, after {orders} orders");
+}
+
 /// Guards against leases that are released while their holder still sends orders: the holder has
 /// changes to write at a planned stop.
 #[test]
--- a/crates/jobs/tests/review.rs
+++ b/crates/jobs/tests/review.rs
@@ -83,7 +83,7 @@
         task: task.clone(),
         run: slot.run,
         checkpoint: String::new(),
-        percent: 100,
+        percent: if slot.long_running { 100 } else { now / 100 % 100 },
         gauge: 0,
     });
     let answer = report(now, present.collect());
@@ -98,6 +98,44 @@
     cell.tick(now, 0).into_iter().filter_map(stop).collect()
 }
 
+/// Ends one of the runs on `busy` every 100 ms for 5 s, and returns whether the job starts meanwhile.
+///
+/// What becomes free is given to other small tasks unless the executor is reserved.
+fn starts_while_small_tasks_end(
+    cell: &mut Cell,
+    job: &str,
+    other: &str,
+    busy: &str,
+    mut runs: Vec<(TaskId, u64)>,
+) -> bool {
+    for sequence in 1..=50 {
+        let now = 100 * sequence;
+        poll(cell, other, now);
+        if runs.is_empty() {
+            return false;
+        }
+        let (task, run) = runs.remove(0);
+        let present = runs.iter().map(|(task, run)| PresentRun {
+            task: task.clone(),
+            run: *run,
+            checkpoint: String::new(),
+            percent: sequence,
+            gauge: 0,
+        });
+        let mut answer = report(now, present.collect());
+        let outcome = RunOutcome::Done;
+        answer.ended.push(EndedRun { sequence, task, run, outcome, checkpoint: String::new() });
+        cell.grant_lease(busy, now);
+        cell.handle_poll(busy, &answer, now, now);
+        let started = start_all(cell, now + 1);
+        if started.iter().any(|(_, task, _)| task.job == job) {
+            return true;
+        }
+        runs.extend(started.into_iter().map(|(_, task, run)| (task, run)));
+    }
+    false
+}
+
 /// Guards against several tasks that are stopped for the same place, of which only one gets it.
 #[test]
 fn a_place_for_one_task_lets_a_drain_stop_only_one() {
@@ -142,38 +180,13 @@
     registration.capacity.cpu = 2_000;
     cell.register(registration);
     join(&mut cell, "b", 4_000, 3);
-    admit(&mut cell, "small", short(10, 1_000, 2_000));
+    admit(&mut cell, "small", short(100, 1_000, 2_000));
     let small = start_all(&mut cell, 4);
     assert_eq!(small.len(), 2, "the memory is used up");
     let fills = Step { long_running: true, best_effort: true, ..short(1, 1_000, 3_000) };
     admit(&mut cell, "fills", fills);
-    let mut ends: Vec<(TaskId, u64)> =
-        small.into_iter().map(|(_, task, run)| (task, run)).collect();
-    for sequence in 1..=8 {
-        let now = 100 * sequence;
-        poll(&mut cell, "shrunk", now);
-        let (task, run) = ends.remove(0);
-        let present: Vec<PresentRun> = ends
-            .iter()
-            .map(|(task, run)| PresentRun {
-                task: task.clone(),
-                run: *run,
-                checkpoint: String::new(),
-                percent: sequence,
-                gauge: 0,
-            })
-            .collect();
-        let mut answer = report(now, present);
-        let outcome = RunOutcome::Done;
-        answer.ended.push(EndedRun { sequence, task, run, outcome, checkpoint: String::new() });
-        cell.handle_poll("b", &answer, now, now);
-        let started = start_all(&mut cell, now + 1);
-        if started.iter().any(|(_, task, _)| task.job == "fills") {
-            return;
-        }
-        ends.extend(started.into_iter().map(|(_, task, run)| (task, run)));
-    }
-    panic!("each piece that became free was given to a small task");
+    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    assert!(starts_while_small_tasks_end(&mut cell, "fills", "shrunk", "b", runs));
 }
 
 /// Guards against a task that waits for the end of tickets which only executors have that already
@@ -225,3 +238,21 @@
     }
     panic!("neither a stop nor a new start in 12 s");
 }
+
+/// Guards against a task that waits for the end of a long run, on the executor that lacks the least,
+/// while all that becomes free within moments on another one is given away.
+#[test]
+fn the_executor_that_is_free_first_is_reserved_and_not_the_one_that_lacks_least() {
+    let mut cell = new_cell(false);
+    join(&mut cell, "long", 4_000, 1);
+    admit(&mut cell, "slow", short(1, 2_800, 3_900));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    join(&mut cell, "b", 4_000, 3);
+    admit(&mut cell, "small", Step { estimate: 300, ..short(100, 1_100, 1_000) });
+    let small = start_all(&mut cell, 4);
+    assert_eq!(small.len(), 3);
+    admit(&mut cell, "lasts", long_running(1, 2_000));
+    assert!(start_all(&mut cell, 5).is_empty());
+    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    assert!(starts_while_small_tasks_end(&mut cell, "lasts", "long", "b", runs));
+}
