Stop no more tasks for a drain than there are places for

Callers would see: long-running tasks that are stopped for maintenance and then run nowhere, as another task has the place. Cause: a leaving executor's tasks were each compared with the same free place, and the places of tasks that wait, of reservations and of tasks stopped just before were not taken off. Change: these tasks claim their places first, on their reserved executor if they have one, and each stop claims one more. A task still stops after 8 s without a place. Tests: a_place_for_one_task_lets_a_drain_stop_only_one (two stops for one place) and a_place_that_another_task_waits_for_lets_a_drain_stop_none (one stop) failed before, and pass. Both moved to the tests of a cell.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -287,7 +287,7 @@
     }
 
     /// Number of tasks of a step that each executor has.
-    fn tasks_per_worker(&self, state: &StepState) -> IndexMap<String, u32> {
+    pub(super) fn tasks_per_worker(&self, state: &StepState) -> IndexMap<String, u32> {
         let mut task_counts = IndexMap::new();
         for worker in state.tasks.iter().filter_map(|t| t.worker.as_ref()) {
             *task_counts.entry(worker.clone()).or_default() += 1;
--- a/crates/jobs/src/cell/drain.rs
+++ b/crates/jobs/src/cell/drain.rs
@@ -3,12 +3,14 @@
 //! Load pattern: a maintenance wave or a shrinking pool removes executors that have runs. Short
 //! tasks are left to end by themselves. Tasks with checkpoints are stopped and resume elsewhere.
 //! Long-running tasks are stopped only while enough other tasks of their step work at full speed, and
-//! once another executor can take them.
+//! once another executor can take them, besides all others that wait for a place.
+
+use indexmap::{IndexMap, IndexSet};
 
 use super::{Cell, poll};
 use crate::job::TaskId;
 use crate::place;
-use crate::worker::{Phase, Slot, Worker};
+use crate::worker::{Phase, Resources, Slot, Worker};
 
 /// Run time up to which a task without checkpoints is left to end on a leaving executor, in
 /// milliseconds; longer than the longest run of the usual kinds of job.
@@ -23,6 +25,15 @@
 /// it, in milliseconds; several times as long as a machine takes to join the pool.
 const PLACE_TIMEOUT_MS: u64 = 8_000;
 
+/// Places that long-running tasks without a run will take.
+#[derive(Default)]
+struct Claims {
+    /// Resources taken, by executor.
+    taken: IndexMap<String, Resources>,
+    /// Number of tasks that each executor has or will have, by the first task of their step.
+    counts: IndexMap<TaskId, IndexMap<String, u32>>,
+}
+
 impl Cell {
     /// Stops runs on leaving executors where the state of the run's step permits it.
     pub(super) fn drain_leaving(&mut self, now: u64) {
@@ -36,6 +47,7 @@
             .filter(|(_, w)| !w.dead && !w.runs.is_empty() && (w.leaving || !w.registration.ready))
             .map(|(id, _)| id.clone())
             .collect();
+        let mut claims = None;
         for id in leaving {
             let Some(worker) = self.workers.get(&id) else { continue };
             let running: Vec<(TaskId, u64)> = worker
@@ -45,7 +57,7 @@
                 .map(|(task, slot)| (task.clone(), slot.phase_since))
                 .collect();
             for (task, since) in running {
-                if self.may_stop(&id, &task, since, now)
+                if self.may_stop(&id, &task, since, &mut claims, now)
                     && let Some(worker) = self.workers.get_mut(&id)
                     && let Some(slot) = worker.runs.get_mut(&task)
                 {
@@ -56,55 +68,137 @@
     }
 
     /// Whether a run that has been in its phase since `since` may be stopped for a drain.
-    fn may_stop(&self, id: &str, task: &TaskId, since: u64, now: u64) -> bool {
+    ///
+    /// A long-running task that may be stopped is added to `claims`, which are determined at the
+    /// first such task.
+    fn may_stop(
+        &self,
+        id: &str,
+        task: &TaskId,
+        since: u64,
+        claims: &mut Option<Claims>,
+        now: u64,
+    ) -> bool {
         let Some(entry) = self.jobs.get(&task.job) else { return true };
         let Some(spec) = entry.job.steps.get(task.step) else { return true };
         if !spec.long_running {
             return spec.checkpointing || now > since + DRAIN_RUN_LIMIT_MS;
         }
+        let Some(step) = entry.occurrences.get(&task.occurrence).and_then(|t| t.get(task.step))
+        else {
+            return true;
+        };
+        let unavailable = || {
+            (0u32..)
+                .zip(&step.tasks)
+                .filter(|(index, _)| *index != task.index)
+                .filter(|(index, state)| {
+                    let id = TaskId { index: *index, ..task.clone() };
+                    let worker = state.worker.as_ref().and_then(|worker| self.workers.get(worker));
+                    let Some(worker) =
+                        worker.filter(|w| now < w.last_answer_at + ANSWER_MAX_AGE_MS)
+                    else {
+                        return true;
+                    };
+                    worker.runs.get(&id).is_none_or(|slot| !self.is_working(worker, slot))
+                })
+                .count()
+        };
+        if spec.max_unavailable > 0 && unavailable() >= spec.max_unavailable as usize {
+            return false;
+        }
         let leaving_since = self.workers.get(id).and_then(|worker| worker.leaving_since);
         let overdue = leaving_since.is_some_and(|since| now >= since + PLACE_TIMEOUT_MS);
-        if !overdue && !self.has_place(task, now) {
-            return false;
+        let claims = claims.get_or_insert_with(|| self.claims(now));
+        self.claim(claims, task, None, now) || overdue
+    }
+
+    /// Places that the long-running tasks will take that wait, or are being stopped for a drain.
+    fn claims(&self, now: u64) -> Claims {
+        let mut claims = Claims::default();
+        let mut claimed = IndexSet::new();
+        for (task, id) in &self.reservations {
+            if self.needs_place(task) && self.claim(&mut claims, task, Some(id), now) {
+                claimed.insert(task);
+            }
         }
-        if spec.max_unavailable == 0 {
-            return true;
+        let jobs = self.jobs.iter().filter(|(_, e)| e.candidate.long_running);
+        for (job, entry) in jobs {
+            for (occurrence, steps) in &entry.occurrences {
+                for (step, state) in steps.iter().enumerate() {
+                    let id =
+                        |index| TaskId { job: job.clone(), occurrence: *occurrence, step, index };
+                    let tasks = (0u32..).zip(&state.tasks).map(|(index, _)| id(index));
+                    let waiting =
+                        tasks.filter(|task| self.needs_place(task) && !claimed.contains(task));
+                    for task in waiting {
+                        if !self.claim(&mut claims, &task, None, now) {
+                            // The other tasks of the step need the same.
+                            break;
+                        }
+                    }
+                }
+            }
         }
-        let Some(step) = entry.occurrences.get(&task.occurrence).and_then(|t| t.get(task.step))
-        else {
-            return true;
+        claims
+    }
+
+    /// Whether a long-running task is due and has no run, or only one that is stopped for a drain.
+    fn needs_place(&self, task: &TaskId) -> bool {
+        let Some(entry) = self.jobs.get(&task.job).filter(|e| !e.state.is_final()) else {
+            return false;
         };
-        let unavailable = (0u32..)
-            .zip(&step.tasks)
-            .filter(|(index, _)| *index != task.index)
-            .filter(|(index, state)| {
-                let id = TaskId { index: *index, ..task.clone() };
-                let worker = state.worker.as_ref().and_then(|worker| self.workers.get(worker));
-                let Some(worker) = worker.filter(|w| now < w.last_answer_at + ANSWER_MAX_AGE_MS)
-                else {
-                    return true;
-                };
-                worker.runs.get(&id).is_none_or(|slot| !self.is_working(worker, slot))
-            })
-            .count();
-        unavailable < spec.max_unavailable as usize
+        let Some(spec) = entry.job.steps.get(task.step) else { return false };
+        let Some(steps) = entry.occurrences.get(&task.occurrence) else { return false };
+        if !spec.long_running || !spec.depends_on.iter().all(|n| steps[*n].is_done()) {
+            return false;
+        }
+        let state = steps.get(task.step).and_then(|step| step.tasks.get(task.index as usize));
+        let Some(state) = state.filter(|state| !state.done) else { return false };
+        let Some(id) = &state.worker else { return true };
+        let Some(worker) = self.workers.get(id).filter(|w| w.leaving_since.is_some()) else {
+            return false;
+        };
+        let stops = |slot: &Slot| matches!(slot.phase, Phase::Stopping | Phase::Stopped);
+        worker.runs.get(task).is_some_and(stops)
     }
 
-    /// Whether an executor that accepts tasks has room for a long-running task, at the latest once its
-    /// short tasks have ended.
-    fn has_place(&self, task: &TaskId, now: u64) -> bool {
-        let Some(entry) = self.jobs.get(&task.job) else { return true };
-        let Some(spec) = entry.job.steps.get(task.step) else { return true };
+    /// Claims a place for a long-running task, on the executor `id` if given, and returns whether
+    /// there is one.
+    ///
+    /// A place is room on an executor that accepts tasks, at the latest once its short tasks have
+    /// ended.
+    fn claim(&self, claims: &mut Claims, task: &TaskId, id: Option<&String>, now: u64) -> bool {
+        let Some(entry) = self.jobs.get(&task.job) else { return false };
+        let Some(spec) = entry.job.steps.get(task.step) else { return false };
         let step = entry.occurrences.get(&task.occurrence).and_then(|steps| steps.get(task.step));
-        let Some(step) = step else { return true };
+        let Some(step) = step else { return false };
         let need = place::required_resources(spec);
-        self.workers.iter().any(|(id, worker)| {
-            let siblings = step.tasks.iter().filter(|t| t.worker.as_ref() == Some(id)).count();
-            let siblings = u32::try_from(siblings).unwrap_or(u32::MAX);
-            worker.accepts_tasks(now)
-                && place::is_eligible(spec, worker, siblings)
-                && worker.free_beside_long_running().fits(need)
-        })
+        let first = TaskId { index: 0, ..task.clone() };
+        let counts = claims.counts.entry(first).or_insert_with(|| self.tasks_per_worker(step));
+        let total = |id: &String| {
+            let mut total = claims.taken.get(id).copied().unwrap_or_default();
+            total.add(need);
+            total
+        };
+        let place = self
+            .workers
+            .iter()
+            .filter(|(name, _)| id.is_none_or(|id| id == *name))
+            .filter(|(id, worker)| {
+                worker.accepts_tasks(now)
+                    && place::is_eligible(spec, worker, counts.get(*id).copied().unwrap_or(0))
+                    && worker.free_beside_long_running().fits(total(id))
+            })
+            // An executor that has room at once gets the task, and the best fit among several.
+            .min_by_key(|(id, worker)| {
+                let left = worker.free_beside_long_running().minus(total(id));
+                (!worker.has_room(total(id)), left.cpu, left.memory)
+            });
+        let Some((id, _)) = place else { return false };
+        *counts.entry(id.clone()).or_default() += 1;
+        claims.taken.entry(id.clone()).or_default().add(need);
+        true
     }
 
     /// Whether a long-running task works at full speed and will continue to.
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 
+use indexmap::IndexSet;
 use jobs::admit::{self, Load, Verdict};
 use jobs::cell::{Arrival, Order, Refusal, StartOutcome};
 use jobs::flush::Selection;
@@ -1001,7 +1002,7 @@
     let large = "00000000000000bb";
     pool.add_long_running(large, 60_000);
     let started: Vec<_> = (100..800).step_by(60).flat_map(|now| pool.end_small_task(now)).collect();
-    let executors: indexmap::IndexSet<&String> = started.iter().map(|(id, ..)| id).collect();
+    let executors: IndexSet<&String> = started.iter().map(|(id, ..)| id).collect();
     assert_eq!(executors.len(), 1, "only the executor that is not reserved gets tasks");
     pool.cell.cancel(large, 900);
     let started = pool.end_small_task(910);
@@ -1070,3 +1071,90 @@
     cell.handle_poll("b", &poll_answer(100), 500, 511);
     assert_eq!(starts(&cell.tick(512, 0)), [("b".to_owned(), task(0, 0), 2)]);
 }
+
+/// Registers an executor and answers its first poll.
+fn join(cell: &mut Cell, id: &str, cpu: u64, now: u64) {
+    let capacity = Resources { cpu, memory: 4_000, gpus: 0 };
+    cell.register(Registration { capacity, ..executor(id) });
+    cell.handle_poll(id, &poll_answer(now), now - 1, now);
+}
+
+fn long_running(count: u32, cpu: u64) -> Step {
+    Step { long_running: true, ..short(count, cpu, 10) }
+}
+
+fn short(count: u32, cpu: u64, memory: u64) -> Step {
+    let resources = Resources { cpu, memory, gpus: 0 };
+    Step { count, resources, estimate: 60_000, ..Step::default() }
+}
+
+fn admit(cell: &mut Cell, id: &str, step: Step) {
+    cell.admit(Arrival { id: id.to_owned(), ..arrival(vec![step], false) });
+}
+
+/// Runs a pass and confirms its starts; returns the executor, task and run of each.
+fn start_all(cell: &mut Cell, now: u64) -> Vec<(String, TaskId, u64)> {
+    let mut started = Vec::new();
+    for order in cell.tick(now, 0) {
+        if let Order::Start { worker, task, run, .. } = order {
+            cell.handle_start_outcome(&worker, &task, run, StartOutcome::Running(now), now);
+            started.push((worker, task, run));
+        }
+    }
+    started
+}
+
+/// Renews the lease and answers a poll with all runs that the cell knows of on the executor.
+fn poll(cell: &mut Cell, id: &str, now: u64) {
+    cell.grant_lease(id, now);
+    let runs = cell.workers()[id].runs.iter();
+    let present = runs.map(|(task, slot)| PresentRun {
+        task: task.clone(),
+        run: slot.run,
+        checkpoint: String::new(),
+        percent: if slot.long_running { 100 } else { now / 100 % 100 },
+        gauge: 0,
+    });
+    let answer = ExecutorReport { present: present.collect(), ..poll_answer(now) };
+    cell.handle_poll(id, &answer, now, now);
+}
+
+fn stopped_jobs(cell: &mut Cell, now: u64) -> Vec<String> {
+    let stop = |order| match order {
+        Order::Stop { task, .. } => Some(task.job),
+        _ => None,
+    };
+    cell.tick(now, 0).into_iter().filter_map(stop).collect()
+}
+
+/// Guards against several tasks that are stopped for the same place, of which only one gets it.
+#[test]
+fn a_place_for_one_task_lets_a_drain_stop_only_one() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "a", 4_000, 1);
+    admit(&mut cell, "first", long_running(1, 2_000));
+    admit(&mut cell, "second", long_running(1, 2_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 2);
+    join(&mut cell, "b", 2_000, 3);
+    poll(&mut cell, "a", 4);
+    cell.set_leaving(IndexSet::from(["a".to_owned()]));
+    assert_eq!(stopped_jobs(&mut cell, 5).len(), 1);
+}
+
+/// Guards against a task that is stopped for a place that is reserved for a task that waits.
+#[test]
+fn a_place_that_another_task_waits_for_lets_a_drain_stop_none() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "a", 2_000, 1);
+    admit(&mut cell, "runs", long_running(1, 2_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    join(&mut cell, "b", 2_000, 3);
+    admit(&mut cell, "short", short(1, 2_000, 10));
+    assert_eq!(start_all(&mut cell, 4).len(), 1);
+    admit(&mut cell, "waits", long_running(1, 2_000));
+    assert!(start_all(&mut cell, 5).is_empty(), "the executor with the short task is reserved");
+    poll(&mut cell, "a", 6);
+    poll(&mut cell, "b", 6);
+    cell.set_leaving(IndexSet::from(["a".to_owned()]));
+    assert_eq!(stopped_jobs(&mut cell, 7), Vec::<String>::new());
+}
--- a/crates/jobs/tests/review.rs
+++ b/crates/jobs/tests/review.rs
@@ -2,7 +2,6 @@
 //!
 //! Each test shows one state in which a holder leaves such a task without a run.
 
-use indexmap::IndexSet;
 use jobs::cell::{Arrival, Order, StartOutcome};
 use jobs::worker::{EndedRun, PresentRun};
 use jobs::{
@@ -90,14 +89,6 @@
     cell.handle_poll(id, &answer, now, now);
 }
 
-fn stopped_jobs(cell: &mut Cell, now: u64) -> Vec<String> {
-    let stop = |order| match order {
-        Order::Stop { task, .. } => Some(task.job),
-        _ => None,
-    };
-    cell.tick(now, 0).into_iter().filter_map(stop).collect()
-}
-
 /// Ends one of the runs on `busy` every 100 ms for 5 s, and returns whether the job starts meanwhile.
 ///
 /// What becomes free is given to other small tasks unless the executor is reserved.
@@ -136,38 +127,6 @@
     false
 }
 
-/// Guards against several tasks that are stopped for the same place, of which only one gets it.
-#[test]
-fn a_place_for_one_task_lets_a_drain_stop_only_one() {
-    let mut cell = new_cell(false);
-    join(&mut cell, "a", 4_000, 1);
-    admit(&mut cell, "first", long_running(1, 2_000));
-    admit(&mut cell, "second", long_running(1, 2_000));
-    assert_eq!(start_all(&mut cell, 2).len(), 2);
-    join(&mut cell, "b", 2_000, 3);
-    poll(&mut cell, "a", 4);
-    cell.set_leaving(IndexSet::from(["a".to_owned()]));
-    assert_eq!(stopped_jobs(&mut cell, 5).len(), 1);
-}
-
-/// Guards against a task that is stopped for a place that is reserved for a task that waits.
-#[test]
-fn a_place_that_another_task_waits_for_lets_a_drain_stop_none() {
-    let mut cell = new_cell(false);
-    join(&mut cell, "a", 2_000, 1);
-    admit(&mut cell, "runs", long_running(1, 2_000));
-    assert_eq!(start_all(&mut cell, 2).len(), 1);
-    join(&mut cell, "b", 2_000, 3);
-    admit(&mut cell, "short", short(1, 2_000, 10));
-    assert_eq!(start_all(&mut cell, 4).len(), 1);
-    admit(&mut cell, "waits", long_running(1, 2_000));
-    assert!(start_all(&mut cell, 5).is_empty(), "the executor with the short task is reserved");
-    poll(&mut cell, "a", 6);
-    poll(&mut cell, "b", 6);
-    cell.set_leaving(IndexSet::from(["a".to_owned()]));
-    assert_eq!(stopped_jobs(&mut cell, 7), Vec::<String>::new());
-}
-
 /// Guards against a reservation of an executor that has shrunk below what its long-running tasks
 /// use, and so has no room for any other task.
 #[test]
