Reserve the executor that is expected to have room first

Callers would see: a long-running task that waits for the end of a long run, while the pieces that become free on another executor within moments go to small tasks. Cause: the executor that lacked least was reserved and kept, however long its runs still take. Change: the choice follows the expected ends of the short runs, by their estimates and progress, and what the job's other tasks took. It changes only if the wait exceeds half a second and another executor at least halves it, so that it does not flap. Tests: the_executor_that_is_free_first_is_reserved_and_not_the_one_that_lacks_least failed before and passes, now with the tests of a cell; so does the new a_reservation_moves_when_a_run_makes_slow_progress, which fails too if the first choice is kept.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use super::reserve::ShortEnd;
 use super::{Cell, JobEntry, Order, StepState, new_steps};
 use crate::job::{State, TaskId};
 use crate::order::{Candidate, Rank};
@@ -29,6 +30,8 @@
     pub former: IndexMap<TaskId, String>,
     /// Executors reserved for long-running tasks, by task.
     pub reservations: IndexMap<TaskId, String>,
+    /// Expected ends of short tasks, by position of the executor, where they were needed.
+    pub short_ends: IndexMap<usize, Vec<ShortEnd>>,
     /// Resource needs that no executor could satisfy.
     unplaceable: Vec<Resources>,
     /// Executors compared so far, counted once per task.
@@ -123,6 +126,7 @@
             reserved: IndexMap::new(),
             former,
             reservations: IndexMap::new(),
+            short_ends: IndexMap::new(),
             unplaceable: Vec::new(),
             compared: 0,
             now,
--- a/crates/jobs/src/cell/reserve.rs
+++ b/crates/jobs/src/cell/reserve.rs
@@ -3,20 +3,37 @@
 //! Load pattern: at a peak the pool is full, and every piece that a small task frees is given to the
 //! next one. A task that needs many such pieces on one executor would wait until the peak ends. One
 //! executor is therefore reserved for it, which gets no other tasks until the small ones there have
-//! ended.
+//! ended. It is the one whose small tasks are expected to end first, and changes if a long one turns
+//! out to hold up the task.
 
 use super::Cell;
 use super::assign::{Constraints, Pass};
 use crate::job::TaskId;
 use crate::place;
-use crate::worker::{Resources, Worker};
+use crate::worker::{Phase, Resources, Slot, Worker};
+
+/// Wait for room, in milliseconds, up to which a reserved executor is kept in any case; a few polls.
+const KEPT_WAIT_MS: u64 = 500;
+/// Share of the wait for room, in percent, to which a change of the reserved executor must reduce
+/// it. With each change the expected wait halves, so that there are few.
+const CHANGED_WAIT_PERCENT: u64 = 50;
+
+/// Expected end of a short task.
+pub(super) struct ShortEnd {
+    /// Time until the end, in milliseconds.
+    time_left: u64,
+    /// Resources that become free.
+    resources: Resources,
+    /// Whether the needs of the task are unknown.
+    unknown_size: bool,
+}
 
 impl Cell {
     /// Reserves the executor that can soonest have room for a long-running task.
     ///
-    /// The executor of the pass before is kept if it still suits. Returns `None` if the task fits
-    /// on no executor even beside long-running tasks alone, so that the pool isn't held back for a
-    /// task that it can't run.
+    /// The executor of the pass before is kept if it still suits and no other one has room much
+    /// sooner. Returns `None` if the task fits on no executor even beside long-running tasks alone,
+    /// so that the pool isn't held back for a task that it can't run.
     pub(super) fn reserve(
         &self,
         job: usize,
@@ -30,7 +47,8 @@
         let advice = self
             .needs_advice(&entry.queue)
             .then(|| &entry.occurrences[&constraints.occurrence][constraints.step].advice);
-        let suits = |n: usize, id: &String, worker: &Worker| {
+        let suits = |n: usize, pass: &Pass| {
+            let Some((id, worker)) = self.workers.get_index(n) else { return false };
             let task_count = constraints.task_counts.get(id).copied().unwrap_or(0);
             let reserved = pass.reserved.get(&n).copied().unwrap_or_default();
             worker.accepts_tasks(pass.now)
@@ -38,30 +56,90 @@
                 && place::is_eligible(spec, worker, task_count)
                 && worker.free_beside_long_running().minus(reserved).fits(need)
         };
-        let former = pass.former.get(&task).and_then(|id| self.workers.get_full(id));
-        let former = former.filter(|(n, id, worker)| suits(*n, id, worker)).map(|(n, ..)| n);
-        let chosen = former.or_else(|| {
-            let workers = self.workers.iter().enumerate();
-            let suitable = workers.filter(|(n, (id, worker))| suits(*n, id, worker));
-            let missing = |n: usize, worker: &Worker| {
-                let reserved = pass.reserved.get(&n).copied().unwrap_or_default();
-                missing_per_mille(worker.registration.capacity, worker.free().minus(reserved), need)
-            };
-            suitable.min_by_key(|(n, (_, worker))| missing(*n, worker)).map(|(n, _)| n)
-        })?;
+        let former = pass.former.get(&task).and_then(|id| self.workers.get_index_of(id));
+        let former = former.filter(|n| suits(*n, pass));
+        let former = former.map(|n| (n, self.wait_for_room(n, need, pass)));
+        let chosen = match former {
+            Some((n, wait)) if wait <= KEPT_WAIT_MS => n,
+            _ => {
+                let suitable: Vec<usize> =
+                    (0..self.workers.len()).filter(|n| suits(*n, pass)).collect();
+                let rate = |n| (self.wait_for_room(n, need, pass), self.missing(n, need, pass), n);
+                let (soonest_wait, _, soonest) = suitable.into_iter().map(rate).min()?;
+                match former {
+                    Some((n, wait)) if soonest_wait > wait / 100 * CHANGED_WAIT_PERCENT => n,
+                    _ => soonest,
+                }
+            }
+        };
         let id = self.workers.get_index(chosen)?.0.clone();
         pass.reserved.entry(chosen).or_default().add(need);
         pass.reservations.insert(task, id.clone());
         Some(id)
     }
-}
 
-/// Share of an executor's capacity that must become free for `need`, in thousandths, of the resource
-/// that lacks most.
-fn missing_per_mille(capacity: Resources, free: Resources, need: Resources) -> u64 {
-    let missing = need.minus(free);
-    let share = |missing: u64, capacity: u64| missing * 1_000 / capacity.max(1);
-    share(missing.cpu, capacity.cpu)
-        .max(share(missing.memory, capacity.memory))
-        .max(share(missing.gpus, capacity.gpus))
+    /// Expected time until the executor at position `n` has room for `need` besides what is reserved,
+    /// if it gets no other tasks, in milliseconds.
+    fn wait_for_room(&self, n: usize, need: Resources, pass: &mut Pass) -> u64 {
+        let worker = &self.workers[n];
+        let now = pass.now;
+        let ends = pass.short_ends.entry(n).or_insert_with(|| self.short_ends(worker, now));
+        let mut total = worker.used;
+        total.add(need);
+        total.add(pass.reserved.get(&n).copied().unwrap_or_default());
+        let mut unknown_sizes = worker.unknown_sizes;
+        let mut wait = 0;
+        for end in ends {
+            if unknown_sizes == 0 && worker.registration.capacity.fits(total) {
+                break;
+            }
+            total = total.minus(end.resources);
+            unknown_sizes -= usize::from(end.unknown_size);
+            wait = end.time_left;
+        }
+        wait
+    }
+
+    /// Expected ends of the short tasks of an executor, the first one first.
+    fn short_ends(&self, worker: &Worker, now: u64) -> Vec<ShortEnd> {
+        let short = worker.runs.iter().filter(|(_, slot)| !slot.long_running);
+        let mut ends: Vec<ShortEnd> = short
+            .map(|(task, slot)| ShortEnd {
+                time_left: self.time_left(worker, task, slot, now),
+                resources: slot.resources,
+                unknown_size: slot.unknown_size,
+            })
+            .collect();
+        ends.sort_unstable_by_key(|end| end.time_left);
+        ends
+    }
+
+    /// Expected time until a short task ends, in milliseconds; the longest possible if unknown.
+    fn time_left(&self, worker: &Worker, task: &TaskId, slot: &Slot, now: u64) -> u64 {
+        if matches!(slot.phase, Phase::Stopping | Phase::Stopped) {
+            return (slot.phase_since + self.config.stop_timeout).saturating_sub(now);
+        }
+        let Some(entry) = self.jobs.get(&task.job) else { return u64::MAX };
+        let Some(spec) = entry.job.steps.get(task.step) else { return u64::MAX };
+        let (samples, mean) = entry.duration_ratio;
+        let ratio = if samples == 0 { 100 } else { mean };
+        let slowdown = worker.recent_slowdown(now).unwrap_or(100);
+        let duration = spec.estimate.saturating_mul(ratio) / 100;
+        let duration = duration.saturating_mul(slowdown) / 100;
+        let left = duration.saturating_mul(100 - slot.percent.min(100)) / 100;
+        left.saturating_sub(now.saturating_sub(slot.progressed_at))
+    }
+
+    /// Share of an executor's capacity that must become free for `need`, in thousandths, of the
+    /// resource that lacks most.
+    fn missing(&self, n: usize, need: Resources, pass: &Pass) -> u64 {
+        let worker = &self.workers[n];
+        let reserved = pass.reserved.get(&n).copied().unwrap_or_default();
+        let capacity = worker.registration.capacity;
+        let missing = need.minus(worker.free().minus(reserved));
+        let share = |missing: u64, capacity: u64| missing * 1_000 / capacity.max(1);
+        share(missing.cpu, capacity.cpu)
+            .max(share(missing.memory, capacity.memory))
+            .max(share(missing.gpus, capacity.gpus))
+    }
 }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1158,3 +1158,75 @@
     cell.set_leaving(IndexSet::from(["a".to_owned()]));
     assert_eq!(stopped_jobs(&mut cell, 7), Vec::<String>::new());
 }
+
+/// Ends one of the runs on `busy` every 100 ms for 5 s, and returns whether the job starts meanwhile.
+///
+/// What becomes free is given to other small tasks unless the executor is reserved.
+fn starts_while_small_tasks_end(
+    cell: &mut Cell,
+    job: &str,
+    other: &str,
+    busy: &str,
+    mut runs: Vec<(TaskId, u64)>,
+) -> bool {
+    for sequence in 1..=50 {
+        let now = 100 * sequence;
+        poll(cell, other, now);
+        if runs.is_empty() {
+            return false;
+        }
+        let (task, run) = runs.remove(0);
+        let present = runs.iter().map(|(task, run)| PresentRun {
+            task: task.clone(),
+            run: *run,
+            checkpoint: String::new(),
+            percent: sequence,
+            gauge: 0,
+        });
+        let mut answer = ExecutorReport { present: present.collect(), ..poll_answer(now) };
+        answer.ended.push(end(sequence, task, run, RunOutcome::Done));
+        cell.grant_lease(busy, now);
+        cell.handle_poll(busy, &answer, now, now);
+        let started = start_all(cell, now + 1);
+        if started.iter().any(|(_, task, _)| task.job == job) {
+            return true;
+        }
+        runs.extend(started.into_iter().map(|(_, task, run)| (task, run)));
+    }
+    false
+}
+
+/// Guards against a task that waits for the end of a long run, on the executor that lacks the least,
+/// while all that becomes free within moments on another one is given away.
+#[test]
+fn the_executor_that_is_free_first_is_reserved_and_not_the_one_that_lacks_least() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "long", 4_000, 1);
+    admit(&mut cell, "slow", short(1, 2_800, 3_900));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    join(&mut cell, "b", 4_000, 3);
+    admit(&mut cell, "small", Step { estimate: 300, ..short(100, 1_100, 1_000) });
+    let small = start_all(&mut cell, 4);
+    assert_eq!(small.len(), 3);
+    admit(&mut cell, "lasts", long_running(1, 2_000));
+    assert!(start_all(&mut cell, 5).is_empty());
+    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    assert!(starts_while_small_tasks_end(&mut cell, "lasts", "long", "b", runs));
+}
+
+/// Guards against a task that waits for the end of a run that takes much longer than estimated.
+#[test]
+fn a_reservation_moves_when_a_run_makes_slow_progress() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "slow", 4_000, 1);
+    admit(&mut cell, "slow", Step { estimate: 300, ..short(1, 2_800, 3_900) });
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    join(&mut cell, "b", 4_000, 3);
+    admit(&mut cell, "small", Step { estimate: 600, ..short(100, 1_100, 1_000) });
+    let small = start_all(&mut cell, 4);
+    assert_eq!(small.len(), 3);
+    admit(&mut cell, "lasts", long_running(1, 2_000));
+    assert!(start_all(&mut cell, 5).is_empty());
+    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    assert!(starts_while_small_tasks_end(&mut cell, "lasts", "slow", "b", runs));
+}
--- a/crates/jobs/tests/review.rs
+++ b/crates/jobs/tests/review.rs
@@ -197,21 +197,3 @@
     }
     panic!("neither a stop nor a new start in 12 s");
 }
-
-/// Guards against a task that waits for the end of a long run, on the executor that lacks the least,
-/// while all that becomes free within moments on another one is given away.
-#[test]
-fn the_executor_that_is_free_first_is_reserved_and_not_the_one_that_lacks_least() {
-    let mut cell = new_cell(false);
-    join(&mut cell, "long", 4_000, 1);
-    admit(&mut cell, "slow", short(1, 2_800, 3_900));
-    assert_eq!(start_all(&mut cell, 2).len(), 1);
-    join(&mut cell, "b", 4_000, 3);
-    admit(&mut cell, "small", Step { estimate: 300, ..short(100, 1_100, 1_000) });
-    let small = start_all(&mut cell, 4);
-    assert_eq!(small.len(), 3);
-    admit(&mut cell, "lasts", long_running(1, 2_000));
-    assert!(start_all(&mut cell, 5).is_empty());
-    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
-    assert!(starts_while_small_tasks_end(&mut cell, "lasts", "long", "b", runs));
-}
