Count what long-running tasks use beyond a shrunk capacity

Callers would see: a best-effort task that waits for an executor that has shrunk below what its long-running tasks use, while all that becomes free on others goes to small tasks. Cause: the room beside long-running tasks did not fall below 0, so that a task without need of the resource that is short seemed to fit. The choice of a reserved executor and the search for a place in a drain both relied on it. Change: the sum of what is in use, reserved and needed has to fit into the capacity, as for starts. Test: an_executor_that_has_shrunk_is_not_reserved_for_a_best_effort_task failed before, and passes with the tests of a cell.

--- a/crates/jobs/src/cell/drain.rs
+++ b/crates/jobs/src/cell/drain.rs
@@ -188,7 +188,7 @@
             .filter(|(id, worker)| {
                 worker.accepts_tasks(now)
                     && place::is_eligible(spec, worker, counts.get(*id).copied().unwrap_or(0))
-                    && worker.free_beside_long_running().fits(total(id))
+                    && worker.has_room_beside_long_running(total(id))
             })
             // An executor that has room at once gets the task, and the best fit among several.
             .min_by_key(|(id, worker)| {
--- a/crates/jobs/src/cell/reserve.rs
+++ b/crates/jobs/src/cell/reserve.rs
@@ -50,11 +50,12 @@
         let suits = |n: usize, pass: &Pass| {
             let Some((id, worker)) = self.workers.get_index(n) else { return false };
             let task_count = constraints.task_counts.get(id).copied().unwrap_or(0);
-            let reserved = pass.reserved.get(&n).copied().unwrap_or_default();
+            let mut total = pass.reserved.get(&n).copied().unwrap_or_default();
+            total.add(need);
             worker.accepts_tasks(pass.now)
                 && advice.is_none_or(|advice| advice.ticket(id, pass.now).is_some())
                 && place::is_eligible(spec, worker, task_count)
-                && worker.free_beside_long_running().minus(reserved).fits(need)
+                && worker.has_room_beside_long_running(total)
         };
         let former = pass.former.get(&task).and_then(|id| self.workers.get_index_of(id));
         let former = former.filter(|n| suits(*n, pass));
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -308,6 +308,15 @@
         self.registration.capacity.minus(self.long_running_use)
     }
 
+    /// Whether a run with these needs can be added once the short tasks have ended.
+    ///
+    /// As in [`Self::has_room`], the capacity may have shrunk below what is in use.
+    pub fn has_room_beside_long_running(&self, need: Resources) -> bool {
+        let mut total = self.long_running_use;
+        total.add(need);
+        self.registration.capacity.fits(total)
+    }
+
     /// Whether a run with these needs can be added within the capacity.
     ///
     /// The capacity may have shrunk below what is in use. A run then has no room even if it needs
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1230,3 +1230,24 @@
     let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
     assert!(starts_while_small_tasks_end(&mut cell, "lasts", "slow", "b", runs));
 }
+
+/// Guards against a reservation of an executor that has shrunk below what its long-running tasks
+/// use, and so has no room for any other task.
+#[test]
+fn an_executor_that_has_shrunk_is_not_reserved_for_a_best_effort_task() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "shrunk", 4_000, 1);
+    admit(&mut cell, "serves", long_running(1, 4_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    let mut registration = cell.workers()["shrunk"].registration.clone();
+    registration.capacity.cpu = 2_000;
+    cell.register(registration);
+    join(&mut cell, "b", 4_000, 3);
+    admit(&mut cell, "small", short(100, 1_000, 2_000));
+    let small = start_all(&mut cell, 4);
+    assert_eq!(small.len(), 2, "the memory is used up");
+    let fills = Step { long_running: true, best_effort: true, ..short(1, 1_000, 3_000) };
+    admit(&mut cell, "fills", fills);
+    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    assert!(starts_while_small_tasks_end(&mut cell, "fills", "shrunk", "b", runs));
+}
--- a/crates/jobs/tests/review.rs
+++ b/crates/jobs/tests/review.rs
@@ -3,10 +3,9 @@
 //! Each test shows one state in which a holder leaves such a task without a run.
 
 use jobs::cell::{Arrival, Order, StartOutcome};
-use jobs::worker::{EndedRun, PresentRun};
+use jobs::worker::PresentRun;
 use jobs::{
-    Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources, RunOutcome,
-    Step, TaskId,
+    Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources, Step, TaskId,
 };
 
 const CONFIG: CellConfig = CellConfig {
@@ -89,65 +88,6 @@
     cell.handle_poll(id, &answer, now, now);
 }
 
-/// Ends one of the runs on `busy` every 100 ms for 5 s, and returns whether the job starts meanwhile.
-///
-/// What becomes free is given to other small tasks unless the executor is reserved.
-fn starts_while_small_tasks_end(
-    cell: &mut Cell,
-    job: &str,
-    other: &str,
-    busy: &str,
-    mut runs: Vec<(TaskId, u64)>,
-) -> bool {
-    for sequence in 1..=50 {
-        let now = 100 * sequence;
-        poll(cell, other, now);
-        if runs.is_empty() {
-            return false;
-        }
-        let (task, run) = runs.remove(0);
-        let present = runs.iter().map(|(task, run)| PresentRun {
-            task: task.clone(),
-            run: *run,
-            checkpoint: String::new(),
-            percent: sequence,
-            gauge: 0,
-        });
-        let mut answer = report(now, present.collect());
-        let outcome = RunOutcome::Done;
-        answer.ended.push(EndedRun { sequence, task, run, outcome, checkpoint: String::new() });
-        cell.grant_lease(busy, now);
-        cell.handle_poll(busy, &answer, now, now);
-        let started = start_all(cell, now + 1);
-        if started.iter().any(|(_, task, _)| task.job == job) {
-            return true;
-        }
-        runs.extend(started.into_iter().map(|(_, task, run)| (task, run)));
-    }
-    false
-}
-
-/// Guards against a reservation of an executor that has shrunk below what its long-running tasks
-/// use, and so has no room for any other task.
-#[test]
-fn an_executor_that_has_shrunk_is_not_reserved_for_a_best_effort_task() {
-    let mut cell = new_cell(false);
-    join(&mut cell, "shrunk", 4_000, 1);
-    admit(&mut cell, "serves", long_running(1, 4_000));
-    assert_eq!(start_all(&mut cell, 2).len(), 1);
-    let mut registration = cell.workers()["shrunk"].registration.clone();
-    registration.capacity.cpu = 2_000;
-    cell.register(registration);
-    join(&mut cell, "b", 4_000, 3);
-    admit(&mut cell, "small", short(100, 1_000, 2_000));
-    let small = start_all(&mut cell, 4);
-    assert_eq!(small.len(), 2, "the memory is used up");
-    let fills = Step { long_running: true, best_effort: true, ..short(1, 1_000, 3_000) };
-    admit(&mut cell, "fills", fills);
-    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
-    assert!(starts_while_small_tasks_end(&mut cell, "fills", "shrunk", "b", runs));
-}
-
 /// Guards against a task that waits for the end of tickets which only executors have that already
 /// run as many tasks of its step as they may.
 #[test]
