Treat a start without any result as an unanswered one after 10 s

Callers would see: a task that never runs again, held by a start order whose sender ended without a result. Cause: nothing but a result or a poll that shows the run ended the phase after the order. The executor is not taken for unresponsive.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -405,6 +405,7 @@
     /// `wall` is the wall-clock time in milliseconds.
     pub fn tick(&mut self, now: u64, wall: u64) -> Vec<Order> {
         self.expire(now);
+        self.expire_starts(now);
         self.drain_leaving(now);
         self.repeat_stops(now);
         self.stop_slow(now);
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -2,13 +2,17 @@
 
 use super::Cell;
 use crate::job::TaskId;
-use crate::worker::Phase;
+use crate::worker::{Phase, Slot};
 
 /// Delay before a task whose start was refused or not sent is started again, in milliseconds.
 const REFUSED_START_DELAY_MS: u64 = 50;
 /// Time for which an executor that was busy or full gets no new tasks, in milliseconds.
 const BUSY_EXECUTOR_DELAY_MS: u64 = 500;
 
+/// Time after which a start without any result counts as unanswered, in milliseconds; longer than
+/// any call to an executor takes.
+const START_RESULT_TIMEOUT_MS: u64 = 10_000;
+
 /// Why an executor did not start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -80,23 +84,48 @@
             }
             StartOutcome::Gone => self.mark_dead(id, now),
             StartOutcome::Unknown => {
-                // A long-running task may be working by now, and other tasks of its step may be
-                // unavailable. The next poll shows whether it runs. A run that a poll has shown
-                // meanwhile is known to work.
-                match unconfirmed {
-                    Some(slot) if slot.long_running => {
-                        slot.phase = Phase::Unsure;
-                        slot.phase_since = now;
-                    }
-                    // The stop prevents the run from beginning later.
-                    Some(_) => self.stop_run(id, task, now),
-                    None => {}
+                // A run that a poll has shown meanwhile is known to work.
+                if unconfirmed.is_some() {
+                    self.doubt_start(id, task, now);
                 }
                 self.handle_no_answer(id);
             }
         }
     }
 
+    /// Handles a start that may have been carried out, or may still be.
+    ///
+    /// A long-running task may be working by now, and other tasks of its step may be unavailable. The
+    /// next poll shows whether it runs.
+    fn doubt_start(&mut self, id: &str, task: &TaskId, now: u64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        match worker.runs.get_mut(task) {
+            Some(slot) if slot.long_running => {
+                slot.phase = Phase::Unsure;
+                slot.phase_since = now;
+            }
+            // The stop prevents the run from beginning later.
+            _ => self.stop_run(id, task, now),
+        }
+    }
+
+    /// Handles starts without any result, whose sender has ended, as unanswered ones.
+    ///
+    /// The executor may answer other calls all the while, and is not taken for unresponsive.
+    pub(super) fn expire_starts(&mut self, now: u64) {
+        let overdue = |slot: &Slot| {
+            slot.phase == Phase::Sent && now > slot.phase_since + START_RESULT_TIMEOUT_MS
+        };
+        let mut expired: Vec<(String, TaskId)> = Vec::new();
+        for (id, worker) in &self.workers {
+            let runs = worker.runs.iter().filter(|(_, slot)| overdue(slot));
+            expired.extend(runs.map(|(task, _)| (id.clone(), task.clone())));
+        }
+        for (id, task) in expired {
+            self.doubt_start(&id, &task, now);
+        }
+    }
+
     /// Handles an executor's refusal to start a run.
     fn handle_refusal(&mut self, id: &str, task: &TaskId, run: u64, refusal: Refusal, now: u64) {
         if refusal == Refusal::Fenced {
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1251,3 +1251,24 @@
     let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
     assert!(starts_while_small_tasks_end(&mut cell, "fills", "shrunk", "b", runs));
 }
+
+/// Guards against a task that is held for ever by a start order whose sender has ended without a
+/// result. The executor answers all polls, and reports no such run.
+#[test]
+fn a_start_without_any_result_does_not_hold_its_task_for_ever() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "a", 4_000, 1);
+    join(&mut cell, "b", 4_000, 1);
+    admit(&mut cell, "lost", long_running(1, 1_000));
+    assert_eq!(cell.tick(2, 0).len(), 1);
+    for now in (100..12_000).step_by(100) {
+        for id in ["a", "b"] {
+            cell.grant_lease(id, now);
+            cell.handle_poll(id, &poll_answer(now), now, now);
+        }
+        if !cell.tick(now, 0).is_empty() {
+            return;
+        }
+    }
+    panic!("neither a stop nor a new start in 12 s");
+}
--- a/crates/jobs/tests/review.rs
+++ b/crates/jobs/tests/review.rs
@@ -116,24 +116,3 @@
     }
     panic!("the adviser was not asked about the new executor in 12 s");
 }
-
-/// Guards against a task that is held for ever by a start order whose sender has ended without a
-/// result. The executor answers all polls, and reports no such run.
-#[test]
-fn a_start_without_any_result_does_not_hold_its_task_for_ever() {
-    let mut cell = new_cell(false);
-    join(&mut cell, "a", 4_000, 1);
-    join(&mut cell, "b", 4_000, 1);
-    admit(&mut cell, "lost", long_running(1, 1_000));
-    assert_eq!(cell.tick(2, 0).len(), 1);
-    for now in (100..12_000).step_by(100) {
-        for id in ["a", "b"] {
-            cell.grant_lease(id, now);
-            cell.handle_poll(id, &report(now, Vec::new()), now, now);
-        }
-        if !cell.tick(now, 0).is_empty() {
-            return;
-        }
-    }
-    panic!("neither a stop nor a new start in 12 s");
-}
