Count only tickets of executors that may run another task of a step

Callers would see: a task that waits for the end of tickets, up to their whole validity, while an executor without a ticket suits it. Cause: the tickets of executors that run as many tasks of the step as they may counted as tickets for its open tasks, and such executors were asked about again. Change: an executor counts, and is asked about, only if it may run one more task of the step. Test: tickets_of_executors_that_may_run_no_more_tasks_of_a_step_do_not_keep_it_from_asking failed before, and passes with the tests of a cell.

--- a/crates/jobs/src/cell/advice.rs
+++ b/crates/jobs/src/cell/advice.rs
@@ -51,6 +51,8 @@
 
     /// Queries the adviser if a step has fewer tickets than open tasks.
     ///
+    /// Only tickets of executors count that may run another task of the step.
+    ///
     /// `accepting` are the positions of the executors that accept tasks.
     pub(super) fn request_advice(
         &mut self,
@@ -66,10 +68,12 @@
             return;
         }
         let spec = &entry.job.steps[step];
+        let counts = self.tasks_per_worker(state);
         let candidate = |n: &usize| {
             let (id, worker) = self.workers.get_index(*n)?;
             let score = place::score(spec, worker, None)?;
-            place::is_eligible(spec, worker, 0).then_some((score, id))
+            let count = counts.get(id).copied().unwrap_or(0);
+            place::is_eligible(spec, worker, count).then_some((score, id))
         };
         let mut candidates: Vec<(u64, &String)> = accepting.iter().filter_map(candidate).collect();
         let ticketed =
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1272,3 +1272,34 @@
     }
     panic!("neither a stop nor a new start in 12 s");
 }
+
+/// Guards against a task that waits for the end of tickets which only executors have that already
+/// run as many tasks of its step as they may.
+#[test]
+fn tickets_of_executors_that_may_run_no_more_tasks_of_a_step_do_not_keep_it_from_asking() {
+    let mut cell = cell(1, &[]);
+    let queue = Queue { name: "q".to_owned(), max_attempts: 2, advised: true, ..Queue::default() };
+    cell.configure(std::iter::once(&queue));
+    join(&mut cell, "a", 4_000, 1);
+    join(&mut cell, "b", 4_000, 1);
+    admit(&mut cell, "apart", Step { max_per_executor: 1, ..long_running(2, 1_000) });
+    let orders = cell.tick(2, 0);
+    let Some(Order::Advise { step, workers }) = orders.into_iter().next() else {
+        panic!("the adviser is asked first")
+    };
+    let tickets = workers.iter().map(|id| (id.clone(), "ticket".to_owned())).collect();
+    cell.handle_advice(&step, &workers, Some((tickets, 60_000)), 3);
+    assert_eq!(start_all(&mut cell, 4).len(), 2);
+    cell.mark_dead("b", 5);
+    cell.unlist("b");
+    join(&mut cell, "c", 4_000, 6);
+    for now in (100..12_000).step_by(100) {
+        poll(&mut cell, "a", now);
+        poll(&mut cell, "c", now);
+        let orders = cell.tick(now, 0);
+        if orders.iter().any(|order| matches!(order, Order::Advise { .. })) {
+            return;
+        }
+    }
+    panic!("the adviser was not asked about the new executor in 12 s");
+}
