--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use super::quarantine::{CrashRecord, is_turn};
+use super::reserve::ShortEnd;
 use super::{Cell, JobEntry, Order, StepState, new_steps};
 use crate::job::{State, TaskId};
 use crate::order::{Candidate, Rank};
@@ -30,6 +31,8 @@
     pub former: IndexMap<TaskId, String>,
     /// Executors reserved for long-running tasks, by task.
     pub reservations: IndexMap<TaskId, String>,
+    /// Expected ends of short tasks, by position of the executor, where they were needed.
+    pub short_ends: IndexMap<usize, Vec<ShortEnd>>,
     /// Resource needs that no executor could satisfy.
     unplaceable: Vec<Resources>,
     /// Executors compared so far, counted once per task.
@@ -104,11 +107,11 @@
         ready.sort_by_key(|r| r.rank);
         let waiting: Vec<usize> =
             ready.iter().map(|r| r.job).filter(|job| self.has_waiting_suspects(*job)).collect();
-        self.reserve_executors(&waiting, now);
+        self.quarantine_executors(&waiting, now);
         let least_cpu = self.least_cpu_needed(&ready);
         let (mut accepting, mut excluded) = (Vec::new(), Vec::new());
         let workers = self.workers.iter().enumerate();
-        let workers = workers.filter(|(_, (id, _))| !self.reserved.contains_key(*id));
+        let workers = workers.filter(|(_, (id, _))| !self.quarantined.contains_key(*id));
         for (n, (_, worker)) in workers.filter(|(_, (_, w))| w.free().cpu >= least_cpu) {
             match worker.obstacle(now) {
                 None => accepting.push(n),
@@ -130,14 +133,16 @@
             reserved: IndexMap::new(),
             former,
             reservations: IndexMap::new(),
+            short_ends: IndexMap::new(),
             unplaceable: Vec::new(),
             compared: 0,
             suspects_only: false,
             now,
         };
         for item in ready {
-            let no_executors =
-                pass.accepting.is_empty() && pass.excluded.is_empty() && self.reserved.is_empty();
+            let no_executors = pass.accepting.is_empty()
+                && pass.excluded.is_empty()
+                && self.quarantined.is_empty();
             if pass.starts_left == 0 || no_executors {
                 break;
             }
@@ -181,7 +186,7 @@
         if entry.crash_record != CrashRecord::Durable {
             return;
         }
-        let kept = self.quiet_reserved(id, pass.now);
+        let kept = self.quiet_quarantined(id, pass.now);
         if kept.is_empty() {
             let suspect = entry.suspects.iter().find(|task| is_turn(entry, task));
             let step = suspect.map(|task| (task.occurrence, task.step));
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -28,7 +28,7 @@
 pub use load::{ShrinkLimits, Usage};
 pub use outcome::{Refusal, StartOutcome};
 pub use quarantine::Crash;
-use quarantine::{CrashRecord, Reservation};
+use quarantine::{CrashRecord, Quarantine};
 pub use record::{Flush, JobChange};
 pub use wait::WaitingTask;
 
@@ -226,7 +226,7 @@
     /// Ids of jobs whose end is durable, the latest [`MAX_ENDED_JOBS`] of them.
     ended_jobs: IndexSet<String>,
     /// Executors that are kept for suspects of a job.
-    reserved: IndexMap<String, Reservation>,
+    quarantined: IndexMap<String, Quarantine>,
     /// When the last of these executors was released, in milliseconds.
     released_at: u64,
     /// Time until which a crash that no task has caused makes others doubtful, in milliseconds.
@@ -274,7 +274,7 @@
             unknown_inherited: false,
             leaving: IndexSet::new(),
             ended_jobs: IndexSet::new(),
-            reserved: IndexMap::new(),
+            quarantined: IndexMap::new(),
             released_at: 0,
             unexplained_until: 0,
             crashes: Vec::new(),
@@ -430,6 +430,7 @@
     /// `wall` is the wall-clock time in milliseconds.
     pub fn tick(&mut self, now: u64, wall: u64) -> Vec<Order> {
         self.expire(now);
+        self.expire_starts(now);
         self.drain_leaving(now);
         self.repeat_stops(now);
         self.stop_slow(now);
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -12,18 +12,18 @@
 use crate::place;
 
 /// Time for which an executor is kept for a job that does not start there, in milliseconds.
-const RESERVATION_MS: u64 = 2_000;
-/// Time between two reservations of a pool's only executor, in milliseconds, so that other jobs
+const QUARANTINE_MS: u64 = 2_000;
+/// Time between two quarantines of a pool's only executor, in milliseconds, so that other jobs
 /// start as well.
 const SINGLE_EXECUTOR_PAUSE_MS: u64 = 500;
 /// Most jobs that are given executors in one pass; bounds the duration of a pass.
-const MAX_NEW_RESERVATIONS: usize = 16;
+const MAX_NEW_QUARANTINES: usize = 16;
 /// Most crashes kept for the log between two reads of it.
 const MAX_CRASH_RECORDS: usize = 64;
 
 /// An executor that is kept for the suspects of one job.
 #[derive(Debug, Clone)]
-pub(super) struct Reservation {
+pub(super) struct Quarantine {
     job: String,
     /// Time since which the executor is kept without a start, in milliseconds.
     since: u64,
@@ -151,9 +151,10 @@
     }
 
     /// Keeps an executor for a job whose suspect a former holder has started there.
-    pub(super) fn reserve_adopted(&mut self, id: &str, task: &TaskId, now: u64) {
+    pub(super) fn quarantine_adopted(&mut self, id: &str, task: &TaskId, now: u64) {
         if self.jobs.get(&task.job).is_some_and(|entry| entry.suspects.contains(task)) {
-            self.reserved.insert(id.to_owned(), Reservation { job: task.job.clone(), since: now });
+            self.quarantined
+                .insert(id.to_owned(), Quarantine { job: task.job.clone(), since: now });
         }
     }
 
@@ -165,8 +166,8 @@
     }
 
     /// Positions of the executors that are kept for a job and on which it alone may be to blame.
-    pub(super) fn quiet_reserved(&self, job: &str, now: u64) -> Vec<usize> {
-        let kept = self.reserved.iter().filter(|(_, reservation)| reservation.job == job);
+    pub(super) fn quiet_quarantined(&self, job: &str, now: u64) -> Vec<usize> {
+        let kept = self.quarantined.iter().filter(|(_, quarantine)| quarantine.job == job);
         kept.filter_map(|(id, _)| self.workers.get_full(id))
             .filter(|(.., worker)| worker.accepts_tasks(now) && worker.is_quiet(job))
             .map(|(position, ..)| position)
@@ -175,31 +176,31 @@
 
     /// Whether an executor is kept for suspects of another job.
     pub(super) fn is_kept_from(&self, id: &str, job: &str) -> bool {
-        self.reserved.get(id).is_some_and(|reservation| reservation.job != job)
+        self.quarantined.get(id).is_some_and(|quarantine| quarantine.job != job)
     }
 
     /// Whether an executor is kept for suspects.
     pub fn is_quarantined(&self, id: &str) -> bool {
-        self.reserved.contains_key(id)
+        self.quarantined.contains_key(id)
     }
 
     /// Updates the executors that are kept for suspects of `waiting`, the positions of jobs in the
     /// scheduling order.
-    pub(super) fn reserve_executors(&mut self, waiting: &[usize], now: u64) {
-        let mut reserved = std::mem::take(&mut self.reserved);
-        let had_some = !reserved.is_empty();
-        reserved.retain(|id, reservation| {
+    pub(super) fn quarantine_executors(&mut self, waiting: &[usize], now: u64) {
+        let mut quarantined = std::mem::take(&mut self.quarantined);
+        let had_some = !quarantined.is_empty();
+        quarantined.retain(|id, quarantine| {
             let Some(worker) = self.workers.get(id).filter(|w| !w.dead) else { return false };
-            let Some(entry) = self.jobs.get(&reservation.job) else { return false };
-            if worker.has_uncleared(&reservation.job) {
-                reservation.since = now;
+            let Some(entry) = self.jobs.get(&quarantine.job) else { return false };
+            if worker.has_uncleared(&quarantine.job) {
+                quarantine.since = now;
                 return true;
             }
             !entry.suspects.is_empty()
                 && worker.accepts_tasks(now)
-                && now < reservation.since + RESERVATION_MS
+                && now < quarantine.since + QUARANTINE_MS
         });
-        if had_some && reserved.is_empty() {
+        if had_some && quarantined.is_empty() {
             self.released_at = now;
         }
         if !waiting.is_empty() {
@@ -211,22 +212,22 @@
                 .collect();
             let in_use = |id: &String| self.workers.get(id).is_some_and(|w| w.accepts_tasks(now));
             let limit = crash::max_quarantined(accepting.len());
-            let limit = limit + reserved.keys().filter(|id| !in_use(id)).count();
+            let limit = limit + quarantined.keys().filter(|id| !in_use(id)).count();
             let paused = accepting.len() == 1 && now < self.released_at + SINGLE_EXECUTOR_PAUSE_MS;
-            let kept = reserved.iter().filter(|(id, _)| in_use(id));
+            let kept = quarantined.iter().filter(|(id, _)| in_use(id));
             let kept: IndexSet<String> = kept.map(|(_, r)| r.job.clone()).collect();
             let new = waiting.iter().filter_map(|job| self.jobs.get_index(*job));
-            let new = new.filter(|(id, _)| !kept.contains(*id)).take(MAX_NEW_RESERVATIONS);
+            let new = new.filter(|(id, _)| !kept.contains(*id)).take(MAX_NEW_QUARANTINES);
             for (id, entry) in new {
-                if paused || reserved.len() >= limit {
+                if paused || quarantined.len() >= limit {
                     break;
                 }
-                for worker in self.quarantine_for(entry, &accepting, &reserved, now) {
-                    reserved.insert(worker, Reservation { job: id.clone(), since: now });
+                for worker in self.quarantine_for(entry, &accepting, &quarantined, now) {
+                    quarantined.insert(worker, Quarantine { job: id.clone(), since: now });
                 }
             }
         }
-        self.reserved = reserved;
+        self.quarantined = quarantined;
     }
 
     /// Chooses the executors to keep for a job's suspects: one, or those that a gang needs.
@@ -234,7 +235,7 @@
         &self,
         entry: &JobEntry,
         accepting: &[&String],
-        reserved: &IndexMap<String, Reservation>,
+        quarantined: &IndexMap<String, Quarantine>,
         now: u64,
     ) -> Vec<String> {
         let Some(task) = entry.suspects.iter().find(|task| is_turn(entry, task)) else {
@@ -249,7 +250,7 @@
         for id in accepting {
             let worker = &self.workers[id.as_str()];
             let assigned = siblings.get(id.as_str()).copied().unwrap_or(0);
-            let suits = !reserved.contains_key(id.as_str())
+            let suits = !quarantined.contains_key(id.as_str())
                 && place::is_eligible(spec, worker, assigned)
                 && worker.registration.capacity.fits(need)
                 && (!advised || step.advice.ticket(id, now).is_some());
