--- a/crates/cells/src/follow.rs
+++ b/crates/cells/src/follow.rs
@@ -63,8 +63,10 @@
 /// Watches parts of a table while `active` returns true, and passes each row to `on_row`.
 ///
 /// It reads all existing rows first and then the changes, at most every `interval_ms` milliseconds.
-/// After each complete read it calls `on_read` with the time at which the read was requested. When the table no longer keeps the changes, it reads all rows again;
-/// rows that were removed meanwhile are passed without a value.
+/// After each complete read it calls `on_read` with the time at which the read was requested.
+///
+/// When the table no longer keeps the changes, it reads all rows again; rows that were removed
+/// meanwhile are passed without a value.
 pub(crate) async fn follow(
     ctx: Rc<Context>,
     (table, parts): (String, Vec<String>),
