--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -219,7 +219,7 @@
             cleared: false,
         };
         worker.add_run(task.clone(), slot);
-        self.reserve_adopted(id, task, now);
+        self.quarantine_adopted(id, task, now);
         true
     }
 
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 
+use indexmap::IndexSet;
 use jobs::admit::{self, Load, Verdict};
 use jobs::cell::{Arrival, Order, Refusal, StartOutcome};
 use jobs::flush::Selection;
@@ -1004,7 +1005,7 @@
     let large = "00000000000000bb";
     pool.add_long_running(large, 60_000);
     let started: Vec<_> = (100..800).step_by(60).flat_map(|now| pool.end_small_task(now)).collect();
-    let executors: indexmap::IndexSet<&String> = started.iter().map(|(id, ..)| id).collect();
+    let executors: IndexSet<&String> = started.iter().map(|(id, ..)| id).collect();
     assert_eq!(executors.len(), 1, "only the executor that is not reserved gets tasks");
     pool.cell.cancel(large, 900);
     let started = pool.end_small_task(910);
@@ -1073,3 +1074,235 @@
     cell.handle_poll("b", &poll_answer(100), 500, 511);
     assert_eq!(starts(&cell.tick(512, 0)), [("b".to_owned(), task(0, 0), 2)]);
 }
+
+/// Registers an executor and answers its first poll.
+fn join(cell: &mut Cell, id: &str, cpu: u64, now: u64) {
+    let capacity = Resources { cpu, memory: 4_000, gpus: 0 };
+    cell.register(Registration { capacity, ..executor(id) });
+    cell.handle_poll(id, &poll_answer(now), now - 1, now);
+}
+
+fn long_running(count: u32, cpu: u64) -> Step {
+    Step { long_running: true, ..short(count, cpu, 10) }
+}
+
+fn short(count: u32, cpu: u64, memory: u64) -> Step {
+    let resources = Resources { cpu, memory, gpus: 0 };
+    Step { count, resources, estimate: 60_000, ..Step::default() }
+}
+
+fn admit(cell: &mut Cell, id: &str, step: Step) {
+    cell.admit(Arrival { id: id.to_owned(), ..arrival(vec![step], false) });
+}
+
+/// Runs a pass and confirms its starts; returns the executor, task and run of each.
+fn start_all(cell: &mut Cell, now: u64) -> Vec<(String, TaskId, u64)> {
+    let mut started = Vec::new();
+    for order in cell.tick(now, 0) {
+        if let Order::Start { worker, task, run, .. } = order {
+            cell.handle_start_outcome(&worker, &task, run, StartOutcome::Running(now), now);
+            started.push((worker, task, run));
+        }
+    }
+    started
+}
+
+/// Renews the lease and answers a poll with all runs that the cell knows of on the executor.
+fn poll(cell: &mut Cell, id: &str, now: u64) {
+    cell.grant_lease(id, now);
+    let runs = cell.workers()[id].runs.iter();
+    let present = runs.map(|(task, slot)| PresentRun {
+        task: task.clone(),
+        run: slot.run,
+        checkpoint: String::new(),
+        percent: if slot.long_running { 100 } else { now / 100 % 100 },
+        gauge: 0,
+    });
+    let answer = ExecutorReport { present: present.collect(), ..poll_answer(now) };
+    cell.handle_poll(id, &answer, now, now);
+}
+
+fn stopped_jobs(cell: &mut Cell, now: u64) -> Vec<String> {
+    let stop = |order| match order {
+        Order::Stop { task, .. } => Some(task.job),
+        _ => None,
+    };
+    cell.tick(now, 0).into_iter().filter_map(stop).collect()
+}
+
+/// Guards against several tasks that are stopped for the same place, of which only one gets it.
+#[test]
+fn a_place_for_one_task_lets_a_drain_stop_only_one() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "a", 4_000, 1);
+    admit(&mut cell, "first", long_running(1, 2_000));
+    admit(&mut cell, "second", long_running(1, 2_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 2);
+    join(&mut cell, "b", 2_000, 3);
+    poll(&mut cell, "a", 4);
+    cell.set_leaving(IndexSet::from(["a".to_owned()]));
+    assert_eq!(stopped_jobs(&mut cell, 5).len(), 1);
+}
+
+/// Guards against a task that is stopped for a place that is reserved for a task that waits.
+#[test]
+fn a_place_that_another_task_waits_for_lets_a_drain_stop_none() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "a", 2_000, 1);
+    admit(&mut cell, "runs", long_running(1, 2_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    join(&mut cell, "b", 2_000, 3);
+    admit(&mut cell, "short", short(1, 2_000, 10));
+    assert_eq!(start_all(&mut cell, 4).len(), 1);
+    admit(&mut cell, "waits", long_running(1, 2_000));
+    assert!(start_all(&mut cell, 5).is_empty(), "the executor with the short task is reserved");
+    poll(&mut cell, "a", 6);
+    poll(&mut cell, "b", 6);
+    cell.set_leaving(IndexSet::from(["a".to_owned()]));
+    assert_eq!(stopped_jobs(&mut cell, 7), Vec::<String>::new());
+}
+
+/// Ends one of the runs on `busy` every 100 ms for 5 s, and returns whether the job starts meanwhile.
+///
+/// What becomes free is given to other small tasks unless the executor is reserved.
+fn starts_while_small_tasks_end(
+    cell: &mut Cell,
+    job: &str,
+    other: &str,
+    busy: &str,
+    mut runs: Vec<(TaskId, u64)>,
+) -> bool {
+    for sequence in 1..=50 {
+        let now = 100 * sequence;
+        poll(cell, other, now);
+        if runs.is_empty() {
+            return false;
+        }
+        let (task, run) = runs.remove(0);
+        let present = runs.iter().map(|(task, run)| PresentRun {
+            task: task.clone(),
+            run: *run,
+            checkpoint: String::new(),
+            percent: sequence,
+            gauge: 0,
+        });
+        let mut answer = ExecutorReport { present: present.collect(), ..poll_answer(now) };
+        answer.ended.push(end(sequence, task, run, RunOutcome::Done));
+        cell.grant_lease(busy, now);
+        cell.handle_poll(busy, &answer, now, now);
+        let started = start_all(cell, now + 1);
+        if started.iter().any(|(_, task, _)| task.job == job) {
+            return true;
+        }
+        runs.extend(started.into_iter().map(|(_, task, run)| (task, run)));
+    }
+    false
+}
+
+/// Guards against a task that waits for the end of a long run, on the executor that lacks the least,
+/// while all that becomes free within moments on another one is given away.
+#[test]
+fn the_executor_that_is_free_first_is_reserved_and_not_the_one_that_lacks_least() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "long", 4_000, 1);
+    admit(&mut cell, "slow", short(1, 2_800, 3_900));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    join(&mut cell, "b", 4_000, 3);
+    admit(&mut cell, "small", Step { estimate: 300, ..short(100, 1_100, 1_000) });
+    let small = start_all(&mut cell, 4);
+    assert_eq!(small.len(), 3);
+    admit(&mut cell, "lasts", long_running(1, 2_000));
+    assert!(start_all(&mut cell, 5).is_empty());
+    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    assert!(starts_while_small_tasks_end(&mut cell, "lasts", "long", "b", runs));
+}
+
+/// Guards against a task that waits for the end of a run that takes much longer than estimated.
+#[test]
+fn a_reservation_moves_when_a_run_makes_slow_progress() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "slow", 4_000, 1);
+    admit(&mut cell, "slow", Step { estimate: 300, ..short(1, 2_800, 3_900) });
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    join(&mut cell, "b", 4_000, 3);
+    admit(&mut cell, "small", Step { estimate: 600, ..short(100, 1_100, 1_000) });
+    let small = start_all(&mut cell, 4);
+    assert_eq!(small.len(), 3);
+    admit(&mut cell, "lasts", long_running(1, 2_000));
+    assert!(start_all(&mut cell, 5).is_empty());
+    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    assert!(starts_while_small_tasks_end(&mut cell, "lasts", "slow", "b", runs));
+}
+
+/// Guards against a reservation of an executor that has shrunk below what its long-running tasks
+/// use, and so has no room for any other task.
+#[test]
+fn an_executor_that_has_shrunk_is_not_reserved_for_a_best_effort_task() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "shrunk", 4_000, 1);
+    admit(&mut cell, "serves", long_running(1, 4_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    let mut registration = cell.workers()["shrunk"].registration.clone();
+    registration.capacity.cpu = 2_000;
+    cell.register(registration);
+    join(&mut cell, "b", 4_000, 3);
+    admit(&mut cell, "small", short(100, 1_000, 2_000));
+    let small = start_all(&mut cell, 4);
+    assert_eq!(small.len(), 2, "the memory is used up");
+    let fills = Step { long_running: true, best_effort: true, ..short(1, 1_000, 3_000) };
+    admit(&mut cell, "fills", fills);
+    let runs = small.into_iter().map(|(_, task, run)| (task, run)).collect();
+    assert!(starts_while_small_tasks_end(&mut cell, "fills", "shrunk", "b", runs));
+}
+
+/// Guards against a task that is held for ever by a start order whose sender has ended without a
+/// result. The executor answers all polls, and reports no such run.
+#[test]
+fn a_start_without_any_result_does_not_hold_its_task_for_ever() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "a", 4_000, 1);
+    join(&mut cell, "b", 4_000, 1);
+    admit(&mut cell, "lost", long_running(1, 1_000));
+    assert_eq!(cell.tick(2, 0).len(), 1);
+    for now in (100..12_000).step_by(100) {
+        for id in ["a", "b"] {
+            cell.grant_lease(id, now);
+            cell.handle_poll(id, &poll_answer(now), now, now);
+        }
+        if !cell.tick(now, 0).is_empty() {
+            return;
+        }
+    }
+    panic!("neither a stop nor a new start in 12 s");
+}
+
+/// Guards against a task that waits for the end of tickets which only executors have that already
+/// run as many tasks of its step as they may.
+#[test]
+fn tickets_of_executors_that_may_run_no_more_tasks_of_a_step_do_not_keep_it_from_asking() {
+    let mut cell = cell(1, &[]);
+    let queue = Queue { name: "q".to_owned(), max_attempts: 2, advised: true, ..Queue::default() };
+    cell.configure(std::iter::once(&queue));
+    join(&mut cell, "a", 4_000, 1);
+    join(&mut cell, "b", 4_000, 1);
+    admit(&mut cell, "apart", Step { max_per_executor: 1, ..long_running(2, 1_000) });
+    let orders = cell.tick(2, 0);
+    let Some(Order::Advise { step, workers }) = orders.into_iter().next() else {
+        panic!("the adviser is asked first")
+    };
+    let tickets = workers.iter().map(|id| (id.clone(), "ticket".to_owned())).collect();
+    cell.handle_advice(&step, &workers, Some((tickets, 60_000)), 3);
+    assert_eq!(start_all(&mut cell, 4).len(), 2);
+    cell.mark_ended("b", 5);
+    cell.unlist("b");
+    join(&mut cell, "c", 4_000, 6);
+    for now in (100..12_000).step_by(100) {
+        poll(&mut cell, "a", now);
+        poll(&mut cell, "c", now);
+        let orders = cell.tick(now, 0);
+        if orders.iter().any(|order| matches!(order, Order::Advise { .. })) {
+            return;
+        }
+    }
+    panic!("the adviser was not asked about the new executor in 12 s");
+}
