Blame no job for a crash of an executor on which its task is not known to have begun

What callers would see: a good job shown as failed. Its task was on one executor that crashed; its next start went to one that was already dead, unanswered, and counted as the second crash with no other job to blame. Change: a start without a confirmed beginning makes a suspect, but is not blamed.

--- a/crates/jobs/src/crash.rs
+++ b/crates/jobs/src/crash.rs
@@ -84,8 +84,9 @@
 
 /// Whether a run is to blame for a crash of an executor on which no other job has just started.
 ///
-/// `started` is as for [`is_cleared`], `None` for a run that may have begun; `clock` is the
-/// executor's clock at its last answer, in milliseconds.
+/// `started` is as for [`is_cleared`], `None` for a run that is not known to have begun: the executor
+/// may have ended before the order reached it. `clock` is the executor's clock at its last answer, in
+/// milliseconds.
 ///
 /// # Examples
 ///
@@ -93,10 +94,10 @@
 /// use jobs::crash::is_to_blame;
 /// assert!(is_to_blame(Some(1_000), 1_010));
 /// assert!(!is_to_blame(Some(1_000), 1_150));
-/// assert!(is_to_blame(None, 1_200));
+/// assert!(!is_to_blame(None, 1_200));
 /// ```
 pub fn is_to_blame(started: Option<u64>, clock: u64) -> bool {
-    started.is_none_or(|started| clock < started + BLAME_MS)
+    started.is_some_and(|started| clock < started + BLAME_MS)
 }
 
 /// Most executors that may be kept for suspects, out of `executors` that accept tasks.
