Release quarantined executors also when no task waits

Cause: the executors that are kept for suspects were updated only in a pass with open tasks. Without any, an executor stayed kept after its suspect was cleared: a drain did not count it as a place and waited 8.08 s. Change: a pass without open tasks updates them as well.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -101,6 +101,7 @@
         }
         if ready.is_empty() {
             self.reservations.clear();
+            self.quarantine_executors(&[], now);
             return;
         }
         let former = std::mem::take(&mut self.reservations);
