Keep no executor for a suspect that has no room beside its long-running tasks

Cause: among full executors the quarantine preferred one without new runs, which at a peak is the one that long-running tasks fill. It never has room; it was released after 2 s and chosen again, and took the place of other suspects. Change: an executor is kept only if the suspect fits beside the long-running tasks there.

--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -252,7 +252,7 @@
             let assigned = siblings.get(id.as_str()).copied().unwrap_or(0);
             let suits = !quarantined.contains_key(id.as_str())
                 && place::is_eligible(spec, worker, assigned)
-                && worker.registration.capacity.fits(need)
+                && worker.has_room_beside_long_running(need)
                 && (!advised || step.advice.ticket(id, now).is_some());
             if suits {
                 // Without other new runs there, the suspect need not wait. A crash costs least where
