Try the suspects in turn for executors to keep

Cause: each pass considered the first sixteen waiting jobs in the scheduling order. If no executor suited them, such as for a label that is gone, the seventeenth was never considered, in an idle pool. Change: the jobs that were considered least recently go first.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -177,6 +177,8 @@
     suspects: IndexSet<TaskId>,
     /// Whether the table holds the crashes of these tasks.
     crash_record: CrashRecord,
+    /// When executors were last to be kept for its suspects, in milliseconds.
+    quarantine_tried_at: u64,
 }
 
 /// A job to admit to a cell.
@@ -324,6 +326,7 @@
             cpu_time: 0,
             suspects: IndexSet::new(),
             crash_record: CrashRecord::default(),
+            quarantine_tried_at: 0,
             job: arrival.job,
         };
         for (occurrence, steps) in &arrival.progress.occurrences {
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -216,15 +216,19 @@
             let paused = accepting.len() == 1 && now < self.released_at + SINGLE_EXECUTOR_PAUSE_MS;
             let kept = quarantined.iter().filter(|(id, _)| in_use(id));
             let kept: IndexSet<String> = kept.map(|(_, r)| r.job.clone()).collect();
-            let new = waiting.iter().filter_map(|job| self.jobs.get_index(*job));
-            let new = new.filter(|(id, _)| !kept.contains(*id)).take(MAX_NEW_QUARANTINES);
-            for (id, entry) in new {
+            let mut new: Vec<usize> = waiting.to_vec();
+            new.retain(|job| self.jobs.get_index(*job).is_some_and(|(id, _)| !kept.contains(id)));
+            // Jobs that suit no executor now do not hold up the others.
+            new.sort_by_key(|job| self.jobs[*job].quarantine_tried_at);
+            for job in new.into_iter().take(MAX_NEW_QUARANTINES) {
                 if paused || quarantined.len() >= limit {
                     break;
                 }
+                let Some((id, entry)) = self.jobs.get_index(job) else { continue };
                 for worker in self.quarantine_for(entry, &accepting, &quarantined, now) {
                     quarantined.insert(worker, Quarantine { job: id.clone(), since: now });
                 }
+                self.jobs[job].quarantine_tried_at = now;
             }
         }
         self.quarantined = quarantined;
