Keep no executors for a gang that they are too few for

Cause: for a suspect gang the executors with room were kept although not all members had a place. They stood empty for 2 s and were chosen again, for as long as the pool was full. Change: executors are kept for a gang only if all its members fit on them.

--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -291,6 +291,10 @@
                 return vec![id.to_owned()];
             }
         }
+        // A part of a gang can't start.
+        if spec.gang && placed < wanted {
+            return Vec::new();
+        }
         chosen
     }
 }
