Start long-running suspects on executors where tasks have failed if nowhere else

Cause: suspects got executors that accept tasks only. A long-running task without a crash also starts on one that is excluded after failures, if no other has room; a suspect waited 16 s for the end of the exclusion. Change: executors are kept for long-running suspects on the same terms, the excluded ones last.

--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -10,6 +10,7 @@
 use crate::crash;
 use crate::job::{State, TaskId};
 use crate::place;
+use crate::worker::{Obstacle, Worker};
 
 /// Time for which an executor is kept for a job that does not start there, in milliseconds.
 const QUARANTINE_MS: u64 = 2_000;
@@ -167,9 +168,10 @@
 
     /// Positions of the executors that are kept for a job and on which it alone may be to blame.
     pub(super) fn quiet_quarantined(&self, job: &str, now: u64) -> Vec<usize> {
+        let Some(entry) = self.jobs.get(job) else { return Vec::new() };
         let kept = self.quarantined.iter().filter(|(_, quarantine)| quarantine.job == job);
         kept.filter_map(|(id, _)| self.workers.get_full(id))
-            .filter(|(.., worker)| worker.accepts_tasks(now) && worker.is_quiet(job))
+            .filter(|(.., worker)| takes_suspects(worker, entry, now) && worker.is_quiet(job))
             .map(|(position, ..)| position)
             .collect()
     }
@@ -197,23 +199,18 @@
                 return true;
             }
             !entry.suspects.is_empty()
-                && worker.accepts_tasks(now)
+                && takes_suspects(worker, entry, now)
                 && now < quarantine.since + QUARANTINE_MS
         });
         if had_some && quarantined.is_empty() {
             self.released_at = now;
         }
         if !waiting.is_empty() {
-            let accepting: Vec<&String> = self
-                .workers
-                .iter()
-                .filter(|(_, w)| w.accepts_tasks(now))
-                .map(|(id, _)| id)
-                .collect();
+            let accepting = self.workers.values().filter(|w| w.accepts_tasks(now)).count();
             let in_use = |id: &String| self.workers.get(id).is_some_and(|w| w.accepts_tasks(now));
-            let limit = crash::max_quarantined(accepting.len());
+            let limit = crash::max_quarantined(accepting);
             let limit = limit + quarantined.keys().filter(|id| !in_use(id)).count();
-            let paused = accepting.len() == 1 && now < self.released_at + SINGLE_EXECUTOR_PAUSE_MS;
+            let paused = accepting == 1 && now < self.released_at + SINGLE_EXECUTOR_PAUSE_MS;
             let kept = quarantined.iter().filter(|(id, _)| in_use(id));
             let kept: IndexSet<String> = kept.map(|(_, r)| r.job.clone()).collect();
             let mut new: Vec<usize> = waiting.to_vec();
@@ -225,7 +222,7 @@
                     break;
                 }
                 let Some((id, entry)) = self.jobs.get_index(job) else { continue };
-                for worker in self.quarantine_for(entry, &accepting, &quarantined, now) {
+                for worker in self.quarantine_for(entry, &quarantined, now) {
                     quarantined.insert(worker, Quarantine { job: id.clone(), since: now });
                 }
                 self.jobs[job].quarantine_tried_at = now;
@@ -238,7 +235,6 @@
     fn quarantine_for(
         &self,
         entry: &JobEntry,
-        accepting: &[&String],
         quarantined: &IndexMap<String, Quarantine>,
         now: u64,
     ) -> Vec<String> {
@@ -251,10 +247,10 @@
         let advised = self.needs_advice(&entry.queue);
         let siblings = self.tasks_per_worker(step);
         let mut rated = Vec::new();
-        for id in accepting {
-            let worker = &self.workers[id.as_str()];
+        for (id, worker) in &self.workers {
             let assigned = siblings.get(id.as_str()).copied().unwrap_or(0);
-            let suits = !quarantined.contains_key(id.as_str())
+            let suits = takes_suspects(worker, entry, now)
+                && !quarantined.contains_key(id.as_str())
                 && place::is_eligible(spec, worker, assigned)
                 && worker.has_room_beside_long_running(need)
                 && (!advised || step.advice.ticket(id, now).is_some());
@@ -263,7 +259,8 @@
                 // the least work is lost.
                 let full = !worker.free().fits(need);
                 let busy = worker.runs.values().any(|slot| !slot.cleared);
-                rated.push((full, busy, worker.long_running, worker.used.cpu, id.as_str()));
+                let failed = !worker.accepts_tasks(now);
+                rated.push((failed, full, busy, worker.long_running, worker.used.cpu, id.as_str()));
             }
         }
         rated.sort_unstable();
@@ -299,6 +296,17 @@
     }
 }
 
+/// Whether suspects of a job may start on an executor.
+///
+/// As without a crash, long-running ones also start where tasks have failed.
+fn takes_suspects(worker: &Worker, entry: &JobEntry, now: u64) -> bool {
+    match worker.obstacle(now) {
+        None => true,
+        Some(Obstacle::Excluded) => entry.candidate.long_running,
+        Some(_) => false,
+    }
+}
+
 /// Whether a task waits for its start and all steps before it are done.
 pub(super) fn is_turn(entry: &JobEntry, task: &TaskId) -> bool {
     let Some(steps) = entry.occurrences.get(&task.occurrence) else { return false };
