Describe at most sixteen waiting tasks at a time

The reasons why a task waits are counted over all executors of the cell. A new holder of a large cell has thousands of tasks that do not run yet; the log names four of them. Also: tasks that run or have not waited long are passed over before any executor is looked at.

--- a/crates/jobs/src/cell/wait.rs
+++ b/crates/jobs/src/cell/wait.rs
@@ -25,8 +25,12 @@
     pub eligible: usize,
 }
 
+/// Most tasks that are described at a time; bounds the cost, which grows with the number of executors.
+const MAX_WAITING_TASKS: usize = 16;
+
 impl Cell {
-    /// Long-running tasks that have not run for at least `min_wait` milliseconds.
+    /// Long-running tasks that have not run for at least `min_wait` milliseconds, the first
+    /// [`MAX_WAITING_TASKS`] of them.
     pub fn waiting_tasks(&self, min_wait: u64, now: u64) -> Vec<WaitingTask> {
         let mut waiting = Vec::new();
         let jobs = self.jobs.iter().filter(|(_, e)| e.candidate.long_running);
@@ -35,9 +39,14 @@
                 for step in (0..steps.len()).filter(|n| entry.job.steps[*n].long_running) {
                     for index in (0u32..).zip(&steps[step].tasks).map(|(n, _)| n) {
                         let task = TaskId { job: id.clone(), occurrence: *occurrence, step, index };
-                        waiting.extend(
-                            self.waiting_task(entry, task, now).filter(|w| w.waited >= min_wait),
-                        );
+                        let waited = self.waited(entry, &task, now);
+                        let Some(waited) = waited.filter(|waited| *waited >= min_wait) else {
+                            continue;
+                        };
+                        if waiting.len() == MAX_WAITING_TASKS {
+                            return waiting;
+                        }
+                        waiting.push(self.waiting_task(entry, task, waited, now));
                     }
                 }
             }
@@ -45,12 +54,11 @@
         waiting
     }
 
-    /// Describes a task; `None` if it runs.
-    fn waiting_task(&self, entry: &JobEntry, task: TaskId, now: u64) -> Option<WaitingTask> {
-        let step = &entry.occurrences[&task.occurrence][task.step];
-        let state = &step.tasks[task.index as usize];
+    /// Time for which a task has not run, in milliseconds; `None` if it runs.
+    fn waited(&self, entry: &JobEntry, task: &TaskId, now: u64) -> Option<u64> {
+        let state = &entry.occurrences[&task.occurrence][task.step].tasks[task.index as usize];
         let worker = state.worker.as_ref().and_then(|id| self.workers.get(id));
-        let slot = worker.and_then(|worker| worker.runs.get(&task));
+        let slot = worker.and_then(|worker| worker.runs.get(task));
         let running = slot.is_some_and(|slot| slot.phase == Phase::Running);
         if running && worker.is_some_and(|worker| worker.unanswered == 0) {
             return None;
@@ -59,7 +67,15 @@
             (Some(slot), Some(worker)) => slot.phase_since.max(worker.last_answer_at),
             _ => state.not_before.max(entry.candidate.requested_at),
         };
-        let since = since.max(self.acquired);
+        Some(now.saturating_sub(since.max(self.acquired)))
+    }
+
+    /// Describes a task that does not run.
+    fn waiting_task(&self, entry: &JobEntry, task: TaskId, waited: u64, now: u64) -> WaitingTask {
+        let step = &entry.occurrences[&task.occurrence][task.step];
+        let state = &step.tasks[task.index as usize];
+        let worker = state.worker.as_ref().and_then(|id| self.workers.get(id));
+        let slot = worker.and_then(|worker| worker.runs.get(&task));
         let spec = &entry.job.steps[task.step];
         let need = place::required_resources(spec);
         let mut obstacles: IndexMap<Obstacle, usize> = IndexMap::new();
@@ -80,13 +96,6 @@
         }
         let held_by =
             state.worker.clone().map(|id| (id, slot.map_or(Phase::Unsure, |slot| slot.phase)));
-        Some(WaitingTask {
-            waited: now.saturating_sub(since),
-            task,
-            need,
-            held_by,
-            obstacles,
-            eligible,
-        })
+        WaitingTask { waited, task, need, held_by, obstacles, eligible }
     }
 }
