Open queues by the keys of organisations

Cause: the configuration's organisations were not read, so that any key, also none, could use any queue. Ruled out: a check in the adapter, which would have to keep the configuration and its age; keys in clear text in memory. Change: a queue that is not public needs a valid key where the configuration has organisations; keys are kept as digests; a process whose configuration was not confirmed for the time for which a withdrawn key may be in use waits briefly for that, and then follows the setting for processes that are cut off. Job rows and log lines name the organisation.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -67,6 +67,8 @@
     HistoryLost = 2002,
     /// A row from another writer can't be decoded.
     RowUnreadable = 2003,
+    /// A version of the configuration has a fault that does not keep it from taking effect.
+    ConfigurationFault = 2004,
     /// A job was stored and confirmed to its client.
     JobAccepted = 2101,
     /// A job was refused.
@@ -77,6 +79,8 @@
     CancelTaken = 2104,
     /// The state of a job could not be read from the table in time.
     StateUnread = 2105,
+    /// A request was denied, as it had no valid key.
+    AccessDenied = 2106,
     /// A start was sent to an executor; the fields hold the outcome.
     StartSent = 2201,
     /// A stop was sent to an executor; the fields hold the outcome.
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -29,6 +29,11 @@
     pub early: u64,
     /// Time between SIGTERM and SIGKILL.
     pub grace: u64,
+    /// Longest time for which a withdrawn key may be in use; 0 for no limit.
+    pub revocation: u64,
+    /// Whether keys stop to be valid at a process whose configuration has not been confirmed for
+    /// that time.
+    pub revoke_when_cut: bool,
 }
 
 /// Settings of a process.
@@ -71,6 +76,8 @@
     /// Start of the process, in milliseconds since 1970; distinguishes its incarnations.
     pub start_time: u64,
     config: RefCell<Option<Rc<Configuration>>>,
+    /// Time of the request that last showed the configuration to be the newest, in milliseconds.
+    pub config_confirmed_at: Cell<u64>,
     pub waves: RefCell<IndexMap<u64, Wave>>,
     pub registry: RefCell<IndexMap<String, Registration>>,
     /// Counter that is incremented with each change of the registry.
@@ -108,6 +115,7 @@
             timeline,
             start_time: clock::wall(),
             config: RefCell::default(),
+            config_confirmed_at: Cell::new(0),
             waves: RefCell::default(),
             registry: RefCell::default(),
             registry_version: Cell::new(0),
@@ -146,6 +154,12 @@
             base::Event::ConfigurationInForce,
             &[("version", &config.version), ("queues", &config.queues.len())],
         );
+        for fault in config.organisations.iter().flat_map(jobs::Organisations::faults) {
+            self.timeline.record(
+                base::Event::ConfigurationFault,
+                &[("version", &config.version), ("fault", fault)],
+            );
+        }
         self.metrics.configuration_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
@@ -170,6 +184,11 @@
         written.keys
     }
 
+    /// Returns the milliseconds since the table last confirmed the configuration.
+    pub fn config_age(&self) -> u64 {
+        clock::now().saturating_sub(self.config_confirmed_at.get())
+    }
+
     /// Records a reading of the table's clock.
     pub fn record_table_clock(&self, table: u64) {
         self.table_clock.set((table, clock::now()));
--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -7,6 +7,7 @@
 use futures_util::future::try_join_all;
 use indexmap::{IndexMap, IndexSet};
 use jobs::admit::{self, Verdict};
+use jobs::organisation::{Credential, Denial};
 use jobs::row::JobRow;
 use jobs::{Job, Queue, State};
 
@@ -39,6 +40,11 @@
 /// Maximum time since the holder has read new jobs for such a count, in milliseconds; twice the
 /// time after which a holder's feed request returns when nothing changes.
 const MAX_FEED_AGE_MS: u64 = 3_000;
+/// Longest wait for the table to confirm the configuration before a key is checked, in milliseconds;
+/// a process that was suspended hears of a newer version within this time.
+const CONFIRMATION_WAIT_MS: u64 = 400;
+/// Time between checks whether the configuration was confirmed, in milliseconds.
+const CONFIRMATION_CHECK_MS: u64 = 20;
 /// Maximum age of a cell's published load that admission uses, in milliseconds.
 const MAX_LOAD_AGE_MS: u64 = 3_000;
 
@@ -56,6 +62,8 @@
     Pending(u64),
     /// The queue does not exist.
     NoQueue,
+    /// The queue needs a valid key.
+    Denied(Denial),
     /// The job does not exist.
     NoJob,
     /// The request or the job is invalid, with the reason.
@@ -74,6 +82,15 @@
     },
 }
 
+/// A request's permission to use a queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Access {
+    /// The queue.
+    pub queue: Queue,
+    /// Organisation on whose behalf the request is made; `None` if the queue needs no key.
+    pub organisation: Option<String>,
+}
+
 /// Handles client requests for the lifetime of the process.
 #[expect(missing_debug_implementations, reason = "holds trait objects")]
 pub struct JobApi {
@@ -105,10 +122,65 @@
         self.ctx.config().map(|config| config.max_body_bytes)
     }
 
-    /// Finds the queue that a request's host and path belong to.
-    pub fn queue(&self, host: &str, path: &str) -> Result<Queue, Reply> {
+    /// Finds the queue that a request's host and path belong to, and the organisation that uses it.
+    ///
+    /// Where queues need keys and the table has not confirmed the configuration for longer than a
+    /// withdrawn key may be in use, the check waits briefly for that: a process that was suspended would
+    /// otherwise accept keys that were withdrawn meanwhile.
+    pub async fn authorise(
+        &self,
+        host: &str,
+        path: &str,
+        credential: Credential,
+    ) -> Result<Access, Reply> {
+        let Some(config) = self.ctx.config() else { return Err(self.unavailable()) };
+        let needs_key =
+            config.organisations.is_some() && !config.find(host, path).is_some_and(|q| q.public);
+        let confirmed = !needs_key || self.config_confirmed().await;
         let Some(config) = self.ctx.config() else { return Err(self.unavailable()) };
-        config.find(host, path).cloned().ok_or(Reply::NoQueue)
+        let queue = config.find(host, path).ok_or(Reply::NoQueue)?;
+        if !confirmed && self.ctx.settings.bounds.revoke_when_cut {
+            return Err(self.unavailable());
+        }
+        match config.authorise(queue, credential) {
+            Ok(organisation) => {
+                Ok(Access { queue: queue.clone(), organisation: organisation.map(str::to_owned) })
+            }
+            Err(denial) => {
+                self.log_denial(queue, credential, denial);
+                Err(Reply::Denied(denial))
+            }
+        }
+    }
+
+    /// Whether the table has confirmed the configuration recently enough; waits briefly for that.
+    async fn config_confirmed(&self) -> bool {
+        let limit = self.ctx.settings.bounds.revocation;
+        let is_recent = || self.ctx.config_age() <= limit;
+        let deadline = clock::now() + CONFIRMATION_WAIT_MS;
+        while limit > 0 && !is_recent() && clock::now() < deadline {
+            pause(CONFIRMATION_CHECK_MS).await;
+        }
+        limit == 0 || is_recent()
+    }
+
+    /// Logs a denied request; the digest of its key, not the key.
+    fn log_denial(&self, queue: &Queue, credential: Credential, denial: Denial) {
+        let key = match credential {
+            Credential::Key(digest) => digest.to_string(),
+            Credential::Missing | Credential::Malformed => String::new(),
+        };
+        let version = self.ctx.config().map_or(0, |config| config.version);
+        self.ctx.timeline.record(
+            base::Event::AccessDenied,
+            &[
+                ("queue", &queue.name),
+                ("why", &denial),
+                ("key", &key),
+                ("version", &version),
+                ("config_age_ms", &self.ctx.config_age()),
+            ],
+        );
     }
 
     /// Builds the response to a request while the table or the configuration is unavailable.
@@ -117,7 +189,8 @@
     }
 
     /// Submits a job; `remaining` is the remaining time of the request, in milliseconds.
-    pub async fn submit(&self, queue: &Queue, id: &str, job: &Job, remaining: u64) -> Reply {
+    pub async fn submit(&self, access: &Access, id: &str, job: &Job, remaining: u64) -> Reply {
+        let queue = &access.queue;
         if let Err(error) = job.validate() {
             return Reply::Invalid(error.to_string());
         }
@@ -129,7 +202,9 @@
         let submission = Submission {
             id: id.to_owned(),
             cell: cell.clone(),
-            job: refusal.is_none().then(|| JobRow::new(&queue.name, now, job)),
+            job: refusal.is_none().then(|| {
+                JobRow::new(&queue.name, now, job).on_behalf_of(access.organisation.as_deref())
+            }),
             requested_at: now.saturating_sub(waited),
             deadline: clock::now() + STORE_TIMEOUT_MS.min(remaining * RETRY_SHARE_PERCENT / 100),
         };
@@ -141,12 +216,18 @@
                 self.first_requests.borrow_mut().swap_remove(id);
                 self.ctx.timeline.record(
                     base::Event::JobAccepted,
-                    &[("job", &id), ("queue", &queue.name), ("cell", cell), ("waited_ms", &waited)],
+                    &[
+                        ("job", &id),
+                        ("queue", &queue.name),
+                        ("cell", cell),
+                        ("organisation", &access.organisation.as_deref().unwrap_or_default()),
+                        ("waited_ms", &waited),
+                    ],
                 );
                 Reply::Accepted
             }
             (StoreOutcome::Refused, Some(retry_after)) => {
-                self.log_refusal(id, queue, cell, job, retry_after);
+                self.log_refusal(id, access, job, retry_after);
                 Reply::Refused { overloaded: true, retry_after }
             }
             (StoreOutcome::Refused, None) | (StoreOutcome::Unknown, _) => self.outcome_unknown(id),
@@ -181,7 +262,8 @@
     }
 
     /// Logs a refusal with the load that caused it and the age of that load.
-    fn log_refusal(&self, id: &str, queue: &Queue, cell: &str, job: &Job, retry_after: u64) {
+    fn log_refusal(&self, id: &str, access: &Access, job: &Job, retry_after: u64) {
+        let (queue, cell) = (&access.queue, access.queue.pool.as_str());
         let load = self.ctx.loads.borrow().get(cell).cloned().unwrap_or_default();
         let age = self.ctx.table_now().saturating_sub(load.published_at);
         self.ctx.timeline.record(
@@ -191,6 +273,7 @@
                 ("why", &"load"),
                 ("queue", &queue.name),
                 ("cell", &cell),
+                ("organisation", &access.organisation.as_deref().unwrap_or_default()),
                 ("after_ms", &retry_after),
                 ("chain_ms", &job.critical_path()),
                 ("ahead", &load.timely_backlog),
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -27,6 +27,6 @@
 pub mod timeout;
 
 pub use context::{Bounds, Ports, Settings};
-pub use job_api::{JobApi, Reply};
+pub use job_api::{Access, JobApi, Reply};
 pub use metrics::Metrics;
 pub use node::Node;
--- a/crates/cells/src/node.rs
+++ b/crates/cells/src/node.rs
@@ -65,7 +65,7 @@
     let table = ctx.ports.dialect.instruction_table().to_owned();
     let context = Rc::clone(&ctx);
     let on_row = move |row: &Row| match context.ports.dialect.parse_instruction(row) {
-        Ok(Some(Instruction::Configuration(config))) => context.set_config(config),
+        Ok(Some(Instruction::Configuration(config))) => context.set_config(*config),
         Ok(Some(Instruction::Wave(wave))) => {
             let mut waves = context.waves.borrow_mut();
             let known = waves.get(&wave.number).is_some_and(|seen| *seen == wave);
@@ -87,7 +87,9 @@
             .timeline
             .record(base::Event::RowUnreadable, &[("row", &row.place.key), ("error", &error)]),
     };
-    follow(ctx, (table, vec![String::new()]), 0, || true, on_row, |_| {}).await;
+    let context = Rc::clone(&ctx);
+    let on_read = move |requested| context.config_confirmed_at.set(requested);
+    follow(ctx, (table, vec![String::new()]), 0, || true, on_row, on_read).await;
 }
 
 /// Watches the registry while this process holds a lease.
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -405,6 +405,7 @@
             id: key.to_owned(),
             part: row.place.part.clone(),
             queue: job.queue.clone(),
+            organisation: job.organisation.clone(),
             progress,
             requested_at: local_time(job.requested_at).min(accepted),
             inherited,
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -200,6 +200,7 @@
                 ("job", &change.id),
                 ("state", &change.state),
                 ("queue", &change.queue),
+                ("organisation", &change.organisation.as_deref().unwrap_or_default()),
                 ("result", &result),
                 ("took_ms", &since(now)),
                 ("objective_ms", &since(change.objective)),
--- a/crates/cells/src/ports.rs
+++ b/crates/cells/src/ports.rs
@@ -323,7 +323,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Instruction {
     /// Configuration of the queues and pools.
-    Configuration(Configuration),
+    Configuration(Box<Configuration>),
     /// Maintenance wave.
     Wave(Wave),
 }
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -360,12 +360,12 @@
         let pool = |name: &str, standby| {
             (name.to_owned(), Pool { name: name.to_owned(), standby, ..Pool::default() })
         };
-        Ok(Some(Instruction::Configuration(Configuration {
+        Ok(Some(Instruction::Configuration(Box::new(Configuration {
             version: 1,
             queues: IndexMap::from([("q".to_owned(), queue)]),
             pools: IndexMap::from([pool(POOL, false), pool(STANDBY, true)]),
             ..Configuration::default()
-        })))
+        }))))
     }
 
     fn parse_registration(&self, row: &Row) -> Result<Registration, String> {
@@ -409,7 +409,15 @@
         adviser: Rc::new(client.clone()),
         dialect: Rc::new(client),
     };
-    let bounds = Bounds { lease: 6_000, handover: 500, stop: 900, early: 0, grace: 6_000 };
+    let bounds = Bounds {
+        lease: 6_000,
+        handover: 500,
+        stop: 900,
+        early: 0,
+        grace: 6_000,
+        revocation: 0,
+        revoke_when_cut: false,
+    };
     let settings = Settings {
         name: "a".to_owned(),
         centre: "c".to_owned(),
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -151,6 +151,8 @@
 struct JobEntry {
     part: String,
     queue: String,
+    /// Organisation whose limits apply to its tasks.
+    organisation: Option<String>,
     job: Job,
     payload: Rc<str>,
     candidate: Candidate,
@@ -190,6 +192,8 @@
     pub part: String,
     /// Queue to which the job was submitted.
     pub queue: String,
+    /// Organisation on whose behalf the job was submitted.
+    pub organisation: Option<String>,
     /// Steps, payload and schedule of the job.
     pub job: Job,
     /// Progress that the table holds.
@@ -314,6 +318,7 @@
             payload: Rc::from(arrival.job.payload.as_str()),
             part: arrival.part,
             queue: arrival.queue,
+            organisation: arrival.organisation,
             state: if begun { State::Running } else { State::Queued },
             durable_state: if begun { State::Running } else { State::Queued },
             inherited: arrival.inherited,
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -20,6 +20,8 @@
     pub part: String,
     /// Queue to which the job was submitted.
     pub queue: String,
+    /// Organisation on whose behalf the job was submitted.
+    pub organisation: Option<String>,
     /// When the client first requested the job, by the cell's clock, in milliseconds.
     pub requested_at: u64,
     /// When the job should be completed, by the cell's clock, in milliseconds.
@@ -91,6 +93,7 @@
             changes.push(JobChange {
                 part: entry.part.clone(),
                 queue: entry.queue.clone(),
+                organisation: entry.organisation.clone(),
                 requested_at: entry.candidate.requested_at,
                 objective: entry.candidate.objective,
                 first_start: entry.first_start,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod flush;
 pub mod job;
 pub mod order;
+pub mod organisation;
 pub mod pace;
 pub mod place;
 pub mod progress;
@@ -23,6 +24,7 @@
 
 pub use cell::{Cell, CellConfig, Order};
 pub use job::{Job, Schedule, State, Step, TaskId};
+pub use organisation::{Organisation, Organisations};
 pub use progress::Progress;
 pub use queue::{Configuration, Pool, Queue};
 pub use worker::{ExecutorReport, Registration, Resources, RunOutcome, Worker};
--- a/crates/jobs/src/queue.rs
+++ b/crates/jobs/src/queue.rs
@@ -2,6 +2,8 @@
 
 use indexmap::IndexMap;
 
+use crate::organisation::{Credential, Denial, Organisations};
+
 /// One version of the operator's configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Configuration {
@@ -13,6 +15,8 @@
     pub pools: IndexMap<String, Pool>,
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
+    /// Organisations with their keys and limits; `None` if no queue needs a key.
+    pub organisations: Option<Organisations>,
 }
 
 /// A queue of jobs and the rules for its jobs.
@@ -39,6 +43,8 @@
     pub timeout: u64,
     /// Whether the adviser service decides which executors may run a step.
     pub advised: bool,
+    /// Whether requests need no key even if the configuration has organisations.
+    pub public: bool,
 }
 
 /// A pool of machines, which run the tasks of its queues.
@@ -80,6 +86,22 @@
             .max_by_key(|q| q.prefix.len())
     }
 
+    /// Finds the organisation on whose behalf a request uses a queue; `None` if it needs none.
+    ///
+    /// A valid key counts on a public queue, too.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the queue needs a key and the credential is no valid one.
+    pub fn authorise(&self, queue: &Queue, credential: Credential) -> Result<Option<&str>, Denial> {
+        let Some(organisations) = &self.organisations else { return Ok(None) };
+        match organisations.identify(credential) {
+            Ok(organisation) => Ok(Some(&organisation.name)),
+            Err(_) if queue.public => Ok(None),
+            Err(denial) => Err(denial),
+        }
+    }
+
     /// Returns the queue with a name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.get(name)
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -26,6 +26,9 @@
     payload: String,
     #[serde(rename = "s")]
     steps: Vec<StepRow>,
+    /// Organisation on whose behalf the job was submitted.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<String>,
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     schedule: Option<(u64, u64, u32)>,
 }
@@ -138,10 +141,17 @@
             accepted_at,
             requested_at: accepted_at,
             payload: job.payload.clone(),
+            organisation: None,
             steps: job.steps.iter().map(StepRow::from).collect(),
             schedule: job.schedule.map(|s| (s.first_due, s.interval, s.occurrences)),
         }
     }
+
+    /// Returns the row with the organisation on whose behalf the job was submitted.
+    #[must_use]
+    pub fn on_behalf_of(self, organisation: Option<&str>) -> Self {
+        Self { organisation: organisation.map(str::to_owned), ..self }
+    }
 }
 
 impl From<JobRow> for Job {
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -76,6 +76,7 @@
         requested_at: 0,
         inherited: false,
         start_blocked: false,
+        organisation: None,
     }
 }
 
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -62,6 +62,7 @@
         requested_at: 0,
         inherited,
         start_blocked: false,
+        organisation: None,
     }
 }
 
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -419,6 +419,7 @@
         requested_at: record.requested_at,
         inherited,
         start_blocked: false,
+        organisation: None,
     }
 }
 
--- a/crates/jobs/tests/liveness.rs
+++ b/crates/jobs/tests/liveness.rs
@@ -370,6 +370,7 @@
             requested_at: self.now,
             inherited: false,
             start_blocked: false,
+            organisation: None,
         };
         if let Some(holder) = &mut self.holder {
             holder.cell.admit(arrival.clone());
--- a/crates/jobs/tests/quarantine.rs
+++ b/crates/jobs/tests/quarantine.rs
@@ -104,6 +104,7 @@
             requested_at: self.now,
             inherited: false,
             start_blocked: false,
+            organisation: None,
         });
     }
 
--- a/crates/jobs/tests/sizing.rs
+++ b/crates/jobs/tests/sizing.rs
@@ -102,6 +102,7 @@
             requested_at: self.now - waited,
             inherited: false,
             start_blocked: false,
+            organisation: None,
         });
     }
 
--- a/crates/jobs/tests/turn.rs
+++ b/crates/jobs/tests/turn.rs
@@ -204,6 +204,7 @@
                 requested_at,
                 inherited: false,
                 start_blocked: false,
+                organisation: None,
             });
         }
         for (at, (id, executor)) in pool.iter_mut().enumerate() {
