Begin machines with long-running tasks early in a wave

Cause: a wave began the machines with the least cost first, and those with long-running tasks cost the most. An outage of the table at 10 to 14 s had used up the reserve. Ruled out: refused orders (none), the limit on machines down at once (66, few were down), the rate of orders. Change: machines with long-running tasks are planned apart from the others and are to be done in half of the time. The new test of jobs/tests/decisions fails without the change (three machines not begun by the deadline).

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -73,6 +73,8 @@
     busy_until: RefCell<IndexMap<String, u64>>,
     /// Orders for waves with an unknown outcome, by wave and machine.
     open_orders: RefCell<IndexSet<(u64, String)>>,
+    /// Machines of waves on which long-running tasks were when they were last due.
+    long_running: RefCell<IndexSet<String>>,
     /// Waves reported to the operator, and whether as complete.
     reported: RefCell<IndexMap<u64, bool>>,
     /// Times at which waves were first seen by any holder, by the table's clock.
@@ -106,6 +108,7 @@
             accepted: RefCell::default(),
             busy_until: RefCell::default(),
             open_orders: RefCell::default(),
+            long_running: RefCell::default(),
             reported: RefCell::default(),
             wave_starts: RefCell::default(),
             pool_states: RefCell::default(),
--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -98,7 +98,7 @@
     }
 
     /// Returns whether a machine has a duty or an order in progress.
-    fn is_reserved(&self, machine: &str) -> bool {
+    pub(super) fn is_reserved(&self, machine: &str) -> bool {
         self.moving.borrow().contains_key(machine)
             || self.has_duty(machine)
             || self.is_recently_ordered(machine)
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -15,6 +15,36 @@
 /// It is higher than the cost of any spare.
 const BUSY_MACHINE_COST: u64 = 100;
 
+/// The machines of a wave, as the holder of the fleet's duties sees them.
+struct WaveMachines<'a> {
+    fleet: &'a Inner,
+    wave: u64,
+    machines: &'a IndexMap<String, Machine>,
+}
+
+impl wave::Machines for WaveMachines<'_> {
+    fn is_empty(&self, name: &str) -> bool {
+        let Some(machine) = self.machines.get(name) else { return true };
+        let duty = self.fleet.duty(&keys::maintenance(self.wave, name));
+        machine.up
+            && !self.fleet.is_recently_ordered(name)
+            && !self.fleet.is_busy(name)
+            && (self.fleet.runs_no_tasks(machine)
+                || duty.is_some_and(|d| d.emptied && d.executor == machine.executor))
+    }
+
+    fn cost(&self, name: &str) -> u64 {
+        match self.machines.get(name) {
+            Some(_) if self.fleet.is_busy(name) => u64::MAX,
+            machine => machine.map_or(0, |m| self.fleet.maintenance_cost(m)),
+        }
+    }
+
+    fn has_long_running(&self, name: &str) -> bool {
+        self.fleet.long_running.borrow().contains(name)
+    }
+}
+
 impl Inner {
     /// Carries out the next steps of a wave.
     pub(super) async fn advance_wave(&self, wave: &Wave) -> Result<(), String> {
@@ -30,20 +60,9 @@
                     (name.clone(), wave::planned_stage(stage, self.is_busy(name)))
                 })
                 .collect();
-            let empty = |name: &str| {
-                let Some(machine) = machines.get(name) else { return true };
-                let duty = self.duty(&keys::maintenance(wave.number, name));
-                machine.up
-                    && !self.is_recently_ordered(name)
-                    && !self.is_busy(name)
-                    && (self.runs_no_tasks(machine)
-                        || duty.is_some_and(|d| d.emptied && d.executor == machine.executor))
-            };
-            let cost = |name: &str| match machines.get(name) {
-                Some(_) if self.is_busy(name) => u64::MAX,
-                machine => machine.map_or(0, |m| self.maintenance_cost(m)),
-            };
-            wave::plan_steps(wave, &stages, elapsed, &empty, &cost)
+            self.update_long_running(&stages, &machines);
+            let view = WaveMachines { fleet: self, wave: wave.number, machines: &machines };
+            wave::plan_steps(wave, &stages, elapsed, &view)
         };
         let mut changes = Vec::new();
         {
@@ -80,6 +99,34 @@
         self.report_wave(wave.number, steps.complete).await
     }
 
+    /// Updates which machines have long-running tasks.
+    ///
+    /// Machines that are being emptied keep the state that they had before: they are no spares of
+    /// their pools in any case.
+    fn update_long_running(
+        &self,
+        stages: &IndexMap<String, Stage>,
+        machines: &IndexMap<String, Machine>,
+    ) {
+        let states = self.pool_states.borrow();
+        let mut long_running = self.long_running.borrow_mut();
+        for name in stages.iter().filter(|(_, stage)| **stage == Stage::Due).map(|(name, _)| name) {
+            let has_long_running = machines.get(name).is_some_and(|machine| {
+                machine.up
+                    && !self.is_reserved(name)
+                    && !self.runs_no_tasks(machine)
+                    && states
+                        .get(&machine.pool)
+                        .is_some_and(|state| !state.spares.contains(&machine.executor))
+            });
+            if has_long_running {
+                long_running.insert(name.clone());
+            } else {
+                long_running.swap_remove(name);
+            }
+        }
+    }
+
     /// Returns the cost of taking a machine down now.
     ///
     /// A machine without tasks costs nothing. Otherwise the cost rises with the load of the pool,
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a wave names up to half of all machines. Few may be down at once, and each of them
 //! is lost capacity for the queue whose demand peaks. The stops are therefore spread over the time
 //! up to the deadline, idle machines go first, and the next machines are emptied while others are
-//! down.
+//! down. Machines with long-running tasks are begun apart from the others, early and several at a time:
+//! most tasks of a step have to keep working, so that these machines become empty one after the other.
 
 use indexmap::IndexMap;
 
@@ -142,40 +143,75 @@
 /// can't be emptied at once.
 const PLANNED_TIME_PERCENT: u64 = 65;
 
+/// Time to empty and stop a machine with long-running tasks, in milliseconds: each task waits until
+/// others of its step work again.
+const LONG_RUNNING_CYCLE_MS: u64 = 8_000;
+/// Part of the wave's time limit in which these machines are to be done, in percent, so that an outage
+/// of some seconds leaves time for them.
+const LONG_RUNNING_TIME_PERCENT: u64 = 50;
+
+/// What a wave knows of its machines at a moment.
+pub trait Machines {
+    /// Whether a machine that is being emptied has no runs left.
+    fn is_empty(&self, machine: &str) -> bool;
+
+    /// Cost of taking a machine down now; those with the least go first.
+    fn cost(&self, machine: &str) -> u64;
+
+    /// Whether long-running tasks have to leave the machine first.
+    fn has_long_running(&self, machine: &str) -> bool;
+}
+
+/// Number of machines to have in progress for `unfinished` machines that take `cycle` each.
+fn in_progress_needed(unfinished: usize, cycle: u64, time_left: u64) -> usize {
+    let needed = (unfinished as u64 * cycle).div_ceil(time_left.max(cycle));
+    usize::try_from(needed).unwrap_or(usize::MAX)
+}
+
 /// Decides the next steps of a wave, `elapsed` milliseconds after its order.
 ///
 /// Only as many machines are in progress at once as the deadline requires, and those with the least
-/// `cost` go first. `is_empty` returns whether a machine that is being emptied has no runs left.
+/// cost go first.
 pub fn plan_steps(
     wave: &Wave,
     stages: &IndexMap<String, Stage>,
     elapsed: u64,
-    is_empty: &dyn Fn(&str) -> bool,
-    cost: &dyn Fn(&str) -> u64,
+    machines: &dyn Machines,
 ) -> WaveSteps {
     let stage = |m: &String| stages.get(m).copied().unwrap_or_default();
     let at = |s: Stage| wave.machines.iter().filter(move |m| stage(m) == s);
     let max_down = wave.max_down.max(1);
     let mut free_slots = max_down.saturating_sub(at(Stage::Down).count());
     let mut steps = WaveSteps::default();
-    for machine in at(Stage::Emptying).filter(|m| is_empty(m)) {
+    for machine in at(Stage::Emptying).filter(|m| machines.is_empty(m)) {
         if free_slots == 0 {
             break;
         }
         free_slots -= 1;
         steps.take_down.push(machine.clone());
     }
-    let time_left = (wave.time_limit * PLANNED_TIME_PERCENT / 100)
-        .saturating_sub(elapsed)
-        .max(MACHINE_CYCLE_MS);
+    let time_left = |percent: u64| (wave.time_limit * percent / 100).saturating_sub(elapsed);
     let unfinished = wave.machines.iter().filter(|m| stage(m) != Stage::Done).count();
-    let in_progress = (unfinished as u64 * MACHINE_CYCLE_MS).div_ceil(time_left);
-    let in_progress = usize::try_from(in_progress).unwrap_or(usize::MAX).min(max_down + 1);
-    let begun = at(Stage::Emptying).count() + at(Stage::Down).count();
+    let in_progress =
+        in_progress_needed(unfinished, MACHINE_CYCLE_MS, time_left(PLANNED_TIME_PERCENT));
+    let is_begun = |m: &&String| matches!(stage(m), Stage::Emptying | Stage::Down);
+    let is_slow = |m: &&String| stage(m) != Stage::Down && machines.has_long_running(m);
+    let begun = wave.machines.iter().filter(is_begun).filter(|m| !is_slow(m)).count();
     let mut due: Vec<&String> = at(Stage::Due).collect();
-    due.sort_by_key(|m| cost(m));
-    steps.start_emptying =
-        due.into_iter().take(in_progress.saturating_sub(begun)).cloned().collect();
+    due.sort_by_key(|m| machines.cost(m));
+    let free = in_progress.min(max_down + 1).saturating_sub(begun);
+    let quick = due.iter().filter(|m| !is_slow(m)).take(free);
+    let slow_unfinished =
+        wave.machines.iter().filter(|m| stage(m) != Stage::Done).filter(is_slow).count();
+    let slow_in_progress = in_progress_needed(
+        slow_unfinished,
+        LONG_RUNNING_CYCLE_MS,
+        time_left(LONG_RUNNING_TIME_PERCENT),
+    );
+    let slow_begun = at(Stage::Emptying).filter(is_slow).count();
+    let slow_free = slow_in_progress.min(max_down).saturating_sub(slow_begun);
+    let slow = due.iter().filter(|m| is_slow(m)).take(slow_free);
+    steps.start_emptying = slow.chain(quick).map(|m| (*m).clone()).collect();
     steps.complete = unfinished == 0;
     steps
 }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -209,6 +209,27 @@
     );
 }
 
+/// Machines of a simulated wave.
+struct Simulated<'a> {
+    is_empty: &'a dyn Fn(&str) -> bool,
+    cost: &'a dyn Fn(&str) -> u64,
+    has_long_running: &'a dyn Fn(&str) -> bool,
+}
+
+impl wave::Machines for Simulated<'_> {
+    fn is_empty(&self, machine: &str) -> bool {
+        (self.is_empty)(machine)
+    }
+
+    fn cost(&self, machine: &str) -> u64 {
+        (self.cost)(machine)
+    }
+
+    fn has_long_running(&self, machine: &str) -> bool {
+        (self.has_long_running)(machine)
+    }
+}
+
 /// Simulates a wave whose machines take 500 ms to empty and `stop` milliseconds to stop.
 ///
 /// Returns the duration of the wave in milliseconds and the most machines down at once.
@@ -222,7 +243,12 @@
                 *stage = Stage::Done;
             }
         }
-        let steps = plan_steps(wave, &stages, now, &|m| now >= since[m] + 500, &|_| 0);
+        let machines = Simulated {
+            is_empty: &|m| now >= since[m] + 500,
+            cost: &|_| 0,
+            has_long_running: &|_| false,
+        };
+        let steps = plan_steps(wave, &stages, now, &machines);
         if steps.complete {
             return (now, most);
         }
@@ -273,7 +299,8 @@
             stages.iter().map(|(m, s)| (m.clone(), wave::planned_stage(*s, is_busy(m)))).collect();
         let is_empty = |m: &str| now >= since[m] + 500;
         let cost = |m: &str| if is_busy(m) { u64::MAX } else { u64::from(!refuses(m)) };
-        let steps = plan_steps(&wave, &planned, now, &is_empty, &cost);
+        let machines = Simulated { is_empty: &is_empty, cost: &cost, has_long_running: &|_| false };
+        let steps = plan_steps(&wave, &planned, now, &machines);
         for machine in steps.start_emptying {
             since.entry(machine.clone()).or_insert(now);
             stages.entry(machine).or_insert(Stage::Emptying);
@@ -293,6 +320,60 @@
     assert_eq!(done, 8, "all machines that take their orders have had their maintenance");
 }
 
+/// Guards against waves that miss their deadline for a few machines: those with long-running tasks
+/// of one step, of which only two may be unavailable at once, were begun last, and after an outage in
+/// which no order could be sent.
+#[test]
+fn machines_with_long_running_tasks_of_one_step_are_done_in_time_despite_an_outage() {
+    const TASK_MOVE_MS: u64 = 2_200;
+    const OUTAGE_MS: std::ops::Range<u64> = 8_000..14_000;
+    let wave = Wave { number: 1, machines: names("m", 160), max_down: 60, time_limit: 25_000 };
+    let lasting: Vec<String> = names("m", 160).into_iter().step_by(13).collect();
+    let has_long_running = |m: &str| lasting.iter().any(|l| l == m);
+    let mut stages: IndexMap<String, Stage> = IndexMap::new();
+    let mut since: IndexMap<String, u64> = IndexMap::new();
+    // Times at which the places of the step's unavailable tasks are free again.
+    let mut free_at = [0_u64; 2];
+    let mut empty_at: IndexMap<String, u64> = IndexMap::new();
+    for now in (0..wave.time_limit).step_by(100).filter(|now| !OUTAGE_MS.contains(now)) {
+        for (machine, stage) in &mut stages {
+            if *stage == Stage::Down && now >= since[machine] + 2_000 {
+                *stage = Stage::Done;
+            }
+            if *stage == Stage::Emptying
+                && has_long_running(machine)
+                && !empty_at.contains_key(machine)
+                && let Some(place) = free_at.iter_mut().find(|at| **at <= now)
+            {
+                *place = now + TASK_MOVE_MS;
+                empty_at.insert(machine.clone(), now + TASK_MOVE_MS / 2);
+            }
+        }
+        let is_empty = |m: &str| {
+            let empty = empty_at.get(m).is_some_and(|at| now >= *at);
+            if has_long_running(m) { empty } else { now >= since[m] + 500 }
+        };
+        let cost = |m: &str| if has_long_running(m) { 1_100 } else { 1_000 };
+        let machines =
+            Simulated { is_empty: &is_empty, cost: &cost, has_long_running: &has_long_running };
+        let steps = plan_steps(&wave, &stages, now, &machines);
+        for machine in steps.start_emptying {
+            since.insert(machine.clone(), now);
+            stages.insert(machine, Stage::Emptying);
+        }
+        for machine in steps.take_down {
+            since.insert(machine.clone(), now);
+            stages.insert(machine, Stage::Down);
+        }
+    }
+    let late: Vec<&String> = wave
+        .machines
+        .iter()
+        .filter(|m| !matches!(stages.get(*m), Some(Stage::Down | Stage::Done)))
+        .collect();
+    assert!(late.is_empty(), "not begun by the deadline: {late:?}");
+}
+
 #[test]
 fn a_short_wave_uses_its_whole_limit() {
     let wave = Wave { number: 1, machines: names("m", 21), max_down: 3, time_limit: 22_000 };
@@ -304,7 +385,12 @@
 #[test]
 fn the_machines_with_the_least_cost_go_first() {
     let wave = Wave { number: 1, machines: names("m", 4), max_down: 1, time_limit: 60_000 };
-    let steps = plan_steps(&wave, &IndexMap::new(), 0, &|_| false, &|m| u64::from(m != "m2"));
+    let machines = Simulated {
+        is_empty: &|_| false,
+        cost: &|m| u64::from(m != "m2"),
+        has_long_running: &|_| false,
+    };
+    let steps = plan_steps(&wave, &IndexMap::new(), 0, &machines);
     assert_eq!(steps.start_emptying, ["m2"]);
 }
 
