Suspect only runs whose starts had gone out of a crash

Cause: starts queue at the holder for a permit of their executor, four at a time, but the cell took each run for begun as soon as it was ordered. A crash made suspects of runs whose orders had never left the holder. Their tasks then waited for an executor of their own.

Change: a run knows whether its start may have gone out. It has if fewer than four starts at the executor had no result when it was ordered, once the holder says that it sends it (Cell::handle_start_sent), and with any result that may mean a begun run. Only such runs are suspects. The holder does not send a queued start whose run the cell has released meanwhile (StartOutcome::Withdrawn): the task may have started elsewhere.

Ruled out: to count every start as unsent until the holder reports it. A start with a free permit goes out at once, and a caller that does not report it would never have suspects; jobs/tests/crash.rs has such a case.

--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -5,6 +5,7 @@
 
 use jobs::Worker;
 use jobs::cell::{Order, Refusal, StartOutcome};
+use jobs::worker::MAX_CONCURRENT_STARTS;
 use tokio::sync::Semaphore;
 
 use super::Inner;
@@ -12,9 +13,6 @@
 use crate::metrics::Metrics;
 use crate::ports::{OrderError, StartOrder};
 
-/// Maximum number of concurrent starts at one executor; each may need its own connection.
-const MAX_CONCURRENT_STARTS: usize = 4;
-
 impl Inner {
     /// Sends an order in the background and passes the response to the scheduler.
     pub(super) fn send(self: &Rc<Self>, order: Order) {
@@ -126,6 +124,9 @@
         if !is_within_capacity || !self.is_registry_current() {
             return StartOutcome::Refused(Refusal::Room);
         }
+        if !self.cell.borrow_mut().handle_start_sent(worker, start.task, start.run) {
+            return StartOutcome::Withdrawn;
+        }
         self.ctx.ports.executors.start(&executor, self.tenure.epoch, start).await
     }
 
@@ -143,6 +144,7 @@
             StartOutcome::Running(_) => "running".to_owned(),
             StartOutcome::Refused(refusal) => format!("refused-{refusal}"),
             StartOutcome::Unsent => "unsent".to_owned(),
+            StartOutcome::Withdrawn => "withdrawn".to_owned(),
             StartOutcome::Gone => "gone".to_owned(),
             StartOutcome::Unknown => "unknown".to_owned(),
         };
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -421,6 +421,7 @@
             run,
             resources,
             phase: Phase::Sent,
+            sent: self.workers[worker].sends_at_once(),
             phase_since: now,
             last_order_at: now,
             pace: 100,
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -45,6 +45,8 @@
     Refused(Refusal),
     /// The order was not sent.
     Unsent,
+    /// The order was not sent, as the cell had released the run before.
+    Withdrawn,
     /// The incarnation no longer exists.
     Gone,
     /// No answer was received; the run may have begun or may still begin.
@@ -52,6 +54,18 @@
 }
 
 impl Cell {
+    /// Handles a start order that is about to go out, and returns whether it is still wanted.
+    ///
+    /// Starts queue at the holder for a permit of their executor. A run whose start has not gone out
+    /// can't be the cause of a crash. A run that the cell has released must not begin any more: its
+    /// task may have started elsewhere.
+    pub fn handle_start_sent(&mut self, id: &str, task: &TaskId, run: u64) -> bool {
+        let slot = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(task));
+        let Some(slot) = slot.filter(|slot| slot.run == run) else { return false };
+        slot.sent = true;
+        true
+    }
+
     /// Handles the result of a start order.
     pub fn handle_start_outcome(
         &mut self,
@@ -72,6 +86,7 @@
                     slot.progressed_at = now;
                 }
                 if let Some(slot) = worker.runs.get_mut(task).filter(|slot| slot.run == run) {
+                    slot.sent = true;
                     slot.start_clock.get_or_insert(clock);
                 }
                 worker.record_answer(clock, now);
@@ -86,13 +101,15 @@
                 worker.unanswered += 1;
                 self.release_unstarted(id, task, run, now);
             }
+            StartOutcome::Withdrawn => {}
             StartOutcome::Gone => {
                 self.release_unstarted(id, task, run, now);
                 self.mark_dead(id, now);
             }
             StartOutcome::Unknown => {
                 // A run that a poll has shown meanwhile is known to work.
-                if unconfirmed.is_some() {
+                if let Some(slot) = unconfirmed {
+                    slot.sent = true;
                     self.doubt_start(id, task, now);
                 }
                 self.handle_no_answer(id);
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -150,6 +150,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.runs.get_mut(task) else { return };
+        slot.sent = true;
         slot.start_clock.get_or_insert(clock);
         if matches!(slot.phase, Phase::Sent | Phase::Unsure) {
             slot.phase = Phase::Running;
@@ -205,6 +206,7 @@
             run: run.run,
             resources,
             phase: Phase::Running,
+            sent: true,
             phase_since: now,
             last_order_at: now,
             pace: 100,
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -79,7 +79,7 @@
         let uncleared: Vec<(TaskId, bool)> = worker
             .runs
             .iter()
-            .filter(|(_, slot)| !slot.cleared)
+            .filter(|(_, slot)| slot.sent && !slot.cleared)
             .map(|(task, slot)| (task.clone(), crash::is_to_blame(slot.start_clock, worker.clock)))
             .collect();
         self.mark_ended(id, now);
--- a/crates/jobs/src/crash.rs
+++ b/crates/jobs/src/crash.rs
@@ -3,7 +3,7 @@
 //! Load pattern: some jobs have tasks that crash each executor that starts them, within
 //! milliseconds of the start. Dozens of small tasks share these executors and start again together
 //! with them. Machines also crash for reasons of their own, at times a whole rack at once. The
-//! suspects of a crash are the tasks that started shortly before it. A suspect starts again where no
+//! suspects of a crash are the tasks whose start had gone out shortly before it. A suspect starts again where no
 //! other job starts at that time, so that a further crash has one job to blame. Two such crashes
 //! tell a deadly task from an innocent one whose machine happens to crash.
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -16,6 +16,9 @@
 const ANSWER_VALIDITY_MS: u64 = 2_500;
 /// Consecutive failures after which an executor gets no new tasks for a while.
 const FAILURES_BEFORE_EXCLUSION: u32 = 3;
+/// Most starts that a holder sends to one executor at a time, each of which may need its own
+/// connection; further ones queue at the holder.
+pub const MAX_CONCURRENT_STARTS: usize = 4;
 /// Time for which an observed slowdown counts, in milliseconds; after it the executor is tried
 /// again.
 const SLOWDOWN_VALIDITY_MS: u64 = 6_000;
@@ -152,7 +155,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "lowercase")]
 pub enum Phase {
-    /// The start order was sent.
+    /// The start was ordered and has no result yet; [`Slot::sent`] tells whether it has gone out.
     Sent,
     /// The start order was not answered; the next poll shows whether the run has begun.
     Unsure,
@@ -199,6 +202,8 @@
     pub resources: Resources,
     /// Phase of the run.
     pub phase: Phase,
+    /// Whether the start may have gone out to the executor, rather than queue at the holder.
+    pub sent: bool,
     /// Time at which the run entered its phase, in milliseconds.
     pub phase_since: u64,
     /// Time at which the last order for the run was sent, in milliseconds.
@@ -316,6 +321,13 @@
         self.runs.iter().all(|(task, slot)| task.job == job || slot.cleared)
     }
 
+    /// Whether a further start is sent at once, as fewer than [`MAX_CONCURRENT_STARTS`] have no
+    /// result yet.
+    pub fn sends_at_once(&self) -> bool {
+        let open = self.runs.values().filter(|slot| slot.phase == Phase::Sent);
+        open.count() < MAX_CONCURRENT_STARTS
+    }
+
     /// Rack of the executor: the second of its labels, after the kind of machine.
     pub fn rack(&self) -> Option<&str> {
         self.registration.labels.get(1).map(String::as_str)
--- /dev/null
+++ b/crates/jobs/tests/starts.rs
@@ -0,0 +1,144 @@
+//! Starts that queue at the holder for a permit of their executor when the executor crashes.
+
+use indexmap::IndexSet;
+use jobs::cell::{Arrival, Order, StartOutcome};
+use jobs::worker::MAX_CONCURRENT_STARTS;
+use jobs::{
+    Cell, CellConfig, ExecutorReport, Job, Progress, Registration, Resources, Step, TaskId,
+};
+
+const START_MS: u64 = 60_000;
+/// Number of tasks; three times the starts that go out at a time.
+const TASKS: u32 = 12;
+
+/// A start that the cell has ordered.
+struct Start {
+    worker: String,
+    task: TaskId,
+    run: u64,
+}
+
+fn cell_with_executors(ids: &[&str]) -> Cell {
+    let config = CellConfig {
+        lease: 6_000,
+        inherited_lease: 16_000,
+        stop_timeout: 200,
+        early_start: 0,
+        term: 1,
+    };
+    let mut cell = Cell::new(config, START_MS);
+    for id in ids {
+        cell.register(Registration {
+            id: (*id).to_owned(),
+            pool: "p".to_owned(),
+            address: format!("{id}:1"),
+            ready: true,
+            capacity: Resources { cpu: 16_000, memory: 1 << 20, gpus: 0 },
+            ..Registration::default()
+        });
+        let report = ExecutorReport { clock: START_MS, ..ExecutorReport::default() };
+        cell.handle_poll(id, &report, START_MS, START_MS);
+    }
+    cell
+}
+
+/// Admits jobs of one task each.
+fn admit_jobs(cell: &mut Cell) {
+    for n in 0..TASKS {
+        let resources = Resources { cpu: 1_000, memory: 1, gpus: 0 };
+        let step = Step { count: 1, resources, estimate: 500, ..Step::default() };
+        cell.admit(Arrival {
+            id: format!("{n:016x}"),
+            part: "q".to_owned(),
+            queue: "q".to_owned(),
+            job: Job { payload: String::new(), steps: vec![step], schedule: None },
+            progress: Progress::default(),
+            requested_at: START_MS,
+            inherited: false,
+            start_blocked: false,
+            organisation: None,
+        });
+    }
+}
+
+fn starts(orders: Vec<Order>) -> Vec<Start> {
+    let start = |order| match order {
+        Order::Start { worker, task, run, .. } => Some(Start { worker, task, run }),
+        _ => None,
+    };
+    orders.into_iter().filter_map(start).collect()
+}
+
+/// Orders the starts of all tasks, confirms the first ones and reports the next ones as sent; the
+/// executor then crashes.
+fn crash_with_queued_starts(cell: &mut Cell) -> Vec<Start> {
+    admit_jobs(cell);
+    let ordered = starts(cell.tick(START_MS + 10, 0));
+    assert_eq!(ordered.len(), TASKS as usize);
+    assert!(ordered.iter().all(|start| start.worker == ordered[0].worker));
+    for start in &ordered[..MAX_CONCURRENT_STARTS] {
+        assert!(cell.handle_start_sent(&start.worker, &start.task, start.run));
+        let running = StartOutcome::Running(START_MS + 15);
+        cell.handle_start_outcome(&start.worker, &start.task, start.run, running, START_MS + 15);
+    }
+    for start in &ordered[MAX_CONCURRENT_STARTS..2 * MAX_CONCURRENT_STARTS] {
+        assert!(cell.handle_start_sent(&start.worker, &start.task, start.run));
+    }
+    cell.mark_dead(&ordered[0].worker, START_MS + 20);
+    ordered
+}
+
+/// Guards against deadly tasks that are not counted since their starts queued at first, and against
+/// innocent ones that are, though their starts never went out.
+#[test]
+fn suspects_of_a_crash_are_the_runs_whose_starts_had_gone_out() {
+    let mut cell = cell_with_executors(&["m0", "m1", "m2"]);
+    let ordered = crash_with_queued_starts(&mut cell);
+    let suspects: IndexSet<TaskId> = cell.take_crashes().remove(0).suspects.into_iter().collect();
+    let sent = ordered[..2 * MAX_CONCURRENT_STARTS].iter().map(|start| start.task.clone());
+    assert_eq!(suspects, sent.collect::<IndexSet<_>>());
+    // Tasks whose starts had not gone out need no executor of their own.
+    let again: IndexSet<TaskId> =
+        starts(cell.tick(START_MS + 30, 0)).into_iter().map(|start| start.task).collect();
+    let unsent = ordered[2 * MAX_CONCURRENT_STARTS..].iter().map(|start| start.task.clone());
+    assert_eq!(again, unsent.collect::<IndexSet<_>>());
+}
+
+/// Guards against a start that goes out after its task may have started elsewhere.
+#[test]
+fn a_queued_start_is_withdrawn_once_its_run_is_released() {
+    let mut cell = cell_with_executors(&["m0", "m1", "m2"]);
+    let ordered = crash_with_queued_starts(&mut cell);
+    for start in &ordered[2 * MAX_CONCURRENT_STARTS..] {
+        assert!(!cell.handle_start_sent(&start.worker, &start.task, start.run));
+        let withdrawn = StartOutcome::Withdrawn;
+        cell.handle_start_outcome(&start.worker, &start.task, start.run, withdrawn, START_MS + 25);
+    }
+    let again = starts(cell.tick(START_MS + 30, 0));
+    assert_eq!(again.len(), ordered.len() - 2 * MAX_CONCURRENT_STARTS);
+    assert!(again.iter().all(|s| cell.handle_start_sent(&s.worker, &s.task, s.run)));
+}
+
+/// Guards against a start without a result that counts as unsent because the cell was not told: with
+/// a free permit it goes out at once.
+#[test]
+fn starts_with_a_free_permit_count_as_sent() {
+    let mut cell = cell_with_executors(&["m0", "m1"]);
+    admit_jobs(&mut cell);
+    let ordered = starts(cell.tick(START_MS + 10, 0));
+    cell.mark_dead(&ordered[0].worker, START_MS + 20);
+    assert_eq!(cell.take_crashes()[0].suspects.len(), MAX_CONCURRENT_STARTS);
+}
+
+/// Guards against a deadly task whose only trace is an unanswered start.
+#[test]
+fn a_queued_start_that_was_not_answered_makes_a_suspect() {
+    let mut cell = cell_with_executors(&["m0", "m1"]);
+    admit_jobs(&mut cell);
+    let ordered = starts(cell.tick(START_MS + 10, 0));
+    let last = ordered.last().unwrap();
+    let unknown = StartOutcome::Unknown;
+    cell.handle_start_outcome(&last.worker, &last.task, last.run, unknown, START_MS + 15);
+    cell.mark_dead(&last.worker, START_MS + 20);
+    assert!(cell.take_crashes()[0].suspects.contains(&last.task));
+}
