Let suspects of many crashes share quarantined executors

Cause: at most a third of a pool is kept for suspects, each executor for one job at a time, and clearing one takes about 300 ms. A third of a full pool of 12 executors lost at once leaves 64 suspect jobs and two executors to clear them, so that innocent tasks waited up to 6.8 s (bound 5 s).

Change: an executor can be kept for several jobs, up to eight, as many as bring the expected wait to one second. Only jobs that have been suspected once and without blame share, and only where there is room for them now; gangs and long-running tasks do not. A crash there blames none of them and counts towards the most crashes that a task may have, so the bounds of crash.rs are unchanged and a task shares once. After a crash of an executor that was kept for suspects, all suspects start apart for 10 s: some of them are deadly then.

Ruled out: a larger share of the pool, which would take executors from all other jobs at a peak.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -231,12 +231,14 @@
     leaving: IndexSet<String>,
     /// Ids of jobs whose end is durable, the latest [`MAX_ENDED_JOBS`] of them.
     ended_jobs: IndexSet<String>,
-    /// Executors that are kept for suspects of a job.
+    /// Executors that are kept for suspects.
     quarantined: IndexMap<String, Quarantine>,
     /// When the last of these executors was released, in milliseconds.
     released_at: u64,
     /// Time until which a crash that no task has caused makes others doubtful, in milliseconds.
     unexplained_until: u64,
+    /// Time until which no jobs share an executor that is kept for suspects, in milliseconds.
+    no_sharing_until: u64,
     /// Crashes that have not been read for the log.
     crashes: Vec<Crash>,
     /// Whether an executor has seen orders of a later holder.
@@ -283,6 +285,7 @@
             quarantined: IndexMap::new(),
             released_at: 0,
             unexplained_until: 0,
+            no_sharing_until: 0,
             crashes: Vec::new(),
             superseded: false,
             starts_held: false,
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -2,13 +2,14 @@
 //!
 //! The decisions are those of [`crash`]. A suspect waits until its crash is durable, so that a
 //! successor knows of it, and until an executor is kept for its job. No other job starts there
-//! meanwhile, and all runs that are already there must have outlived their probation.
+//! meanwhile, and all runs that are already there must have outlived their probation. While many
+//! suspects wait, an executor is kept for several jobs at a time.
 
 use indexmap::{IndexMap, IndexSet};
 
 use super::{Cell, JobEntry, StepState};
 use crate::crash;
-use crate::job::{State, TaskId};
+use crate::job::{State, Step, TaskId};
 use crate::place;
 use crate::worker::{Obstacle, Worker};
 
@@ -22,12 +23,18 @@
 /// Most crashes kept for the log between two reads of it.
 const MAX_CRASH_RECORDS: usize = 64;
 
-/// An executor that is kept for the suspects of one job.
+/// An executor that is kept for suspects.
 #[derive(Debug, Clone)]
 pub(super) struct Quarantine {
-    job: String,
-    /// Time since which the executor is kept without a start, in milliseconds.
-    since: u64,
+    /// Jobs of the suspects, each with the time since which the executor is kept for it without a
+    /// start, in milliseconds.
+    jobs: IndexMap<String, u64>,
+}
+
+impl Quarantine {
+    fn of(job: &str, now: u64) -> Self {
+        Self { jobs: IndexMap::from([(job.to_owned(), now)]) }
+    }
 }
 
 /// State of the table's record of a job's crashes.
@@ -90,6 +97,9 @@
         if uncleared.is_empty() && joined {
             self.unexplained_until = now + crash::UNEXPLAINED_MS;
         }
+        if self.quarantined.contains_key(id) && suspect_jobs > 0 {
+            self.no_sharing_until = now + crash::NO_SHARING_MS;
+        }
         let unsure = now < self.unexplained_until;
         let mut hopeless: IndexMap<String, u32> = IndexMap::new();
         let mut suspects = Vec::new();
@@ -154,8 +164,7 @@
     /// Keeps an executor for a job whose suspect a former holder has started there.
     pub(super) fn quarantine_adopted(&mut self, id: &str, task: &TaskId, now: u64) {
         if self.jobs.get(&task.job).is_some_and(|entry| entry.suspects.contains(task)) {
-            self.quarantined
-                .insert(id.to_owned(), Quarantine { job: task.job.clone(), since: now });
+            self.quarantined.insert(id.to_owned(), Quarantine::of(&task.job, now));
         }
     }
 
@@ -166,19 +175,26 @@
             && entry.suspects.iter().any(|task| is_turn(entry, task))
     }
 
-    /// Positions of the executors that are kept for a job and on which it alone may be to blame.
+    /// Positions of the executors that are kept for a job and on which only the jobs for which they
+    /// are kept may be to blame.
     pub(super) fn quiet_quarantined(&self, job: &str, now: u64) -> Vec<usize> {
         let Some(entry) = self.jobs.get(job) else { return Vec::new() };
-        let kept = self.quarantined.iter().filter(|(_, quarantine)| quarantine.job == job);
-        kept.filter_map(|(id, _)| self.workers.get_full(id))
-            .filter(|(.., worker)| takes_suspects(worker, entry, now) && worker.is_quiet(job))
-            .map(|(position, ..)| position)
-            .collect()
+        let mut quiet = Vec::new();
+        for (id, Quarantine { jobs }) in &self.quarantined {
+            if jobs.contains_key(job)
+                && let Some((position, _, worker)) = self.workers.get_full(id)
+                && takes_suspects(worker, entry, now)
+                && worker.has_uncleared_only(|other| jobs.contains_key(other))
+            {
+                quiet.push(position);
+            }
+        }
+        quiet
     }
 
     /// Whether an executor is kept for suspects of another job.
     pub(super) fn is_kept_from(&self, id: &str, job: &str) -> bool {
-        self.quarantined.get(id).is_some_and(|quarantine| quarantine.job != job)
+        self.quarantined.get(id).is_some_and(|quarantine| !quarantine.jobs.contains_key(job))
     }
 
     /// Whether an executor is kept for suspects.
@@ -193,14 +209,20 @@
         let had_some = !quarantined.is_empty();
         quarantined.retain(|id, quarantine| {
             let Some(worker) = self.workers.get(id).filter(|w| !w.dead) else { return false };
-            let Some(entry) = self.jobs.get(&quarantine.job) else { return false };
-            if worker.has_uncleared(&quarantine.job) {
-                quarantine.since = now;
-                return true;
-            }
-            !entry.suspects.is_empty()
-                && takes_suspects(worker, entry, now)
-                && now < quarantine.since + QUARANTINE_MS
+            let shared = quarantine.jobs.len() > 1;
+            let may_share = |entry| now >= self.no_sharing_until && may_share(entry);
+            quarantine.jobs.retain(|job, since| {
+                let Some(entry) = self.jobs.get(job) else { return false };
+                if worker.has_uncleared(job) {
+                    *since = now;
+                    return true;
+                }
+                !entry.suspects.is_empty()
+                    && takes_suspects(worker, entry, now)
+                    && now < *since + QUARANTINE_MS
+                    && (!shared || may_share(entry))
+            });
+            !quarantine.jobs.is_empty()
         });
         if had_some && quarantined.is_empty() {
             self.released_at = now;
@@ -212,18 +234,22 @@
             let limit = limit + quarantined.keys().filter(|id| !in_use(id)).count();
             let paused = accepting == 1 && now < self.released_at + SINGLE_EXECUTOR_PAUSE_MS;
             let kept = quarantined.iter().filter(|(id, _)| in_use(id));
-            let kept: IndexSet<String> = kept.map(|(_, r)| r.job.clone()).collect();
+            let kept: IndexSet<String> = kept.flat_map(|(_, q)| q.jobs.keys().cloned()).collect();
             let mut new: Vec<usize> = waiting.to_vec();
             new.retain(|job| self.jobs.get_index(*job).is_some_and(|(id, _)| !kept.contains(id)));
             // Jobs that suit no executor now do not hold up the others.
             new.sort_by_key(|job| self.jobs[*job].quarantine_tried_at);
+            if now >= self.no_sharing_until {
+                let most = crash::max_sharing_jobs(waiting.len(), limit);
+                self.share_executors(&mut new, &mut quarantined, most, now);
+            }
             for job in new.into_iter().take(MAX_NEW_QUARANTINES) {
                 if paused || quarantined.len() >= limit {
                     break;
                 }
                 let Some((id, entry)) = self.jobs.get_index(job) else { continue };
                 for worker in self.quarantine_for(entry, &quarantined, now) {
-                    quarantined.insert(worker, Quarantine { job: id.clone(), since: now });
+                    quarantined.insert(worker, Quarantine::of(id, now));
                 }
                 self.jobs[job].quarantine_tried_at = now;
             }
@@ -231,6 +257,57 @@
         self.quarantined = quarantined;
     }
 
+    /// Adds jobs to executors that are kept for others, up to `most` for each, and removes these jobs
+    /// from `waiting`.
+    fn share_executors(
+        &self,
+        waiting: &mut Vec<usize>,
+        quarantined: &mut IndexMap<String, Quarantine>,
+        most: usize,
+        now: u64,
+    ) {
+        let mut failed = 0;
+        waiting.retain(|job| {
+            let Some((id, entry)) = self.jobs.get_index(*job) else { return false };
+            if failed >= MAX_NEW_QUARANTINES || !may_share(entry) {
+                return true;
+            }
+            let mut shared = quarantined.iter_mut().filter(|(_, q)| q.jobs.len() < most);
+            let joined = shared.find(|(worker, q)| self.can_join(entry, worker, q, now));
+            let Some((_, quarantine)) = joined else {
+                failed += 1;
+                return true;
+            };
+            quarantine.jobs.insert(id.clone(), now);
+            false
+        });
+    }
+
+    /// Whether a job's suspects can share an executor with the jobs for which it is kept.
+    ///
+    /// They need room there now: jobs that wait for it one after the other would keep a full executor
+    /// without end.
+    fn can_join(&self, entry: &JobEntry, id: &str, quarantine: &Quarantine, now: u64) -> bool {
+        let Some(worker) = self.workers.get(id) else { return false };
+        let Some((task, spec)) = next_suspect(entry) else { return false };
+        let step = &entry.occurrences[&task.occurrence][task.step];
+        let assigned = self.tasks_per_worker(step).get(id).copied().unwrap_or(0);
+        let advised = self.needs_advice(&entry.queue);
+        let mut need = place::required_resources(spec);
+        for job in quarantine.jobs.keys() {
+            let Some(other) = self.jobs.get(job).filter(|other| may_share(other)) else {
+                return false;
+            };
+            if let Some((_, spec)) = next_suspect(other).filter(|_| !worker.has_uncleared(job)) {
+                need.add(place::required_resources(spec));
+            }
+        }
+        takes_suspects(worker, entry, now)
+            && place::is_eligible(spec, worker, assigned)
+            && worker.has_room(need)
+            && (!advised || step.advice.ticket(id, now).is_some())
+    }
+
     /// Chooses the executors to keep for a job's suspects: one, or those that a gang needs.
     fn quarantine_for(
         &self,
@@ -238,11 +315,8 @@
         quarantined: &IndexMap<String, Quarantine>,
         now: u64,
     ) -> Vec<String> {
-        let Some(task) = entry.suspects.iter().find(|task| is_turn(entry, task)) else {
-            return Vec::new();
-        };
+        let Some((task, spec)) = next_suspect(entry) else { return Vec::new() };
         let step = &entry.occurrences[&task.occurrence][task.step];
-        let spec = &entry.job.steps[task.step];
         let need = place::required_resources(spec);
         let advised = self.needs_advice(&entry.queue);
         let siblings = self.tasks_per_worker(step);
@@ -296,6 +370,24 @@
     }
 }
 
+/// First suspect of a job that may start, with its step.
+fn next_suspect(entry: &JobEntry) -> Option<(&TaskId, &Step)> {
+    let task = entry.suspects.iter().find(|task| is_turn(entry, task))?;
+    Some((task, &entry.job.steps[task.step]))
+}
+
+/// Whether suspects of a job may share an executor with those of others.
+///
+/// Long-running tasks and gangs keep an executor for longer, or several of them.
+fn may_share(entry: &JobEntry) -> bool {
+    let may_share = |task: &TaskId| {
+        let steps = entry.occurrences.get(&task.occurrence);
+        let state = steps.and_then(|steps| steps.get(task.step)?.tasks.get(task.index as usize));
+        state.is_none_or(|state| state.crashes.may_share()) && !entry.job.steps[task.step].gang
+    };
+    !entry.candidate.long_running && entry.suspects.iter().all(may_share)
+}
+
 /// Whether suspects of a job may start on an executor.
 ///
 /// As without a crash, long-running ones also start where tasks have failed.
--- a/crates/jobs/src/crash.rs
+++ b/crates/jobs/src/crash.rs
@@ -5,7 +5,9 @@
 //! with them. Machines also crash for reasons of their own, at times a whole rack at once. The
 //! suspects of a crash are the tasks whose start had gone out shortly before it. A suspect starts again where no
 //! other job starts at that time, so that a further crash has one job to blame. Two such crashes
-//! tell a deadly task from an innocent one whose machine happens to crash.
+//! tell a deadly task from an innocent one whose machine happens to crash. The loss of a rack at a
+//! peak leaves more suspects than can wait for that; jobs then share an executor once, unless such
+//! executors have crashed lately.
 
 /// Time for which an executor must outlive the start of a run for the run to be cleared, in
 /// milliseconds; many times the time that a deadly task takes to crash it.
@@ -26,6 +28,18 @@
 /// Share of the executors that suspects may occupy at a time, in percent.
 const MAX_QUARANTINE_PERCENT: usize = 34;
 
+/// Time that an executor takes to clear a suspect, in milliseconds: the probation, and the time to
+/// the next poll.
+const CLEARANCE_MS: usize = 300;
+/// Time in which all waiting suspects should start, in milliseconds. A third of 12 executors lost at
+/// a peak leaves 64 suspects; one at a time on each executor, the last waited 6.8 s.
+const TARGET_WAIT_MS: usize = 1_000;
+/// Most suspect jobs that share an executor; each of them is suspected again if one crashes it.
+const MAX_SHARING_JOBS: usize = 8;
+/// Time for which the suspects of all jobs start apart after a crash of an executor that was kept for
+/// suspects, in milliseconds: some of them are deadly then, and would crash more executors.
+pub const NO_SHARING_MS: u64 = 10_000;
+
 /// Crashes of executors under a task that has not been cleared since.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Crashes {
@@ -47,6 +61,23 @@
         self.suspected > 0
     }
 
+    /// Whether the task may start on an executor that it shares with suspects of other jobs.
+    ///
+    /// It may once: a crash there has nobody to blame, but counts towards the most that a task may
+    /// have.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use jobs::crash::Crashes;
+    /// assert!(Crashes { suspected: 1, blamed: 0 }.may_share());
+    /// assert!(!Crashes { suspected: 1, blamed: 1 }.may_share());
+    /// assert!(!Crashes { suspected: 2, blamed: 0 }.may_share());
+    /// ```
+    pub fn may_share(self) -> bool {
+        self.suspected <= 1 && self.blamed == 0
+    }
+
     /// Whether the task must not start again.
     ///
     /// `unsure` is whether machines have lately crashed for other reasons.
@@ -111,3 +142,18 @@
 pub fn max_quarantined(executors: usize) -> usize {
     (executors * MAX_QUARANTINE_PERCENT / 100).max(1)
 }
+
+/// Most jobs whose suspects may start on one executor at a time, with `waiting` jobs for `executors`
+/// that may be kept for them.
+///
+/// # Examples
+///
+/// ```
+/// use jobs::crash::max_sharing_jobs;
+/// assert_eq!(max_sharing_jobs(12, 3), 1);
+/// assert_eq!(max_sharing_jobs(20, 2), 3);
+/// assert_eq!(max_sharing_jobs(64, 2), 8);
+/// ```
+pub fn max_sharing_jobs(waiting: usize, executors: usize) -> usize {
+    (waiting * CLEARANCE_MS / (executors.max(1) * TARGET_WAIT_MS)).clamp(1, MAX_SHARING_JOBS)
+}
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -316,9 +316,9 @@
         self.runs.iter().any(|(task, slot)| task.job == job && !slot.cleared)
     }
 
-    /// Whether no run but those of the job may crash the executor.
-    pub fn is_quiet(&self, job: &str) -> bool {
-        self.runs.iter().all(|(task, slot)| task.job == job || slot.cleared)
+    /// Whether all runs that may still crash the executor are of jobs that `allowed` accepts.
+    pub fn has_uncleared_only(&self, allowed: impl Fn(&str) -> bool) -> bool {
+        self.runs.iter().all(|(task, slot)| slot.cleared || allowed(&task.job))
     }
 
     /// Whether a further start is sent at once, as fewer than [`MAX_CONCURRENT_STARTS`] have no
