Check configurations for what does not work as written

Cause: a configuration takes effect with queues that never match, without machines or keys, or with bounds of zero, and nobody learns of it before its jobs are refused. Nothing showed what a new version changes.

Change: jobs::lint finds these in a Configuration, with a severity and a rule name each, and jobs::difference lists what differs between two versions; keys appear as digests. Both are pure. Organisations::keys lists the digests with their owners.

Ruled out: to refuse configurations with findings in the processes. They must all do the same with a version, and an operator has to be able to send one with a known finding. A sum of limits is not compared with the capacity, which a configuration does not contain.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod admit;
 pub mod cell;
 pub mod crash;
+pub mod difference;
 pub mod flush;
 pub mod job;
+pub mod lint;
 pub mod order;
 pub mod organisation;
 pub mod pace;
--- a/crates/jobs/src/organisation.rs
+++ b/crates/jobs/src/organisation.rs
@@ -189,6 +189,11 @@
         self.by_name.get(name)
     }
 
+    /// Returns the digests of all keys, with the names of the organisations that they count for.
+    pub fn keys(&self) -> impl Iterator<Item = (KeyDigest, &str)> {
+        self.keys.iter().map(|(digest, name)| (*digest, name.as_str()))
+    }
+
     /// Returns all organisations, in the order of the configuration.
     pub fn iter(&self) -> impl Iterator<Item = &Organisation> {
         self.by_name.values()
