Tell the incarnations of an executor apart in the scheduler

Cause: an executor may start again under its name. Orders name the executor only and their answers do not tell the incarnation, so a start that was addressed to the earlier incarnation may have begun on the new one, or may begin there up to 12 s later. The scheduler released all runs of an executor that had ended and started their tasks again at once.

Change: the id of an incarnation is made of name and start (jobs::incarnation). Runs that no poll of their incarnation has shown stay reserved when it ends, are passed on to the next incarnation as soon as that is registered, go on if a poll shows them there, and are stopped otherwise (jobs::cell::restart). A start counts as shown as well if the clock in its answer can't be that of a new incarnation. Unanswered starts of the last 12 s are stopped at each new incarnation. A new holder waits for the new incarnation of an executor of the former holder. Without a new incarnation such a run is given up after 12 s and the longest lease. Executors that do not tell their start are handled as before.

Ruled out: releasing a run after its lease has expired, as the new incarnation's clock begins anew; holding each unanswered start for 12 s while its incarnation lives, which delays jobs on every lossy link.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -431,6 +431,7 @@
             unknown_size: false,
             start_clock: None,
             cleared: false,
+            unverified_since: Some(now),
         };
         self.workers[worker].add_run(task.clone(), slot);
         self.orders.push(Order::Start {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod record;
 mod reserve;
+mod restart;
 mod stall;
 mod wait;
 
@@ -30,6 +31,7 @@
 pub use quarantine::Crash;
 use quarantine::{CrashRecord, Quarantine};
 pub use record::{Flush, JobChange};
+use restart::OpenStart;
 pub use wait::WaitingTask;
 
 use crate::crash::Crashes;
@@ -231,6 +233,15 @@
     leaving: IndexSet<String>,
     /// Ids of jobs whose end is durable, the latest [`MAX_ENDED_JOBS`] of them.
     ended_jobs: IndexSet<String>,
+    /// Incarnations that were registered since the last check for earlier ones of the same name.
+    new_incarnations: Vec<String>,
+    /// Unanswered starts that may be carried out late, even after a stop, if their executors restart.
+    open_starts: Vec<OpenStart>,
+    /// Names of executors that former holders used and that have restarted, whose new incarnations
+    /// are not registered yet.
+    awaited_incarnations: IndexSet<String>,
+    /// Longest lease that an executor accepts, in milliseconds.
+    longest_lease: u64,
     /// Executors that are kept for suspects of a job.
     quarantined: IndexMap<String, Quarantine>,
     /// When the last of these executors was released, in milliseconds.
@@ -280,6 +291,10 @@
             unknown_inherited: false,
             leaving: IndexSet::new(),
             ended_jobs: IndexSet::new(),
+            new_incarnations: Vec::new(),
+            open_starts: Vec::new(),
+            awaited_incarnations: IndexSet::new(),
+            longest_lease: config.lease,
             quarantined: IndexMap::new(),
             released_at: 0,
             unexplained_until: 0,
@@ -378,6 +393,7 @@
             }
             None => {
                 let leaving = self.leaving.contains(&entry.id);
+                self.new_incarnations.push(entry.id.clone());
                 let worker = Worker { leaving, ..Worker::new(entry) };
                 self.workers.insert(worker.registration.id.clone(), worker);
             }
@@ -437,6 +453,7 @@
     ///
     /// `wall` is the wall-clock time in milliseconds.
     pub fn tick(&mut self, now: u64, wall: u64) -> Vec<Order> {
+        self.replace_restarted(now);
         self.expire(now);
         self.expire_starts(now);
         self.drain_leaving(now);
@@ -457,12 +474,13 @@
         let lapsed: Vec<String> = self
             .workers
             .iter()
-            .filter(|(_, w)| !w.runs.is_empty() && w.leases_expired(owned_at))
+            .filter(|(_, w)| !w.dead && !w.runs.is_empty() && w.leases_expired(owned_at))
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
-            self.release_all(&id, now);
+            self.release_verified(&id, now);
         }
+        self.expire_unverified(owned_at, now);
         self.workers.retain(|_, w| {
             let removable = w.dead
                 || (!w.listed
@@ -479,15 +497,19 @@
     fn inherited_settled(&self) -> bool {
         let settled = |id: &String| self.workers.get(id).is_none_or(|w| w.joined || w.dead);
         self.last_owned > self.acquired + self.config.inherited_lease
-            || (!self.unknown_inherited && self.inherited_workers.iter().all(settled))
+            || (!self.unknown_inherited
+                && self.awaited_incarnations.is_empty()
+                && self.inherited_workers.iter().all(settled))
     }
 
-    /// Marks an incarnation of an executor as dead and releases its runs.
+    /// Marks an incarnation of an executor as dead and releases its runs, as an executor of another
+    /// name has replaced it.
     ///
     /// Unless the executor was about to leave, its end counts as a crash, and the runs that had just
     /// begun are suspected of having caused it.
     pub fn mark_dead(&mut self, id: &str, now: u64) {
         self.handle_crash(id, now);
+        self.release_all(id, now);
     }
 
     /// Like [`Self::mark_dead`], for an executor that has ended by an order.
@@ -495,7 +517,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.dead = true;
         }
-        self.release_all(id, now);
+        self.release_verified(id, now);
     }
 
     /// Whether tasks wait for executors that do not answer and may be dead.
@@ -530,12 +552,12 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &dead {
-            self.mark_dead(id, now);
+            self.handle_crash(id, now);
         }
         dead
     }
 
-    /// Releases all runs of an executor that is dead or has no valid lease.
+    /// Releases all runs of an executor that has ended for good.
     fn release_all(&mut self, id: &str, now: u64) {
         let Some(worker) = self.workers.get(id) else { return };
         let tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -71,10 +71,15 @@
                     slot.phase_since = now;
                     slot.progressed_at = now;
                 }
-                if let Some(slot) = worker.runs.get_mut(task).filter(|slot| slot.run == run) {
-                    slot.start_clock.get_or_insert(clock);
+                let (foreign, own) =
+                    (worker.is_foreign_clock(clock), worker.is_own_clock(clock, now));
+                if !foreign {
+                    if let Some(slot) = worker.runs.get_mut(task).filter(|slot| slot.run == run) {
+                        slot.start_clock.get_or_insert(clock);
+                        slot.unverified_since = slot.unverified_since.filter(|_| !own);
+                    }
+                    worker.record_answer(clock, now);
                 }
-                worker.record_answer(clock, now);
                 self.clear_runs(id);
                 let unwanted = self.jobs.get(&task.job).is_none_or(|e| e.state.is_final());
                 if unwanted {
@@ -105,6 +110,7 @@
     /// A long-running task may be working by now, and other tasks of its step may be unavailable. The
     /// next poll shows whether it runs.
     fn doubt_start(&mut self, id: &str, task: &TaskId, now: u64) {
+        self.keep_open_start(id, task);
         let Some(worker) = self.workers.get_mut(id) else { return };
         match worker.runs.get_mut(task) {
             Some(slot) if slot.long_running => {
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -38,11 +38,16 @@
 impl Cell {
     /// Handles an executor's answer to a poll that was sent at `sent`.
     pub fn handle_poll(&mut self, id: &str, answer: &ExecutorReport, sent: u64, now: u64) {
+        self.replace_restarted(now);
+        let longest_lease = self.longest_lease;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_answer(answer.clock, now);
         if !worker.joined {
-            // A former holder may have granted a lease just before this answer.
-            worker.lease_end = worker.lease_end.max(worker.clock + self.config.lease);
+            // A former holder may have granted a lease just before this answer. A lease granted to an
+            // earlier incarnation, by its clock, is limited only by the executor.
+            let lease = if worker.may_restart() { longest_lease } else { self.config.lease };
+            worker.lease_end = worker.lease_end.max(worker.clock + lease);
+            worker.first_clock = worker.clock;
             worker.joined = true;
         }
         self.clear_runs(id);
@@ -60,8 +65,11 @@
         for run in &answer.present {
             self.handle_present(id, run, answer.clock, now);
         }
-        self.release_missing(id, answer, sent, now);
-        self.stop_unsure(id, sent, now);
+        // Starts that were addressed to an incarnation that has ended are settled with the next one.
+        if self.workers.get(id).is_some_and(|w| !w.dead) {
+            self.release_missing(id, answer, sent, now);
+            self.stop_unsure(id, sent, now);
+        }
         self.adjust_best_effort_pace(id, answer);
     }
 
@@ -151,6 +159,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.runs.get_mut(task) else { return };
         slot.start_clock.get_or_insert(clock);
+        slot.unverified_since = None;
         if matches!(slot.phase, Phase::Sent | Phase::Unsure) {
             slot.phase = Phase::Running;
             slot.phase_since = now;
@@ -217,6 +226,7 @@
             unknown_size,
             start_clock: None,
             cleared: false,
+            unverified_since: None,
         };
         worker.add_run(task.clone(), slot);
         self.quarantine_adopted(id, task, now);
@@ -270,7 +280,7 @@
     fn stop_unsure(&mut self, id: &str, sent: u64, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         for (task, slot) in &mut worker.runs {
-            // Only long-running tasks are in this phase, whose ends need not be known.
+            // Only long-running tasks and starts addressed to an earlier incarnation are in this phase.
             if slot.phase == Phase::Unsure && slot.phase_since < sent {
                 order_stop(&mut self.orders, id, task, slot, now);
             }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,12 +1,14 @@
 //! State that a cell keeps for one incarnation of an executor.
 //!
-//! An executor that restarts is a new incarnation: it has a new id and none of its former runs.
+//! An executor that restarts is a new incarnation: it has a new id ([`incarnation`]) and none of its
+//! former runs.
 
 use std::collections::BTreeMap;
 
 use indexmap::IndexMap;
 use strum::{Display, EnumString, IntoStaticStr};
 
+use crate::incarnation;
 use crate::job::TaskId;
 
 /// Slowest rate of an executor's clock against true time, in thousandths; 2 % slow.
@@ -23,6 +25,10 @@
 /// times this value.
 const FIRST_EXCLUSION_MS: u64 = 2_000;
 
+/// Difference by which the clock in an answer is behind an earlier one if another incarnation has
+/// answered, in milliseconds; longer than two answers under way at once are apart.
+const CLOCK_RESET_MS: u64 = 2_000;
+
 /// Amounts of CPU, memory and accelerators.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Resources {
@@ -220,6 +226,12 @@
     pub start_clock: Option<u64>,
     /// Whether the executor has outlived the start for long enough that the run does not crash it.
     pub cleared: bool,
+    /// Time at which the start was ordered, in milliseconds; `None` once the run is known to have
+    /// begun on this incarnation.
+    ///
+    /// Answers to starts do not tell the incarnation, so that another one of the same name may have
+    /// carried the order out, or may still do so.
+    pub unverified_since: Option<u64>,
 }
 
 /// State that a cell keeps for one executor.
@@ -259,6 +271,8 @@
     pub last_answer_at: u64,
     /// Clock of the executor at the last answer, in milliseconds.
     pub clock: u64,
+    /// Clock of the executor at its first answer to a poll, in milliseconds.
+    pub first_clock: u64,
     /// Latest end of a lease granted to the executor, by its own clock, in milliseconds.
     pub lease_end: u64,
     /// Duration of its tasks relative to others of their jobs, in percent; 0 while unknown.
@@ -296,6 +310,7 @@
             pending_ends: BTreeMap::new(),
             last_answer_at: 0,
             clock: 0,
+            first_clock: 0,
             lease_end: 0,
             slowdown: 0,
             slowdown_at: 0,
@@ -391,6 +406,25 @@
         self.last_answer_at > 0 && least_clock > self.lease_end
     }
 
+    /// Whether the executor tells its start, so that it may start again under its name.
+    pub fn may_restart(&self) -> bool {
+        incarnation::start(&self.registration.id).is_some()
+    }
+
+    /// Whether an answer with this clock comes from another incarnation, whose clock began anew.
+    pub fn is_foreign_clock(&self, clock: u64) -> bool {
+        self.may_restart() && clock + CLOCK_RESET_MS < self.clock
+    }
+
+    /// Whether an answer with this clock certainly comes from this incarnation.
+    ///
+    /// The clock of a new one begins anew. It reaches the last known clock only after as long as
+    /// this incarnation has been answering, and another poll shows the new one before that.
+    pub fn is_own_clock(&self, clock: u64, now: u64) -> bool {
+        let observed = self.clock.saturating_sub(self.first_clock);
+        clock >= self.clock && now.saturating_sub(self.last_answer_at) < observed / 2
+    }
+
     /// Records an answer of the executor, with its clock.
     pub fn record_answer(&mut self, clock: u64, now: u64) {
         self.last_answer_at = now;
