Identify executors by name and start, and reject entries of other writers

Cause: executors may start again under their ids and tell their start in `born`. The adapter took the id for the incarnation: ends of the new incarnation, numbered anew, were taken for ones already seen, and their tasks ran again. Entries with an unknown `state` or `service` were used.

Change: the adapter makes the id of an incarnation from `id` and `born`, sends the name in Expected-Instance and to the adviser, and reports an answer with another `born` as OrderError::Restarted. cells::registry keeps the current incarnation of each executor, ignores a delayed entry of an earlier one, and resolves the names in the list of machines. A duty in progress also holds back the next incarnation of its executor. An executor is only taken for dead by the list of machines if its name is missing or a later incarnation is known. Entries with an unknown state, a pool that is not known, or a `born` of another type name no executor. The fleet's duties wait for the first read of the registry. The stand-ins learn `born`, restarts, refusals of stopped runs, and late starts.

Ruled out: a field for the start beside each id, which changes all maps and rows keyed by it.

Measured: platform/tests/node/incarnations, 5 tests pass. With the code before, 3 fail: a task of the restarted executor ran again after its acknowledged end; a page with foreign entries was not read, its job still queued after 60 s; new tasks (7 runs) started on an executor whose entry was replaced. The 2 tests of late starts passed before as well: 914 to 1,046 ms and 1,596 ms from the start to the end of the run, now 999 to 1,074 ms and 2,064 ms. cargo test of cells, and of jtally-platform without its soak (36 tests): all pass.

--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -6,14 +6,17 @@
 
 use base::Timeline;
 use indexmap::{IndexMap, IndexSet};
+use jobs::Configuration;
 use jobs::wave::Wave;
-use jobs::{Configuration, Registration};
 use tokio::sync::Notify;
 
 use crate::clock;
 use crate::duties::{self, Duties, DutyChange};
 use crate::metrics::{MeasuredStore, Metrics};
-use crate::ports::{Adviser, Dialect, Executors, Machines, Page, Row, Store};
+use crate::ports::{
+    Adviser, Dialect, Executors, Machine, MachineError, Machines, Page, Row, Store,
+};
+use crate::registry::Registry;
 use crate::rows::Load;
 
 /// Time limits that the platform guarantees or imposes, all in milliseconds.
@@ -78,8 +81,10 @@
     config: RefCell<Option<Rc<Configuration>>>,
     /// Time of the request that last showed the configuration to be the newest, in milliseconds.
     pub config_confirmed_at: Cell<u64>,
+    /// Names of the pools of all configurations that were in force.
+    pools: RefCell<IndexSet<String>>,
     pub waves: RefCell<IndexMap<u64, Wave>>,
-    pub registry: RefCell<IndexMap<String, Registration>>,
+    pub registry: RefCell<Registry>,
     /// Counter that is incremented with each change of the registry.
     pub registry_version: Cell<u64>,
     /// Whether the registry has been read in full since this process began to watch it.
@@ -116,6 +121,7 @@
             start_time: clock::wall(),
             config: RefCell::default(),
             config_confirmed_at: Cell::new(0),
+            pools: RefCell::default(),
             waves: RefCell::default(),
             registry: RefCell::default(),
             registry_version: Cell::new(0),
@@ -161,9 +167,15 @@
             );
         }
         self.metrics.configuration_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
+        self.pools.borrow_mut().extend(config.pools.keys().cloned());
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
+    /// Returns whether a pool is or was configured; one that was removed may still have jobs.
+    pub fn is_known_pool(&self, pool: &str) -> bool {
+        self.pools.borrow().contains(pool) || self.loads.borrow().contains_key(pool)
+    }
+
     /// Applies a duty's row from the feed.
     ///
     /// The holder of the duties applies its own writes before the feed returns them, so the feed
@@ -184,6 +196,14 @@
         written.keys
     }
 
+    /// Requests the list of machines, with the incarnations of their executors as far as they are
+    /// known.
+    pub async fn list_machines(&self) -> Result<Vec<Machine>, MachineError> {
+        let mut machines = self.ports.machines.list().await?;
+        self.registry.borrow_mut().resolve(&mut machines);
+        Ok(machines)
+    }
+
     /// Returns the milliseconds since the table last confirmed the configuration.
     pub fn config_age(&self) -> u64 {
         clock::now().saturating_sub(self.config_confirmed_at.get())
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -167,6 +167,8 @@
             let started = clock::now();
             if self.may_order()
                 && self.ctx.duties_read.get()
+                // The incarnations of executors are those of the registry.
+                && self.ctx.registry_read.get()
                 && let Err(error) = self.run_round().await
             {
                 self.ctx.timeline.record(base::Event::DutyDelayed, &[("what", &error)]);
@@ -192,7 +194,7 @@
 
     async fn run_round(&self) -> Result<(), String> {
         let requested_at = clock::now();
-        let machines = self.ctx.ports.machines.list().await.map_err(|error| error.to_string())?;
+        let machines = self.ctx.list_machines().await.map_err(|error| error.to_string())?;
         self.listed_at.set(requested_at);
         *self.machines.borrow_mut() =
             machines.into_iter().map(|machine| (machine.name.clone(), machine)).collect();
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod owner;
 pub mod ports;
+pub mod registry;
 pub mod rows;
 pub mod standby;
 pub mod submission;
--- a/crates/cells/src/node.rs
+++ b/crates/cells/src/node.rs
@@ -105,16 +105,23 @@
             let id = &row.place.key;
             context.registry_version.set(context.registry_version.get() + 1);
             if row.value.is_none() {
-                context.registry.borrow_mut().swap_remove(id);
+                context.registry.borrow_mut().remove(id);
+                unreadable.swap_remove(id);
                 return;
             }
-            match context.ports.dialect.parse_registration(row) {
+            let parsed = context.ports.dialect.parse_registration(row);
+            // Neither the pool nor the incarnation that such an entry names is to be relied on.
+            let parsed = parsed.and_then(|entry| {
+                let is_known = context.is_known_pool(&entry.pool);
+                is_known.then_some(entry).ok_or_else(|| "the pool is not configured".to_owned())
+            });
+            match parsed {
                 Ok(registration) => {
-                    context.registry.borrow_mut().insert(id.clone(), registration);
+                    context.registry.borrow_mut().insert(id, registration);
                 }
                 Err(error) => {
-                    // An executor whose entry can't be parsed gets no tasks.
-                    context.registry.borrow_mut().swap_remove(id);
+                    // An executor whose entry can't be parsed keeps its runs and gets no tasks.
+                    context.registry.borrow_mut().remove(id);
                     if unreadable.insert(id.clone()) {
                         context
                             .timeline
--- a/crates/cells/src/owner/duty.rs
+++ b/crates/cells/src/owner/duty.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use indexmap::IndexSet;
+use jobs::incarnation;
 
 use super::Inner;
 use crate::clock;
@@ -23,8 +24,14 @@
         let mut cell = self.cell.borrow_mut();
         let revision = (duties.revision(), self.synced_registry.get());
         if self.applied_duties.replace(revision) != revision {
-            let leaving: IndexSet<String> =
+            let mut leaving: IndexSet<String> =
                 duties.in_progress().map(|(.., duty)| duty.executor.clone()).collect();
+            // The order for a machine may still come if its executor has restarted meanwhile.
+            let registry = self.ctx.registry.borrow();
+            for (.., duty) in duties.in_progress().filter(|(.., duty)| !duty.executor_ended) {
+                let current = registry.current(incarnation::name(&duty.executor));
+                leaving.extend(current.map(ToOwned::to_owned));
+            }
             cell.set_leaving(leaving);
             for duty in duties.values().filter(|duty| duty.executor_ended) {
                 let alive = cell.workers().get(&duty.executor).is_some_and(|w| !w.dead);
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -152,9 +152,11 @@
             early_start: ctx.settings.bounds.early / 2,
             term: tenure.term,
         };
+        let mut cell = jobs::Cell::new(config, now);
+        cell.set_longest_lease(ctx.settings.bounds.lease);
         let inner = Rc::new(Inner {
             ctx,
-            cell: RefCell::new(jobs::Cell::new(config, now)),
+            cell: RefCell::new(cell),
             start_permits: RefCell::default(),
             polled: RefCell::default(),
             inflow: RefCell::default(),
--- a/crates/cells/src/owner/poll.rs
+++ b/crates/cells/src/owner/poll.rs
@@ -7,8 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use jobs::worker::Phase;
-use jobs::{ExecutorReport, RunOutcome, watch};
+use jobs::{ExecutorReport, RunOutcome, incarnation, watch};
 
 use super::Inner;
 use crate::clock;
@@ -97,6 +98,12 @@
                     self.wake.notify_one();
                     break;
                 }
+                Err(OrderError::Restarted) => {
+                    self.log_unavailable(&id, "it has started again under its name");
+                    self.cell.borrow_mut().mark_restarted(&id, now);
+                    self.wake.notify_one();
+                    break;
+                }
                 Err(OrderError::Unanswered { detail }) => {
                     let first_failure = {
                         let mut cell = self.cell.borrow_mut();
@@ -126,7 +133,7 @@
             return;
         }
         self.machines_listed_at.set(requested);
-        let machines = match self.ctx.ports.machines.list().await {
+        let machines = match self.ctx.list_machines().await {
             Ok(machines) => machines,
             // Not fatal: the runs are released when the executors' leases have expired. The log
             // shows since when the executors have not responded.
@@ -141,8 +148,17 @@
         if !self.is_active() {
             return;
         }
-        let listed = machines.into_iter().map(|machine| machine.executor).collect();
-        let ended = self.cell.borrow_mut().mark_missing_dead(&listed, requested, clock::now());
+        let names: IndexSet<&str> =
+            machines.iter().map(|machine| incarnation::name(&machine.executor)).collect();
+        let live: IndexSet<String> = {
+            let registry = self.ctx.registry.borrow();
+            let cell = self.cell.borrow();
+            // Only a later incarnation shows that an executor has ended whose name is listed.
+            let is_live =
+                |id: &&String| names.contains(incarnation::name(id)) && !registry.is_replaced(id);
+            cell.workers().keys().filter(is_live).cloned().collect()
+        };
+        let ended = self.cell.borrow_mut().mark_missing_dead(&live, requested, clock::now());
         for id in &ended {
             self.log_unavailable(id, "the platform lists no machine with this executor");
         }
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -11,6 +11,7 @@
 use jobs::{Progress, Registration};
 
 use super::{Inner, write::WriteError};
+use crate::clock;
 use crate::context::pause;
 use crate::follow::read_all;
 use crate::keys;
@@ -180,13 +181,20 @@
         }
         let registry = self.ctx.registry.borrow();
         let listed: IndexMap<&String, &Registration> = registry
-            .iter()
-            .filter(|(_, registration)| registration.pool == self.tenure.cell)
+            .values()
+            .filter(|registration| registration.pool == self.tenure.cell)
+            .map(|registration| (&registration.id, registration))
             .collect();
         let mut cell = self.cell.borrow_mut();
         let unlisted: Vec<String> =
             cell.workers().keys().filter(|id| !listed.contains_key(id)).cloned().collect();
-        unlisted.iter().for_each(|id| cell.unlist(id));
+        for id in &unlisted {
+            cell.unlist(id);
+            let is_alive = cell.workers().get(id).is_some_and(|w| !w.dead);
+            if is_alive && registry.is_replaced(id) {
+                cell.mark_restarted(id, clock::now());
+            }
+        }
         let mut added: Vec<Registration> = Vec::new();
         for (id, registration) in listed {
             if cell.workers().contains_key(id) {
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -73,6 +73,7 @@
                         }
                         Err(OrderError::Fenced) => cell.supersede(),
                         Err(OrderError::Replaced) => cell.mark_dead(&worker, now),
+                        Err(OrderError::Restarted) => cell.mark_restarted(&worker, now),
                     }
                 }
                 Order::Advise { step, workers } => {
--- a/crates/cells/src/ports.rs
+++ b/crates/cells/src/ports.rs
@@ -145,7 +145,8 @@
 pub struct Executor {
     /// Address for orders.
     pub address: String,
-    /// Id of the incarnation; another incarnation rejects the orders.
+    /// Id of the incarnation. An executor of another name rejects the orders; a later incarnation of
+    /// the same name may carry them out.
     pub id: String,
 }
 
@@ -184,9 +185,12 @@
     /// The executor has received orders with a higher epoch.
     #[snafu(display("a later holder has sent orders"))]
     Fenced,
-    /// Another incarnation runs at the executor's address.
+    /// An executor of another name runs at the address.
     #[snafu(display("another incarnation of the executor runs at the address"))]
     Replaced,
+    /// The executor has started again under its name since the incarnation that was addressed.
+    #[snafu(display("the executor has started again under its name"))]
+    Restarted,
     /// No response, or one that can't be used.
     #[snafu(display("the executor did not answer: {detail}"))]
     Unanswered {
@@ -261,7 +265,8 @@
     pub pool: String,
     /// Whether the machine is up.
     pub up: bool,
-    /// Incarnation of the machine's executor; empty if none runs.
+    /// Name of the machine's executor, or the id of its incarnation where that is known; empty if
+    /// none runs.
     pub executor: String,
     /// Processor capacity, in thousandths of a core.
     pub cpu: u64,
@@ -339,7 +344,7 @@
     /// Parses an operator's row; `None` for a row of no relevance to the cells.
     fn parse_instruction(&self, row: &Row) -> Result<Option<Instruction>, String>;
 
-    /// Parses an entry of the registry.
+    /// Parses an entry of the registry; an error if it is not one that an executor has written.
     fn parse_registration(&self, row: &Row) -> Result<Registration, String>;
 
     /// Encodes the row that reports the progress of a wave to the operator.
