--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod crash;
 pub mod difference;
 pub mod flush;
+pub mod incarnation;
 pub mod job;
 pub mod lint;
 pub mod order;
