Check the allowance of an organisation at each start

Cause: an organisation's limit was read and not applied; a cell started any number of its tasks. Ruled out: a check where the job is accepted, which can't know when its tasks run; counters that follow starts and ends, which drift when a run is adopted or released on another path. What may be in use is added up from the runs in each pass. A run counts from its order until it is released; runs of unknown jobs and executors of former holders that have not answered count with their whole capacity. A best-effort task counts with all that it declares, though it reserves no processor time. Tasks beyond the grant are no backlog and no late demand once the grant has been too small for 500 ms. A task that fits the grant beside fewer tasks of its organisation closes the organisation for the rest of the pass, so that smaller tasks do not keep it waiting. Without organisations nothing is computed.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use super::quarantine::{CrashRecord, is_turn};
+use super::quota::{self, QuotaPass};
 use super::reserve::ShortEnd;
 use super::{Cell, JobEntry, Order, StepState, new_steps};
 use crate::job::{State, TaskId};
@@ -39,6 +40,8 @@
     compared: usize,
     /// Whether only suspects of the job may start.
     suspects_only: bool,
+    /// What organisations with a limit use.
+    pub quota: QuotaPass,
     /// Time of the pass, in milliseconds.
     pub now: u64,
 }
@@ -75,6 +78,7 @@
 impl Cell {
     /// Runs one assignment pass: starts open tasks in the scheduling order of their jobs.
     pub(super) fn assign(&mut self, now: u64, wall: u64) {
+        let quota = self.begin_quota_pass(now);
         if self.superseded || self.starts_held {
             return;
         }
@@ -138,6 +142,7 @@
             unplaceable: Vec::new(),
             compared: 0,
             suspects_only: false,
+            quota,
             now,
         };
         for item in ready {
@@ -253,7 +258,7 @@
             .map(|(n, _)| n)
             .collect();
         for index in tasks {
-            if pass.starts_left == 0 {
+            if pass.starts_left == 0 || !self.is_within_quota(job, step, 1, pass) {
                 return;
             }
             let avoid = &self.jobs[job].occurrences[&occurrence][step].tasks[index as usize].avoid;
@@ -271,6 +276,7 @@
                     && let Some(worker) = self.reserve(job, task, &constraints, pass)
                 {
                     *task_counts.entry(worker).or_default() += 1;
+                    self.charge_quota(job, step, 1, pass);
                     continue;
                 }
                 return;
@@ -278,6 +284,7 @@
             *task_counts.entry(worker.clone()).or_default() += 1;
             let run = self.jobs[job].occurrences[&occurrence][step].tasks[index as usize].last_run;
             self.start_task(job, &worker, task, self.next_run(run), now);
+            self.charge_quota(job, step, 1, pass);
             pass.starts_left -= 1;
         }
     }
@@ -294,6 +301,9 @@
         if pass.suspects_only && !state.tasks.iter().any(|t| t.crashes.is_suspect()) {
             return;
         }
+        if !self.is_within_quota(job, step, state.tasks.len() as u64, pass) {
+            return;
+        }
         let run = self.next_run(state.tasks.iter().map(|t| t.last_run).max().unwrap_or(0));
         // All members resume from the same checkpoint.
         let checkpoint = state.tasks.iter().map(|t| t.checkpoint.clone()).max().unwrap_or_default();
@@ -327,6 +337,7 @@
             pass.unplaceable = unplaceable;
             return;
         }
+        self.charge_quota(job, step, count as u64, pass);
         for (index, worker) in (0u32..).zip(chosen) {
             let entry = &mut self.jobs[job];
             entry.occurrences[&occurrence][step].tasks[index as usize]
@@ -405,6 +416,7 @@
         let Some(lease_end) = self.grant_lease(worker, now) else { return };
         let Some((id, entry)) = self.jobs.get_index_mut(job) else { return };
         let resources = place::required_resources(&entry.job.steps[task.step]);
+        let charge = quota::charge(entry, task.step);
         let step = &mut entry.occurrences[&task.occurrence][task.step];
         let state = &mut step.tasks[task.index as usize];
         state.last_run = run;
@@ -420,6 +432,7 @@
         let slot = Slot {
             run,
             resources,
+            charge,
             phase: Phase::Sent,
             phase_since: now,
             last_order_at: now,
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -60,7 +60,8 @@
     /// Estimated work of tasks without a run, in thousandths of a core times milliseconds.
     ///
     /// Returns the work of jobs that can still be in time, and the work of all jobs whose results
-    /// can still be of use. Other jobs are left out, since new jobs are scheduled before them.
+    /// can still be of use. Other jobs are left out, since new jobs are scheduled before them. So is
+    /// work that its organisation's limit keeps from starting.
     ///
     /// The first value excludes work that waits for a task on an executor that does not answer.
     /// Such a wait may last as long as the executor's lease, and needs no machine until then.
@@ -72,9 +73,10 @@
                 continue;
             }
             let work = open_work(entry);
-            all += work;
+            let startable = |work| self.startable_work(entry.organisation.as_deref(), work);
+            all += startable(work);
             if !is_late(entry, now) {
-                timely += work - self.blocked_work(entry);
+                timely += startable(work - self.blocked_work(entry));
             }
         }
         (timely, all)
@@ -102,6 +104,7 @@
                         continue;
                     }
                     let cpu = state.open_count as u64 * need.cpu;
+                    let cpu = self.startable_work(entry.organisation.as_deref(), cpu);
                     open += cpu;
                     work = work.saturating_add(cpu.saturating_mul(spec.estimate));
                     largest_gang = largest_gang.max(if spec.gang { cpu } else { 0 });
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -15,6 +15,7 @@
 mod outcome;
 mod poll;
 mod quarantine;
+mod quota;
 mod record;
 mod reserve;
 mod stall;
@@ -29,6 +30,8 @@
 pub use outcome::{Refusal, StartOutcome};
 pub use quarantine::Crash;
 use quarantine::{CrashRecord, Quarantine};
+use quota::Quotas;
+pub use quota::{Charge, QuotaUse, WaitReason};
 pub use record::{Flush, JobChange};
 pub use wait::WaitingTask;
 
@@ -247,6 +250,8 @@
     reservations: IndexMap<TaskId, String>,
     /// Executors that the last assignment pass compared, counted once per task.
     compared: usize,
+    /// Allowances of the organisations that have a limit.
+    quotas: Quotas,
 }
 
 impl Cell {
@@ -288,6 +293,7 @@
             starts_held: false,
             reservations: IndexMap::new(),
             compared: 0,
+            quotas: Quotas::default(),
         }
     }
 
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -173,6 +173,7 @@
         let worker = self.workers.get(id).filter(|w| !w.dead);
         let Some(mut resources) = worker.map(|w| w.registration.capacity) else { return false };
         let long_running = self.is_long_running(task);
+        let charge = self.charge(task);
         let entry =
             self.jobs.get_mut(&task.job).filter(|entry| task.occurrence >= entry.first_open);
         if let Some(entry) = entry {
@@ -204,6 +205,7 @@
         let slot = Slot {
             run: run.run,
             resources,
+            charge,
             phase: Phase::Running,
             phase_since: now,
             last_order_at: now,
--- /dev/null
+++ b/crates/jobs/src/cell/quota.rs
@@ -0,0 +1,326 @@
+//! Quotas of organisations in a cell: which tasks their allowances let start.
+//!
+//! Load pattern: at a peak an organisation has hundreds of waiting tasks more than it may run. They
+//! must neither hold up the tasks of others nor count as demand for machines. Within an
+//! organisation a large task must not wait for ever for smaller ones that take each piece of the
+//! allowance that becomes free.
+
+use std::collections::HashMap;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::assign::Pass;
+use super::{Cell, JobEntry};
+use crate::job::{Step, TaskId};
+use crate::place;
+use crate::quota::{Allowance, Need, combine};
+use crate::worker::{Resources, Worker};
+
+/// Time for which the waiting tasks of an organisation count as demand for machines although its
+/// grant is too small, in milliseconds; longer than the other cells take to return what they do not
+/// need.
+const TRANSFER_MS: u64 = 500;
+
+/// Use of an organisation's limit by a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Charge {
+    /// Organisation of the run's job.
+    pub organisation: String,
+    /// Amount that counts against the limit.
+    pub amount: Resources,
+}
+
+/// What an organisation's jobs wait for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum WaitReason {
+    /// The limit, or the part of it that other cells leave.
+    Quota,
+    /// Runs that former holders of the cell may have started.
+    Unknown,
+    /// Executors with enough free resources, or a place in the order.
+    Capacity,
+}
+
+/// An organisation with a limit, for the log and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaUse {
+    /// Allowance in the cell.
+    pub allowance: Allowance,
+    /// Need in the cell.
+    pub need: Need,
+    /// What its waiting tasks wait for; `None` if none waits.
+    pub reason: Option<WaitReason>,
+}
+
+/// Allowance of an organisation and what the last pass found.
+#[derive(Debug, Clone, Copy, Default)]
+struct Quota {
+    allowance: Allowance,
+    /// Time since which the grant has been too small, in milliseconds.
+    short_since: Option<u64>,
+    /// Share of its waiting tasks that can start, in thousandths.
+    startable: u64,
+}
+
+/// Quotas of a cell, by organisation; organisations without a limit are left out.
+#[derive(Debug, Default)]
+pub(super) struct Quotas {
+    by_organisation: IndexMap<String, Quota>,
+}
+
+/// State of the quotas in one assignment pass.
+#[derive(Debug, Default)]
+pub(super) struct QuotaPass {
+    /// Amounts that may be in use, and those reserved in this pass.
+    used: HashMap<String, Resources>,
+    /// Organisations whose next task waits for other tasks of the organisation to end.
+    closed: IndexSet<String>,
+}
+
+impl Cell {
+    /// Sets the limits of organisations, replacing the previous ones.
+    ///
+    /// An organisation with a new limit starts nothing before it has been granted something.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use jobs::quota::Allowance;
+    /// use jobs::{Cell, CellConfig, Resources};
+    /// let config = CellConfig {
+    ///     lease: 6_000,
+    ///     inherited_lease: 16_000,
+    ///     stop_timeout: 900,
+    ///     early_start: 0,
+    ///     term: 1,
+    /// };
+    /// let mut cell = Cell::new(config, 0);
+    /// let amount = |cpu| Resources { cpu, ..Resources::default() };
+    /// cell.set_limits([("a", amount(8_000)), ("b", amount(0))].into_iter());
+    /// cell.set_grant("a", amount(2_000));
+    /// assert_eq!(cell.quota_use()["a"].allowance.granted, amount(2_000));
+    /// assert_eq!(cell.quota_use().len(), 1);
+    /// ```
+    pub fn set_limits<'a>(&mut self, limits: impl Iterator<Item = (&'a str, Resources)>) {
+        let mut former = std::mem::take(&mut self.quotas.by_organisation);
+        for (name, limit) in limits.filter(|(_, limit)| *limit != Resources::default()) {
+            let unknown = Quota { startable: 1_000, ..Quota::default() };
+            let mut quota = former.swap_remove(name).unwrap_or(unknown);
+            quota.allowance.limit = limit;
+            self.quotas.by_organisation.insert(name.to_owned(), quota);
+        }
+    }
+
+    /// Sets the amount that an organisation's tasks may use in this cell.
+    pub fn set_grant(&mut self, organisation: &str, granted: Resources) {
+        if let Some(quota) = self.quotas.by_organisation.get_mut(organisation) {
+            quota.allowance.granted = granted;
+        }
+    }
+
+    /// What each organisation with a limit needs.
+    ///
+    /// Runs of unknown jobs, and executors of former holders that have neither answered nor
+    /// certainly ended, count against each organisation with their whole capacity.
+    pub fn quota_needs(&self) -> IndexMap<String, Need> {
+        let mut needs: IndexMap<String, Need> = IndexMap::new();
+        if self.quotas.by_organisation.is_empty() {
+            return needs;
+        }
+        let unknown = self.unknown_use();
+        for name in self.quotas.by_organisation.keys() {
+            needs.insert(name.clone(), Need { unknown, ..Need::default() });
+        }
+        let runs = self.workers.values().flat_map(|worker| worker.runs.values());
+        for charge in runs.filter_map(|slot| slot.charge.as_ref()) {
+            if let Some(need) = needs.get_mut(&charge.organisation) {
+                need.used = combine(need.used, charge.amount, u64::saturating_add);
+            }
+        }
+        let settled = self.inherited_settled();
+        for entry in self.jobs.values().filter(|e| !e.state.is_final()) {
+            let Some(need) = entry.organisation.as_ref().and_then(|name| needs.get_mut(name))
+            else {
+                continue;
+            };
+            if entry.inherited && !settled {
+                continue;
+            }
+            for (spec, count) in startable_steps(entry) {
+                let amount = charged_resources(spec).times(count);
+                need.waiting = combine(need.waiting, amount, u64::saturating_add);
+                need.waiting_tasks += count;
+            }
+        }
+        needs
+    }
+
+    /// Organisations with a limit: their allowances, needs and what they wait for.
+    pub fn quota_use(&self) -> IndexMap<String, QuotaUse> {
+        let needs = self.quota_needs();
+        let describe = |(name, need): (String, Need)| {
+            let quota = self.quotas.by_organisation.get(&name)?;
+            let allowance = quota.allowance;
+            let reason = (need.waiting_tasks > 0).then(|| {
+                let known = Need { unknown: Resources::default(), ..need };
+                match () {
+                    () if allowance.startable_share(allowance.granted, &need) == 1_000 => {
+                        WaitReason::Capacity
+                    }
+                    () if allowance.startable_share(allowance.granted, &known) == 1_000 => {
+                        WaitReason::Unknown
+                    }
+                    () => WaitReason::Quota,
+                }
+            });
+            Some((name, QuotaUse { allowance, need, reason }))
+        };
+        needs.into_iter().filter_map(describe).collect()
+    }
+
+    /// Whether all runs that may use the organisations' limits in this cell are known.
+    pub fn is_quota_use_known(&self) -> bool {
+        self.unknown_use() == Resources::default()
+    }
+
+    /// Part of some work of an organisation that can start within its limit.
+    ///
+    /// The rest is no demand for machines, which could not run it.
+    pub fn startable_work(&self, organisation: Option<&str>, work: u64) -> u64 {
+        let quota = organisation.and_then(|name| self.quotas.by_organisation.get(name));
+        match quota.map_or(1_000, |quota| quota.startable) {
+            1_000 => work,
+            share => work / 1_000 * share,
+        }
+    }
+
+    /// Amount that runs may use that are not known; the largest possible if executors are not known.
+    fn unknown_use(&self) -> Resources {
+        let unlimited = Resources { cpu: u64::MAX, memory: u64::MAX, gpus: u64::MAX };
+        let inherited_expired = self.last_owned > self.acquired + self.config.inherited_lease;
+        if self.unknown_inherited && !inherited_expired {
+            return unlimited;
+        }
+        let may_have_unknown_runs = |id: &String, worker: &Worker| {
+            let unanswered = self.inherited_workers.contains(id) && !worker.joined && !worker.dead;
+            worker.unknown_sizes > 0 || (unanswered && !inherited_expired)
+        };
+        let mut total = Resources::default();
+        for (_, worker) in self.workers.iter().filter(|(id, w)| may_have_unknown_runs(id, w)) {
+            let capacity = worker.registration.capacity;
+            // The registry no longer lists the executor.
+            let capacity = if capacity.cpu == 0 { unlimited } else { capacity };
+            let capacity = combine(capacity, worker.used, u64::max);
+            total = combine(total, capacity, u64::saturating_add);
+        }
+        total
+    }
+
+    /// Begins an assignment pass: determines what each organisation uses and can start.
+    pub(super) fn begin_quota_pass(&mut self, now: u64) -> QuotaPass {
+        let mut pass = QuotaPass::default();
+        for (name, need) in self.quota_needs() {
+            let Some(quota) = self.quotas.by_organisation.get_mut(&name) else { continue };
+            let allowance = quota.allowance;
+            let granted_share = allowance.startable_share(allowance.granted, &need);
+            quota.short_since = match granted_share {
+                1_000 => None,
+                _ => quota.short_since.or(Some(now)),
+            };
+            let in_transfer = quota.short_since.is_none_or(|since| now < since + TRANSFER_MS);
+            quota.startable = if in_transfer {
+                allowance.startable_share(allowance.limit, &need).max(granted_share)
+            } else {
+                granted_share
+            };
+            pass.used.insert(name, need.possible_use());
+        }
+        pass
+    }
+
+    /// Whether `count` tasks of a step may start within the allowance of the job's organisation.
+    ///
+    /// If they may not, but could beside fewer tasks of the organisation, no other task of it starts
+    /// in this pass.
+    pub(super) fn is_within_quota(
+        &self,
+        job: usize,
+        step: usize,
+        count: u64,
+        pass: &mut Pass,
+    ) -> bool {
+        let Some((_, entry)) = self.jobs.get_index(job) else { return false };
+        let Some((name, quota)) = self.quota(entry) else { return true };
+        if pass.quota.closed.contains(name) {
+            return false;
+        }
+        let spec = &entry.job.steps[step];
+        let need = charged_resources(spec).times(count);
+        let used = pass.quota.used.get(name).copied().unwrap_or_default();
+        if quota.allowance.admits(used, need) {
+            return true;
+        }
+        let placeable = |worker: &Worker| {
+            worker.accepts_tasks(pass.now)
+                && worker.registration.capacity.fits(place::required_resources(spec))
+                && place::is_eligible(spec, worker, 0)
+        };
+        if quota.allowance.admits(Resources::default(), need)
+            && self.workers.values().any(placeable)
+        {
+            pass.quota.closed.insert(name.to_owned());
+        }
+        false
+    }
+
+    /// Reserves the allowance for `count` tasks of a step that are started or get a reserved
+    /// executor.
+    pub(super) fn charge_quota(&self, job: usize, step: usize, count: u64, pass: &mut Pass) {
+        let Some((_, entry)) = self.jobs.get_index(job) else { return };
+        let Some((name, _)) = self.quota(entry) else { return };
+        let need = charged_resources(&entry.job.steps[step]).times(count);
+        if let Some(used) = pass.quota.used.get_mut(name) {
+            *used = combine(*used, need, u64::saturating_add);
+        }
+    }
+
+    /// Charge for a run of a task; `None` if its job is unknown or belongs to no organisation.
+    pub(super) fn charge(&self, task: &TaskId) -> Option<Charge> {
+        let entry = self.jobs.get(&task.job)?;
+        charge(entry, task.step)
+    }
+
+    /// Quota of a job's organisation; `None` without a limit.
+    fn quota<'a>(&'a self, entry: &'a JobEntry) -> Option<(&'a str, &'a Quota)> {
+        let name = entry.organisation.as_deref()?;
+        Some((name, self.quotas.by_organisation.get(name)?))
+    }
+}
+
+/// Charge for a run of a job's step; `None` if the job belongs to no organisation.
+pub(super) fn charge(entry: &JobEntry, step: usize) -> Option<Charge> {
+    let organisation = entry.organisation.clone()?;
+    Some(Charge { organisation, amount: charged_resources(entry.job.steps.get(step)?) })
+}
+
+/// Resources of a task that count against the limit of its organisation.
+///
+/// These are all that the task declares. A best-effort task reserves no CPU, but uses some.
+fn charged_resources(step: &Step) -> Resources {
+    step.resources
+}
+
+/// Steps of a job whose predecessors are done, with the numbers of their open tasks.
+fn startable_steps(entry: &JobEntry) -> impl Iterator<Item = (&Step, u64)> {
+    let begun = entry.occurrences.values().flat_map(|steps| {
+        steps.iter().zip(&entry.job.steps).filter_map(|(state, spec)| {
+            let can_start = spec.depends_on.iter().all(|n| steps[*n].is_done());
+            (can_start && state.open_count > 0).then_some((spec, state.open_count as u64))
+        })
+    });
+    // A job without a schedule begins with its first pass.
+    let is_new = entry.occurrences.is_empty() && entry.job.schedule.is_none();
+    let first = entry.job.steps.iter().filter(move |spec| is_new && spec.depends_on.is_empty());
+    begun.chain(first.map(|spec| (spec, u64::from(spec.count))))
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod place;
 pub mod progress;
 pub mod queue;
+pub mod quota;
 pub mod rate;
 pub mod relocate;
 pub mod row;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use strum::{Display, EnumString, IntoStaticStr};
 
+use crate::cell::Charge;
 use crate::job::TaskId;
 
 /// Slowest rate of an executor's clock against true time, in thousandths; 2 % slow.
@@ -197,6 +198,8 @@
     pub run: u64,
     /// Resources reserved for the run.
     pub resources: Resources,
+    /// Use of its organisation's limit; `None` if it has none or its job is unknown.
+    pub charge: Option<Charge>,
     /// Phase of the run.
     pub phase: Phase,
     /// Time at which the run entered its phase, in milliseconds.
