Exchange the grants of organisations over rows of the table

Cause: cells that share an organisation's limit need parts of it that add up to no more than the limit, whatever holders and writes are lost, and that follow a peak from cell to cell. Ruled out: fixed parts by weight, since one queue's peak wants nearly the whole limit; one process that hands out parts, whose loss stops all cells; one row for each organisation, with a write for each; entries with an epoch of their own, as one epoch for each cell and row says the same. Eight rows of one part hold the grants of all organisations; a holder changes its own cell's entries in one transaction that expects the rows it has read. A row that can't be decoded is replaced by one that names the cells that have yet to record their grants; nobody raises a grant before they have. Entries of a cell that is not configured and has no holder are removed.

--- a/crates/cells/src/keys.rs
+++ b/crates/cells/src/keys.rs
@@ -111,6 +111,33 @@
     (0..DUTY_PARTS).map(|n| part_name("duty", n)).collect()
 }
 
+/// Table of the organisations' grants.
+pub const ORGANISATION_TABLE: &str = "organisations";
+/// Part of all grants, so that one transaction can change those of several organisations.
+pub const GRANT_PART: &str = "grants";
+/// Number of rows over which the grants are spread.
+///
+/// A row takes 64 KiB, and an organisation with four cells some 300 bytes of it, so that there is
+/// space for some 1,500 organisations.
+pub const GRANT_ROWS: u64 = 8;
+
+/// Returns the place of one of the rows with the grants of organisations.
+pub fn grants(number: u64) -> Place {
+    Place::new(ORGANISATION_TABLE, GRANT_PART, &format!("grants/{number}"))
+}
+
+/// Returns the number of the row with the grants of an organisation.
+///
+/// # Examples
+///
+/// ```
+/// use cells::keys::{GRANT_ROWS, grant_row};
+/// assert!(grant_row("an organisation") < GRANT_ROWS);
+/// ```
+pub fn grant_row(organisation: &str) -> u64 {
+    hash(organisation) % GRANT_ROWS
+}
+
 /// Number of parts over which the jobs of a queue are spread.
 ///
 /// A part takes 150 transactions a second, and a few while the table is slow. A queue at its peak
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -6,6 +6,7 @@
 //! duties: maintenance waves and moves of machines between pools ([`fleet`]). All state that has to
 //! survive a process is stored in the table.
 
+pub mod allowance;
 pub mod claim;
 pub mod clock;
 pub mod context;
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -1,8 +1,9 @@
 //! Rows that the cells store in the table, as JSON with one-letter keys.
 
 use indexmap::{IndexMap, IndexSet};
-use jobs::State;
+use jobs::quota::Entry;
 use jobs::wave::Stage;
+use jobs::{Resources, State};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -205,6 +206,83 @@
     pub workers: IndexMap<String, String>,
 }
 
+/// Amounts of processor time, memory and accelerators, in the units of [`jobs::Resources`].
+type Amounts = [u64; 3];
+
+/// Entry of a cell for an organisation in a [`GrantRow`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Amounts that the organisation's tasks may use in the cell.
+    #[serde(rename = "g")]
+    granted: Amounts,
+    /// Amounts that the cell needs, while it has been granted less.
+    #[serde(rename = "w", default, skip_serializing_if = "is_nothing")]
+    wanted: Amounts,
+}
+
+/// Whether all amounts are 0, which a row leaves out.
+fn is_nothing(amounts: &Amounts) -> bool {
+    *amounts == Amounts::default()
+}
+
+impl From<Entry> for Grant {
+    fn from(entry: Entry) -> Self {
+        let amounts = |r: Resources| [r.cpu, r.memory, r.gpus];
+        Self { granted: amounts(entry.granted), wanted: amounts(entry.wanted) }
+    }
+}
+
+impl From<Grant> for Entry {
+    fn from(grant: Grant) -> Self {
+        let resources = |[cpu, memory, gpus]: Amounts| Resources { cpu, memory, gpus };
+        Self { granted: resources(grant.granted), wanted: resources(grant.wanted) }
+    }
+}
+
+/// Grants of a group of organisations.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantRow {
+    /// Epochs of the holders that last wrote entries, by cell.
+    #[serde(rename = "e")]
+    pub epochs: IndexMap<String, u64>,
+    /// Entries by organisation and cell.
+    #[serde(rename = "o")]
+    pub organisations: IndexMap<String, IndexMap<String, Grant>>,
+    /// Cells that may use grants which the row does not contain, since it replaces one that could
+    /// not be read. No grant is raised before each of them has written its own again.
+    #[serde(rename = "x", default, skip_serializing_if = "IndexSet::is_empty")]
+    pub awaited: IndexSet<String>,
+}
+
+impl GrantRow {
+    /// Returns the entry of a cell for an organisation.
+    pub fn entry(&self, organisation: &str, cell: &str) -> Option<Entry> {
+        self.organisations.get(organisation)?.get(cell).map(|grant| (*grant).into())
+    }
+
+    /// Returns the entries of all cells for an organisation.
+    pub fn entries<'a>(&'a self, organisation: &str) -> impl Iterator<Item = (&'a str, Entry)> {
+        let cells = self.organisations.get(organisation).into_iter().flatten();
+        cells.map(|(cell, grant)| (cell.as_str(), (*grant).into()))
+    }
+
+    /// Removes all that the row holds of a cell.
+    pub fn remove_cell(&mut self, cell: &str) {
+        self.epochs.shift_remove(cell);
+        self.awaited.shift_remove(cell);
+        for cells in self.organisations.values_mut() {
+            cells.shift_remove(cell);
+        }
+        self.organisations.retain(|_, cells| !cells.is_empty());
+    }
+
+    /// Returns all cells that the row names.
+    pub fn cells(&self) -> IndexSet<String> {
+        let entries = self.organisations.values().flat_map(IndexMap::keys);
+        self.epochs.keys().chain(entries).chain(&self.awaited).cloned().collect()
+    }
+}
+
 /// Duty of a machine: its maintenance in a wave, or its move to another pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Duty {
