Hold the running tasks of an organisation within its limit

Cause: nothing connected the limits of the configuration, the check in the scheduler and the grants in the table. Ruled out: a part of the exchange in publish_load, which a slow part of the loads would hold up; a feed in each process, where only holders need the grants. Change: one task for each held cell decides about its grants every 25 ms and at each change that the feed shows, and passes them to the scheduler; it does nothing before a configuration has a limit. Work that its organisation's limit keeps from starting is left out of the inflow. A cell that is not configured and has published no load for 30 s loses its entries. Tests: platform/tests/node/quota.rs with processes, stand-ins for the table and two pools. With the limits not passed to the scheduler, the test of two pools and that of a holder that dies fail; with them the limit is reached and not passed. The third, without a limit, guards that no row of grants is written.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -131,6 +131,10 @@
     SharesChanged = 2507,
     /// Durations of the phases of a round of the fleet's duties.
     FleetRound = 2508,
+    /// Use of an organisation's limit in a cell, reported once a second while its tasks wait.
+    OrganisationLoad = 2601,
+    /// Grants of cells that are not configured and have no holder were removed.
+    GrantsFreed = 2602,
 }
 
 impl Event {
--- a/crates/cells/src/metrics.rs
+++ b/crates/cells/src/metrics.rs
@@ -14,7 +14,8 @@
 
 /// Metrics of a process.
 ///
-/// Labels name queues, cells and outcomes, never single jobs or executors.
+/// Labels name queues, cells, outcomes and a bounded number of organisations, never single jobs or
+/// executors.
 #[derive(Debug, Clone)]
 pub struct Metrics {
     /// Duration of clients' requests by kind and outcome.
@@ -33,6 +34,8 @@
     pub cell_jobs: IntGaugeVec,
     /// Capacity of a cell's executors and its use.
     pub cell_millicores: IntGaugeVec,
+    /// Use of organisations' limits in a cell.
+    pub organisation_millicores: IntGaugeVec,
     /// Processor time of ended jobs by queue and result.
     pub work_core_seconds: CounterVec,
     /// Version of the configuration in force.
@@ -114,6 +117,11 @@
                 "Room of a cell's executors.",
                 &["cell", "part"],
             )?,
+            organisation_millicores: gauge_family(
+                "jtally_organisation_millicores",
+                "Use of organisations' limits in a cell.",
+                &["cell", "organisation", "part"],
+            )?,
             work_core_seconds,
             configuration_version: gauge(
                 "jtally_configuration_version",
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the scheduler of a cell that this process holds, against the table and the executors.
 
+mod allowance;
 mod duty;
 mod poll;
 mod recover;
@@ -330,6 +331,7 @@
             self.spawn_task("pool state", Rc::clone(&self).publish_pool_state(copy));
         }
         self.spawn_task("writes", Rc::clone(&self).write_loop());
+        self.spawn_task("grants", Rc::clone(&self).exchange_grants());
         let mut version = self.ctx.config().map(|c| c.version);
         while self.is_active() {
             let pass_start = Instant::now();
@@ -368,6 +370,7 @@
     fn configure(&self) {
         if let Some(config) = self.ctx.config() {
             self.cell.borrow_mut().configure(config.queues.values());
+            self.set_limits();
         }
     }
 
@@ -413,7 +416,8 @@
             job: job.into(),
         };
         let mut cell = self.cell.borrow_mut();
-        let new_work = (!arrival.job.is_long_running()).then(|| (accepted, arrival.job.work()));
+        let startable = cell.startable_work(arrival.organisation.as_deref(), arrival.job.work());
+        let new_work = (!arrival.job.is_long_running()).then_some((accepted, startable));
         // All rows are read again after a loss of the table's history, so the job may not be new.
         if cell.admit(arrival) {
             if let Some((at, work)) = new_work {
@@ -444,6 +448,7 @@
                 logged = clock::now();
                 self.log_load(&load, &usage);
                 self.log_waiting_tasks();
+                self.log_organisations();
             }
             if load.is_worth_publishing(&last) {
                 // An outage of the loads' part must not delay the pool's state.
