Add up the waiting tasks of organisations once in a pass

Cause: the exchange of grants asked for the needs of all organisations every 25 ms besides each pass, and each time read the state of all jobs: 1.6 ms with 4,000 jobs and 2,880 runs (release build), as much as the rest of a pass. Ruled out: counters by organisation, which drift. Change: the pass keeps what waits, less what it starts; the use is still added up from the runs at each call. Work is scaled by the startable share without loss for amounts under 1,000.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -445,6 +445,9 @@
             start_clock: None,
             cleared: false,
         };
+        if let Some(charge) = &slot.charge {
+            self.quotas.remove_waiting(charge);
+        }
         self.workers[worker].add_run(task.clone(), slot);
         self.orders.push(Order::Start {
             worker: worker.to_owned(),
--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -59,6 +59,8 @@
     allowance: Allowance,
     /// Time since which the grant has been too small, in milliseconds.
     short_since: Option<u64>,
+    /// Amount that its waiting tasks need, and their number.
+    waiting: (Resources, u64),
     /// Share of its waiting tasks that can start, in thousandths.
     startable: u64,
 }
@@ -69,6 +71,17 @@
     by_organisation: IndexMap<String, Quota>,
 }
 
+impl Quotas {
+    /// Removes a task that starts from the waiting ones.
+    pub(super) fn remove_waiting(&mut self, charge: &Charge) {
+        if let Some(quota) = self.by_organisation.get_mut(&charge.organisation) {
+            let (waiting, tasks) = &mut quota.waiting;
+            *waiting = waiting.minus(charge.amount);
+            *tasks = tasks.saturating_sub(1);
+        }
+    }
+}
+
 /// State of the quotas in one assignment pass.
 #[derive(Debug, Default)]
 pub(super) struct QuotaPass {
@@ -119,41 +132,55 @@
         }
     }
 
-    /// What each organisation with a limit needs.
+    /// What each organisation with a limit needs; its waiting tasks are those of the last pass.
     ///
     /// Runs of unknown jobs, and executors of former holders that have neither answered nor
     /// certainly ended, count against each organisation with their whole capacity.
     pub fn quota_needs(&self) -> IndexMap<String, Need> {
-        let mut needs: IndexMap<String, Need> = IndexMap::new();
         if self.quotas.by_organisation.is_empty() {
-            return needs;
+            return IndexMap::new();
         }
         let unknown = self.unknown_use();
-        for name in self.quotas.by_organisation.keys() {
-            needs.insert(name.clone(), Need { unknown, ..Need::default() });
-        }
+        let mut needs: IndexMap<String, Need> = self
+            .quotas
+            .by_organisation
+            .iter()
+            .map(|(name, quota)| {
+                let (waiting, waiting_tasks) = quota.waiting;
+                (name.clone(), Need { unknown, waiting, waiting_tasks, ..Need::default() })
+            })
+            .collect();
         let runs = self.workers.values().flat_map(|worker| worker.runs.values());
         for charge in runs.filter_map(|slot| slot.charge.as_ref()) {
             if let Some(need) = needs.get_mut(&charge.organisation) {
                 need.used = combine(need.used, charge.amount, u64::saturating_add);
             }
         }
+        needs
+    }
+
+    /// Adds up the waiting tasks of each organisation with a limit.
+    ///
+    /// It is done once in a pass, which reads the jobs anyway: with thousands of jobs it takes as
+    /// long as the rest of the pass if their state is not in the processor's cache.
+    fn count_waiting(&mut self) {
         let settled = self.inherited_settled();
+        for quota in self.quotas.by_organisation.values_mut() {
+            quota.waiting = Default::default();
+        }
         for entry in self.jobs.values().filter(|e| !e.state.is_final()) {
-            let Some(need) = entry.organisation.as_ref().and_then(|name| needs.get_mut(name))
-            else {
-                continue;
-            };
+            let name = entry.organisation.as_ref();
+            let quota = name.and_then(|name| self.quotas.by_organisation.get_mut(name));
+            let Some((waiting, tasks)) = quota.map(|quota| &mut quota.waiting) else { continue };
             if entry.inherited && !settled {
                 continue;
             }
             for (spec, count) in startable_steps(entry) {
                 let amount = charged_resources(spec).times(count);
-                need.waiting = combine(need.waiting, amount, u64::saturating_add);
-                need.waiting_tasks += count;
+                *waiting = combine(*waiting, amount, u64::saturating_add);
+                *tasks += count;
             }
         }
-        needs
     }
 
     /// Organisations with a limit: their allowances, needs and what they wait for.
@@ -191,7 +218,7 @@
         let quota = organisation.and_then(|name| self.quotas.by_organisation.get(name));
         match quota.map_or(1_000, |quota| quota.startable) {
             1_000 => work,
-            share => work / 1_000 * share,
+            share => scaled(work, share),
         }
     }
 
@@ -220,6 +247,10 @@
     /// Begins an assignment pass: determines what each organisation uses and can start.
     pub(super) fn begin_quota_pass(&mut self, now: u64) -> QuotaPass {
         let mut pass = QuotaPass::default();
+        if self.quotas.by_organisation.is_empty() {
+            return pass;
+        }
+        self.count_waiting();
         for (name, need) in self.quota_needs() {
             let Some(quota) = self.quotas.by_organisation.get_mut(&name) else { continue };
             let allowance = quota.allowance;
@@ -298,6 +329,12 @@
     }
 }
 
+/// Share of an amount, in thousandths.
+fn scaled(amount: u64, share: u64) -> u64 {
+    let scaled = u128::from(amount) * u128::from(share) / 1_000;
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
+
 /// Charge for a run of a job's step; `None` if the job belongs to no organisation.
 pub(super) fn charge(entry: &JobEntry, step: usize) -> Option<Charge> {
     let organisation = entry.organisation.clone()?;
