--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the scheduler of a cell that this process holds, against the table and the executors.
 
+mod allowance;
 mod duty;
 mod poll;
 mod recover;
@@ -17,9 +18,10 @@
 use jobs::row::JobRow;
 use jobs::share::Inflow;
 use jobs::wave::Stage;
-use jobs::{CellConfig, Progress};
+use jobs::{CellConfig, Progress, Resources};
 use tokio::sync::{Mutex, Notify, Semaphore};
 
+use crate::allowance::Exchange;
 use crate::clock;
 use crate::context::{Context, pause};
 use crate::keys;
@@ -122,6 +124,10 @@
     pool_state: RefCell<PoolState>,
     /// Time since which the first copy of the pool's state waits to be written, in milliseconds.
     pool_state_delayed_since: Cell<Option<u64>>,
+    /// Limits of the organisations that have one, by the current configuration.
+    limits: RefCell<IndexMap<String, Resources>>,
+    /// Grants of the cell, and their exchange with other holders.
+    exchange: RefCell<Exchange>,
     /// Time at which this process took the cell, in milliseconds.
     taken_at: u64,
     /// Time at which the lease was last confirmed, in milliseconds.
@@ -177,6 +183,8 @@
             slowest_write: Cell::new(0),
             pool_state: RefCell::default(),
             pool_state_delayed_since: Cell::new(None),
+            limits: RefCell::default(),
+            exchange: RefCell::new(Exchange::new(&tenure.cell, tenure.epoch)),
             taken_at: now,
             confirmed_at: Cell::new(now),
             lost: Cell::new(false),
@@ -332,6 +340,7 @@
             self.spawn_task("pool state", Rc::clone(&self).publish_pool_state(copy));
         }
         self.spawn_task("writes", Rc::clone(&self).write_loop());
+        self.spawn_task("grants", Rc::clone(&self).exchange_grants());
         let mut version = self.ctx.config().map(|c| c.version);
         while self.is_active() {
             let pass_start = Instant::now();
@@ -346,6 +355,7 @@
             self.apply_duties();
             if self.may_order() {
                 self.cell.borrow_mut().hold_starts(!self.is_registry_current());
+                self.set_grants();
                 let orders = self.cell.borrow_mut().tick(clock::now(), clock::wall());
                 for order in orders {
                     self.send(order);
@@ -370,6 +380,7 @@
     fn configure(&self) {
         if let Some(config) = self.ctx.config() {
             self.cell.borrow_mut().configure(config.queues.values());
+            self.set_limits();
         }
     }
 
@@ -415,7 +426,8 @@
             job: job.into(),
         };
         let mut cell = self.cell.borrow_mut();
-        let new_work = (!arrival.job.is_long_running()).then(|| (accepted, arrival.job.work()));
+        let startable = cell.startable_work(arrival.organisation.as_deref(), arrival.job.work());
+        let new_work = (!arrival.job.is_long_running()).then_some((accepted, startable));
         // All rows are read again after a loss of the table's history, so the job may not be new.
         if cell.admit(arrival) {
             if let Some((at, work)) = new_work {
@@ -446,6 +458,7 @@
                 logged = clock::now();
                 self.log_load(&load, &usage);
                 self.log_waiting_tasks();
+                self.log_organisations();
             }
             if load.is_worth_publishing(&last) {
                 // An outage of the loads' part must not delay the pool's state.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use strum::{Display, EnumString, IntoStaticStr};
 
+use crate::cell::Charge;
 use crate::incarnation;
 use crate::job::TaskId;
 
@@ -206,6 +207,8 @@
     pub run: u64,
     /// Resources reserved for the run.
     pub resources: Resources,
+    /// Use of its organisation's limit; `None` if it has none or its job is unknown.
+    pub charge: Option<Charge>,
     /// Phase of the run.
     pub phase: Phase,
     /// Whether the start may have gone out to the executor, rather than queue at the holder.
