Move machines ahead of peaks that come in turn

Cause: the rebalancer follows the work that has arrived, so a machine reaches a peak of 4 s about 2.5 s after its start, and between peaks all machines idle in even shares, since those shares use up the fleet.

Ruled out: a lower extrapolated rise (random large jobs already set it), smaller even shares without a forecast (the pool's own machines are all that serves the first 2 s of a peak).

Change: jobs::forecast recognises peaks with equal spacing from the pools' inflow and names the next pools; the rebalancer moves idle machines ahead of them, keeps little in pools whose peak is far away, and sends machines to standby that no peak needs soon. An expected peak that does not come is dropped after 1.3 s; after misses the forecast is silent until peaks come as expected again, and the pools get their even shares back. Rebalancer::default() makes no forecast.

With Rebalancer::default() in place of the forecast, two tests fail: peaks in turn (equal figures) and moves ahead of an expected peak (none). The ten tests of costs and certainty pass without a forecast too.

--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -167,6 +167,7 @@
             away,
             unusable: (down + load.unusable).min(staying.len()),
             removable,
+            age: self.ctx.table_now().saturating_sub(load.published_at),
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cell;
 pub mod crash;
 pub mod flush;
+pub mod forecast;
 pub mod job;
 pub mod order;
 pub mod organisation;
--- a/crates/jobs/src/share.rs
+++ b/crates/jobs/src/share.rs
@@ -6,6 +6,9 @@
 //! on standby move, then those that other pools do not need. Between peaks the pools return to even
 //! shares, and only the remainder of an even division goes to standby.
 //!
+//! Where peaks can be forecast, machines move to a pool before its peak begins, and the pools whose
+//! peaks are far away keep little: an idle machine costs as much in about a second as its move.
+//!
 //! Late work earns little, but accepted jobs have to end. It gets machines that no pool needs for
 //! timely work: those on standby, and while no pool has a peak also idle ones of other pools.
 
@@ -13,6 +16,8 @@
 
 use indexmap::IndexMap;
 
+use crate::forecast::{ExpectedPeak, Forecaster};
+
 /// Longest window over which arriving work is averaged, in milliseconds. Several of the larger jobs
 /// arrive within it.
 const LONG_WINDOW_MS: u64 = 2 * TREND_WINDOW_MS;
@@ -35,6 +40,26 @@
 /// Time without a peak after which late work gets idle machines that other pools keep for their next
 /// peak, in milliseconds; longer than the pause between two peaks.
 const CALM_MS: u64 = 3_000;
+/// Time before the expected start of a peak at which machines move to its pool, in milliseconds: a
+/// move, the start of the executor, and the time in which a rise shows.
+const PEAK_LEAD_MS: u64 = 2_600;
+/// Time for which an idle machine is kept for a peak that is further away than that, in milliseconds;
+/// longer idling costs more than the move to standby.
+const MOVE_WORTH_MS: u64 = 1_200;
+/// Time after the start of an expected peak for which its pool keeps the machines that moved ahead, in
+/// milliseconds; by then its measured demand counts.
+const PEAK_HOLD_MS: u64 = 3_500;
+/// Part of the even share that a pool keeps while its peak is far away, in percent.
+const FAR_SHARE_PERCENT: usize = 10;
+/// Least rate that counts as a peak, in percent of the capacity of an even share.
+const PEAK_FLOOR_PERCENT: u64 = 25;
+/// Time without a forecast after which machines return from standby to the pools' even shares, in
+/// milliseconds; a forecast may be missing for some rounds.
+const FORECAST_LAPSE_MS: u64 = 500;
+/// Highest rate of an expected peak that is believed while it begins, in percent of the expected one.
+const MAX_RATE_PERCENT: u64 = 120;
+/// Capacity to provide ahead of a peak, in percent of its expected rate.
+const EXPECTED_PERCENT: u64 = 105;
 /// Fewest machines of a pool, as one may fail while another is down for maintenance.
 const MIN_POOL_MACHINES: usize = 3;
 
@@ -157,6 +182,8 @@
     pub removable: Vec<String>,
     /// Number of removable machines without runs; they come first in `removable`.
     pub idle: usize,
+    /// Time since this demand was measured, in milliseconds.
+    pub age: u64,
 }
 
 /// Move of a machine from one pool to another.
@@ -179,6 +206,26 @@
     surplus_since: IndexMap<String, u64>,
     unused_since: IndexMap<String, u64>,
     calm_since: Option<u64>,
+    forecaster: Option<Forecaster>,
+    outlook: Outlook,
+    /// Peaks that were expected, by pool: time until which their machines stay, in milliseconds, and
+    /// rate.
+    held_peaks: IndexMap<String, (u64, u64)>,
+    /// Time of the last forecast, in milliseconds, until the pools have their even shares again.
+    forecast_until: Option<u64>,
+}
+
+/// What the rebalancer expects, and what it moved for that.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Outlook {
+    /// Next peaks in order of time; empty without a forecast.
+    pub peaks: Vec<ExpectedPeak>,
+    /// Number of machines that the last plan moved ahead of a peak, by the pool that gets them.
+    pub moved_ahead: IndexMap<String, u64>,
+    /// Number of expected peaks that have come since the plan before.
+    pub came: u64,
+    /// Number of expected peaks that have failed to come since the plan before.
+    pub missing: u64,
 }
 
 /// Number of machines that a pool needs, each with `size` thousandths of a core.
@@ -245,6 +292,73 @@
 }
 
 impl Rebalancer {
+    /// Creates a rebalancer that moves machines ahead of the peaks that it can forecast.
+    ///
+    /// [`Rebalancer::default`] makes no forecasts.
+    pub fn with_forecast() -> Self {
+        Self { forecaster: Some(Forecaster::default()), ..Self::default() }
+    }
+
+    /// What the last plan expected.
+    pub fn outlook(&self) -> &Outlook {
+        &self.outlook
+    }
+
+    /// Takes in the pools' demand and forecasts their next peaks.
+    fn update_outlook(
+        &mut self,
+        pools: &IndexMap<String, Demand>,
+        even_share: usize,
+        size: u64,
+        now: u64,
+    ) {
+        let Some(forecaster) = &mut self.forecaster else { return };
+        let floor = (even_share as u64 * size * PEAK_FLOOR_PERCENT / 100).max(1);
+        for (pool, demand) in pools {
+            forecaster.observe(pool, now.saturating_sub(demand.age), demand.arrival_rate, floor);
+        }
+        let begun = std::mem::take(&mut self.outlook.peaks).into_iter().filter_map(|peak| {
+            let since = forecaster.peak_since(&peak.pool)?;
+            Some((peak.pool, (since + PEAK_HOLD_MS, peak.rate)))
+        });
+        let begun: Vec<_> = begun.collect();
+        self.held_peaks.retain(|_, (until, _)| now < *until);
+        self.held_peaks.extend(begun.into_iter().filter(|(_, (until, _))| now < *until));
+        let peaks = forecaster.upcoming(now);
+        let (came, missing) = forecaster.take_outcomes();
+        self.outlook = Outlook { peaks, came, missing, ..Outlook::default() };
+    }
+
+    /// Demand of a pool in which the arriving work is limited to what an expected peak may bring.
+    ///
+    /// At the start of a peak, the extrapolated rise is far above it. Where the peak was expected, its
+    /// rate is known better, and a larger one shows in the backlog.
+    fn without_extrapolation(&self, pool: &str, demand: &Demand) -> Demand {
+        let limit = self.held_peaks.get(pool).map(|(_, rate)| rate * MAX_RATE_PERCENT / 100);
+        let arrival_rate = demand.arrival_rate.min(limit.unwrap_or(u64::MAX));
+        Demand { arrival_rate, ..demand.clone() }
+    }
+
+    /// Machines that a pool should have for a peak that begins within `lead` milliseconds or has just
+    /// begun; 0 if none does.
+    fn machines_expected(
+        &self,
+        pool: &str,
+        demand: &Demand,
+        size: u64,
+        lead: u64,
+        now: u64,
+    ) -> usize {
+        let expected =
+            self.outlook.peaks.iter().find(|p| p.pool == pool && p.starts_at <= now + lead);
+        let begun = self.held_peaks.get(pool).filter(|(until, _)| now < *until);
+        let rate = expected.map(|peak| peak.rate).into_iter().chain(begun.map(|(_, rate)| *rate));
+        let Some(rate) = rate.max() else { return 0 };
+        let demand =
+            Demand { arrival_rate: rate * EXPECTED_PERCENT / HEADROOM_PERCENT, ..demand.clone() };
+        machines_needed_without_backlog(&demand, size)
+    }
+
     /// Decides which machines move now.
     ///
     /// `standby` is the pool of machines that are switched off, with those of its machines that can
@@ -262,23 +376,40 @@
         // It keeps half of that share even while the demand of another pool peaks.
         let even_share = total / pools.len().max(1);
         let calm = self.is_calm(pools, size, even_share / 2, now);
+        self.update_outlook(pools, even_share, size, now);
+        let has_forecast = !self.outlook.peaks.is_empty();
+        if has_forecast {
+            self.forecast_until = Some(now);
+        }
+        // Peaks that are no longer forecast find the machines in the pools, as without a forecast.
+        let restores_shares = self.forecast_until.is_some_and(|at| now >= at + FORECAST_LAPSE_MS);
+        // With a forecast, the machines of a pool whose peak is far away wait on standby.
+        let (share, reserve) = if has_forecast {
+            let far_share = even_share * FAR_SHARE_PERCENT / 100;
+            (far_share, far_share)
+        } else {
+            (even_share, even_share / 2)
+        };
         let mut states: Vec<PoolState<'_>> = pools
             .iter()
             .map(|(name, demand)| {
+                let demand = &self.without_extrapolation(name, demand);
                 let need = machines_needed(demand, size);
                 let late_need = machines_with_late_work(demand, size);
-                let keep = need.max(even_share).max(if calm { late_need } else { 0 });
+                let expected = self.machines_expected(name, demand, size, PEAK_LEAD_MS, now);
+                let keep = need.max(share).max(expected).max(if calm { late_need } else { 0 });
                 let surplus = demand.machines > keep;
                 let unused = demand.machines > keep.max(late_need);
-                let removable = demand.removable.iter().collect();
+                let removable: VecDeque<&String> = pools[name].removable.iter().collect();
                 PoolState {
                     name,
                     machines: demand.machines,
                     need,
                     late_need,
-                    keep_while_others_lack: need.max(even_share / 2),
+                    keep_while_others_lack: need.max(expected).max(reserve),
                     firm_need: machines_needed_without_backlog(demand, size),
-                    reserve: even_share / 2,
+                    reserve: reserve.max(expected),
+                    expected,
                     keep,
                     surplus_persists: persists(&mut self.surplus_since, name, surplus, now),
                     unused_persist: persists(&mut self.unused_since, name, unused, now),
@@ -327,6 +458,26 @@
             add_move(machine, states[from].name, states[to].name);
             states[to].machines += 1;
         }
+        // A pool whose peak is about to begin gets machines ahead of it. A wrong forecast must not
+        // disturb running work, so only idle machines move.
+        let mut moved_ahead: IndexMap<String, u64> = IndexMap::new();
+        while let Some(to) =
+            pool_with_most(&states, |state| state.expected.saturating_sub(state.machines))
+        {
+            let idle_in = pool_with_most(&states, |state| {
+                state.available_above(state.keep_while_others_lack).min(state.idle)
+            });
+            if let Some(from) = idle_in {
+                let Some(machine) = states[from].release_machine() else { break };
+                add_move(machine, states[from].name, states[to].name);
+            } else {
+                let Some(machine) = standby_machines.pop_front() else { break };
+                add_move(machine, standby_pool, states[to].name);
+            }
+            states[to].machines += 1;
+            *moved_ahead.entry(states[to].name.clone()).or_default() += 1;
+        }
+        self.outlook.moved_ahead = moved_ahead;
         // Then the pools return to their even shares, and the remaining machines go to standby.
         while let Some(to) =
             pool_with_most(&states, |state| state.keep.saturating_sub(state.machines))
@@ -334,11 +485,21 @@
             let from = pool_with_most(&states, |s| {
                 if s.surplus_persists { s.available_above(s.keep) } else { 0 }
             });
-            let Some(from) = from else { break };
-            let Some(machine) = states[from].release_machine() else { break };
-            add_move(machine, states[from].name, states[to].name);
+            if let Some(from) = from {
+                let Some(machine) = states[from].release_machine() else { break };
+                add_move(machine, states[from].name, states[to].name);
+            } else {
+                if !restores_shares {
+                    break;
+                }
+                let Some(machine) = standby_machines.pop_front() else { break };
+                add_move(machine, standby_pool, states[to].name);
+            }
             states[to].machines += 1;
         }
+        if restores_shares && states.iter().all(|state| state.machines >= state.keep) {
+            self.forecast_until = None;
+        }
         // Late work gets what is left.
         while let Some(to) =
             pool_with_most(&states, |state| state.late_need.saturating_sub(state.machines))
@@ -357,10 +518,22 @@
             states[to].machines += 1;
         }
         if standby.is_some() {
-            while let Some(from) = pool_with_most(&states, |s| {
-                if s.unused_persist { s.available_above(s.keep.max(s.late_need)) } else { 0 }
-            }) {
+            // Machines that a peak needs before a move to standby pays stay where they are.
+            let soon = PEAK_LEAD_MS + MOVE_WORTH_MS;
+            let missing = states.iter().map(|state| {
+                let demand = &pools[state.name];
+                let expected = self.machines_expected(state.name, demand, size, soon, now);
+                expected.saturating_sub(state.machines)
+            });
+            let kept = missing.sum::<usize>();
+            let mut idle: usize = states.iter().map(|s| s.idle).sum();
+            while (kept == 0 || idle > kept)
+                && let Some(from) = pool_with_most(&states, |s| {
+                    if s.unused_persist { s.available_above(s.keep.max(s.late_need)) } else { 0 }
+                })
+            {
                 let Some(machine) = states[from].release_machine() else { break };
+                idle = idle.saturating_sub(1);
                 add_move(machine, states[from].name, standby_pool);
             }
         }
@@ -407,6 +580,8 @@
     firm_need: usize,
     /// Machines that the pool keeps in any case.
     reserve: usize,
+    /// Machines for an expected peak; 0 if none is near.
+    expected: usize,
     /// Machines to keep between peaks: the need, or an even share if that is larger. While no pool has
     /// a peak, the need includes late work.
     keep: usize,
