Forecast peaks in the holder of the fleet's duties

Cause: the rebalancer of the duties' holder was created without a forecast.

Ruled out: the forecast in a row of the table, as a new holder learns it anew within three peaks.

Tests: those of cells and base pass; the catalogue test of base covers the new event. No test runs a forecast through the network yet.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -131,6 +131,8 @@
     SharesChanged = 2507,
     /// Durations of the phases of a round of the fleet's duties.
     FleetRound = 2508,
+    /// The forecast of the pools' peaks has changed, or machines moved ahead of a peak.
+    PeakForecast = 2509,
 }
 
 impl Event {
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -47,6 +47,8 @@
     pub cpu: u64,
     /// Orders for machines that the platform accepts a second; 0 if unknown.
     pub order_rate: u64,
+    /// Whether machines move ahead of peaks that can be forecast.
+    pub forecast_peaks: bool,
     /// Time limits of the platform.
     pub bounds: Bounds,
 }
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -80,6 +80,8 @@
     /// Newest known states of the pools.
     pool_states: RefCell<IndexMap<String, PoolState>>,
     rebalancer: RefCell<Rebalancer>,
+    /// Pool of the expected peak that was logged last.
+    logged_peak: RefCell<Option<String>>,
     /// Times since which machines have had no executor, in milliseconds.
     down_since: RefCell<IndexMap<String, u64>>,
     order_rate: RefCell<OrderRate>,
@@ -95,6 +97,11 @@
 impl Fleet {
     pub fn spawn(ctx: Rc<Context>, tenure: Tenure) -> Self {
         let order_rate = RefCell::new(OrderRate::new(ctx.settings.order_rate));
+        let rebalancer = if ctx.settings.forecast_peaks {
+            Rebalancer::with_forecast()
+        } else {
+            Rebalancer::default()
+        };
         let inner = Rc::new(Inner {
             ctx,
             tenure,
@@ -109,7 +116,8 @@
             reported: RefCell::default(),
             wave_starts: RefCell::default(),
             pool_states: RefCell::default(),
-            rebalancer: RefCell::default(),
+            rebalancer: RefCell::new(rebalancer),
+            logged_peak: RefCell::default(),
             down_since: RefCell::default(),
             order_rate,
             order_count: Cell::new(0),
--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -71,6 +71,7 @@
             if !moves.is_empty() {
                 self.log_shares(&pools, size, moves.len());
             }
+            self.log_forecast();
             moves
         };
         self.begin_moves(&moves, standby.as_deref()).await;
@@ -97,6 +98,37 @@
         );
     }
 
+    /// Logs the next expected peak if it is another one than before, or if machines moved ahead of it,
+    /// and counts how the forecasts turned out.
+    fn log_forecast(&self) {
+        let rebalancer = self.rebalancer.borrow();
+        let outlook = rebalancer.outlook();
+        for (outcome, count) in [("came", outlook.came), ("missing", outlook.missing)] {
+            self.ctx.metrics.peak_forecasts.with_label_values(&[outcome]).inc_by(count);
+        }
+        for (pool, count) in &outlook.moved_ahead {
+            self.ctx.metrics.moves_ahead.with_label_values(&[pool]).inc_by(*count);
+        }
+        let next = outlook.peaks.first();
+        let pool = next.map(|peak| peak.pool.clone());
+        let moved: u64 = outlook.moved_ahead.values().sum();
+        if moved == 0 && *self.logged_peak.borrow() == pool {
+            return;
+        }
+        let in_ms = next.map_or(0, |peak| peak.starts_at.saturating_sub(clock::now()));
+        let cores = next.map_or(0, |peak| peak.rate / 1_000);
+        self.ctx.timeline.record(
+            base::Event::PeakForecast,
+            &[
+                ("pool", &pool.as_deref().unwrap_or("none")),
+                ("in_ms", &in_ms),
+                ("cores", &cores),
+                ("moved", &moved),
+            ],
+        );
+        *self.logged_peak.borrow_mut() = pool;
+    }
+
     /// Returns whether a machine has a duty or an order in progress.
     fn is_reserved(&self, machine: &str) -> bool {
         self.moving.borrow().contains_key(machine)
--- a/crates/cells/src/metrics.rs
+++ b/crates/cells/src/metrics.rs
@@ -25,6 +25,10 @@
     pub table_seconds: HistogramVec,
     /// Duration of the phases of a round of the fleet's duties.
     pub fleet_round_seconds: HistogramVec,
+    /// Number of expected peaks by whether they came.
+    pub peak_forecasts: IntCounterVec,
+    /// Number of machines that moved ahead of an expected peak, by pool.
+    pub moves_ahead: IntCounterVec,
     /// Number of ended jobs by queue and state.
     pub jobs_ended: IntCounterVec,
     /// Time from the first request for a job to its durable end, by state.
@@ -80,6 +84,11 @@
             &["queue", "state"],
         )?;
         registry.register(Box::new(jobs_ended.clone()))?;
+        let counter_family = |name: &str, help: &str, labels: &[&str]| {
+            let family = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(family.clone()))?;
+            Ok::<_, prometheus::Error>(family)
+        };
         let work_core_seconds = CounterVec::new(
             Opts::new("jtally_work_core_seconds_total", "Processor time of ended jobs."),
             &["queue", "result"],
@@ -102,6 +111,16 @@
                 "Phases of a round of the fleet's duties.",
                 &["phase"],
             )?,
+            peak_forecasts: counter_family(
+                "jtally_peak_forecasts_total",
+                "Expected peaks of pools.",
+                &["outcome"],
+            )?,
+            moves_ahead: counter_family(
+                "jtally_moves_ahead_total",
+                "Machines that moved ahead of an expected peak.",
+                &["cell"],
+            )?,
             jobs_ended,
             job_seconds: histogram(
                 "jtally_job_seconds",
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -423,6 +423,7 @@
         centre: "c".to_owned(),
         cpu: 1_000,
         order_rate: 40,
+        forecast_peaks: true,
         bounds,
     };
     let metrics = Metrics::register(&prometheus::Registry::new()).expect("names are unique");
