Let no machine hold up the others of its wave

Cause: a wave begins as many machines at once as the deadline needs, the cheapest first. Machines that are down or move between pools have no executor and cost nothing, so they were chosen before all others: those that move were then passed over, and those that are down held a place of the wave until they were back, without any progress. Machines with long-running tasks cost most, so those that take longest to empty began last. One that could not be emptied for seconds held its place, too.

Change: machines that move, have another duty, are down or refuse their orders can't begin; those that are being emptied and are down, or not empty after 1.5 s, no longer hold a place; after a fifth of the time limit, machines with long-running tasks go first.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -71,6 +71,8 @@
     /// Machines whose last order for a wave was refused as they were busy, with the time of the next
     /// attempt in milliseconds.
     busy_until: RefCell<IndexMap<String, u64>>,
+    /// Times since which machines are being emptied for waves, by wave and machine, in milliseconds.
+    emptying_since: RefCell<IndexMap<(u64, String), u64>>,
     /// Orders for waves with an unknown outcome, by wave and machine.
     open_orders: RefCell<IndexSet<(u64, String)>>,
     /// Waves reported to the operator, and whether as complete.
@@ -112,6 +114,7 @@
             listed_at: Cell::new(0),
             accepted: RefCell::default(),
             busy_until: RefCell::default(),
+            emptying_since: RefCell::default(),
             open_orders: RefCell::default(),
             reported: RefCell::default(),
             wave_starts: RefCell::default(),
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -22,14 +22,7 @@
         let elapsed = self.elapsed(wave.number).await?;
         let steps = {
             let machines = self.machines.borrow();
-            let stages: IndexMap<String, Stage> = wave
-                .machines
-                .iter()
-                .map(|name| {
-                    let stage = self.stage(wave.number, name);
-                    (name.clone(), wave::planned_stage(stage, self.is_busy(name)))
-                })
-                .collect();
+            let moving = self.moving.borrow();
             let empty = |name: &str| {
                 let Some(machine) = machines.get(name) else { return true };
                 let duty = self.duty(&keys::maintenance(wave.number, name));
@@ -39,9 +32,32 @@
                     && (self.runs_no_tasks(machine)
                         || duty.is_some_and(|d| d.emptied && d.executor == machine.executor))
             };
+            let stages: IndexMap<String, Stage> = wave
+                .machines
+                .iter()
+                .map(|name| {
+                    let stage = self.stage(wave.number, name);
+                    let emptying_for = self.emptying_for(wave.number, name, stage);
+                    let is_stuck = self.is_busy(name)
+                        || machines.get(name).is_some_and(|machine| !machine.up)
+                        || (wave::empties_slowly(emptying_for) && !empty(name));
+                    (name.clone(), wave::planned_stage(stage, is_stuck))
+                })
+                .collect();
+            // A machine that can't begin now must not be chosen in place of one that can. Those that
+            // are stuck have begun already.
             let cost = |name: &str| match machines.get(name) {
-                Some(_) if self.is_busy(name) => u64::MAX,
-                machine => machine.map_or(0, |m| self.maintenance_cost(m)),
+                Some(machine)
+                    if machine.up
+                        && !self.is_busy(name)
+                        && !moving.contains_key(name)
+                        && !self.has_duty(name) =>
+                {
+                    let cost = self.maintenance_cost(machine);
+                    let slow = self.has_long_running_tasks(machine);
+                    wave::start_cost(cost, slow, elapsed, wave.time_limit)
+                }
+                _ => wave::CANNOT_BEGIN,
             };
             wave::plan_steps(wave, &stages, elapsed, &empty, &cost)
         };
@@ -80,6 +96,28 @@
         self.report_wave(wave.number, steps.complete).await
     }
 
+    /// Returns the milliseconds for which this holder has seen a machine being emptied for a wave.
+    fn emptying_for(&self, wave: u64, name: &str, stage: Stage) -> u64 {
+        let mut since = self.emptying_since.borrow_mut();
+        let key = (wave, name.to_owned());
+        if stage != Stage::Emptying {
+            since.swap_remove(&key);
+            return 0;
+        }
+        let now = clock::now();
+        now.saturating_sub(*since.entry(key).or_insert(now))
+    }
+
+    /// Returns whether a machine is known to run long-running tasks, which have to run elsewhere before
+    /// it is empty.
+    fn has_long_running_tasks(&self, machine: &Machine) -> bool {
+        let states = self.pool_states.borrow();
+        !self.runs_no_tasks(machine)
+            && states
+                .get(&machine.pool)
+                .is_some_and(|state| !state.spares.contains(&machine.executor))
+    }
+
     /// Returns the cost of taking a machine down now.
     ///
     /// A machine without tasks costs nothing. Otherwise the cost rises with the load of the pool,
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a wave names up to half of all machines. Few may be down at once, and each of them
 //! is lost capacity for the queue whose demand peaks. The stops are therefore spread over the time
 //! up to the deadline, idle machines go first, and the next machines are emptied while others are
-//! down.
+//! down. Machines that move between pools, are down or can't be emptied for a while must not hold up
+//! the others, and those that take longest to empty must not begin last.
 
 use indexmap::IndexMap;
 
@@ -130,10 +131,50 @@
 
 /// Returns the stage by which a machine is planned.
 ///
-/// A machine that is being emptied but is `busy` counts as not begun, so that the others of its wave
-/// do not wait for it.
-pub fn planned_stage(stage: Stage, busy: bool) -> Stage {
-    if busy && stage == Stage::Emptying { Stage::Due } else { stage }
+/// A machine that is being emptied but can't go on (`stuck`: its order was refused as it was busy, it
+/// is down, or it empties slowly) counts as not begun, so that the others of its wave do not wait for
+/// it.
+pub fn planned_stage(stage: Stage, stuck: bool) -> Stage {
+    if stuck && stage == Stage::Emptying { Stage::Due } else { stage }
+}
+
+/// Time after which a machine that is not empty yet no longer holds a place of its wave, in
+/// milliseconds; most machines are empty by then.
+const SLOW_EMPTYING_MS: u64 = 1_500;
+
+/// Returns whether a machine has been emptied for so long that others should begin meanwhile.
+///
+/// # Examples
+///
+/// ```
+/// assert!(!jobs::wave::empties_slowly(900));
+/// assert!(jobs::wave::empties_slowly(3_000));
+/// ```
+pub fn empties_slowly(emptying_for: u64) -> bool {
+    emptying_for > SLOW_EMPTYING_MS
+}
+
+/// Cost of a machine that can't begin now, as it moves, is down or refuses its orders.
+pub const CANNOT_BEGIN: u64 = u64::MAX;
+/// Part of the wave's time limit after which machines that take long to empty go first, in percent.
+const SLOW_FIRST_PERCENT: u64 = 20;
+
+/// Returns the cost by which a machine is chosen, `elapsed` milliseconds after the order of its wave.
+///
+/// A machine with long-running tasks (`slow`) takes seconds to empty, as other executors have to take
+/// them. At first it goes by its `cost`, and after a part of the time limit before all others.
+///
+/// # Examples
+///
+/// ```
+/// use jobs::wave::start_cost;
+/// assert_eq!(start_cost(150, true, 1_000, 30_000), 150);
+/// assert_eq!(start_cost(150, true, 9_000, 30_000), 0);
+/// assert_eq!(start_cost(150, false, 9_000, 30_000), 150);
+/// ```
+pub fn start_cost(cost: u64, slow: bool, elapsed: u64, time_limit: u64) -> u64 {
+    let slow_first = elapsed * 100 >= time_limit * SLOW_FIRST_PERCENT;
+    if slow && slow_first && cost != CANNOT_BEGIN { 0 } else { cost }
 }
 
 /// Time to empty and stop a machine, in milliseconds; the stop itself takes about half of it.
@@ -145,7 +186,7 @@
 /// Decides the next steps of a wave, `elapsed` milliseconds after its order.
 ///
 /// Only as many machines are in progress at once as the deadline requires, and those with the least
-/// `cost` go first. `is_empty` returns whether a machine that is being emptied has no runs left.
+/// `cost` go first; [`CANNOT_BEGIN`] leaves a machine out. `is_empty` returns whether a machine that is being emptied has no runs left.
 pub fn plan_steps(
     wave: &Wave,
     stages: &IndexMap<String, Stage>,
@@ -172,7 +213,7 @@
     let in_progress = (unfinished as u64 * MACHINE_CYCLE_MS).div_ceil(time_left);
     let in_progress = usize::try_from(in_progress).unwrap_or(usize::MAX).min(max_down + 1);
     let begun = at(Stage::Emptying).count() + at(Stage::Down).count();
-    let mut due: Vec<&String> = at(Stage::Due).collect();
+    let mut due: Vec<&String> = at(Stage::Due).filter(|m| cost(m) != CANNOT_BEGIN).collect();
     due.sort_by_key(|m| cost(m));
     steps.start_emptying =
         due.into_iter().take(in_progress.saturating_sub(begun)).cloned().collect();
--- a/crates/jobs/tests/uneven.rs
+++ b/crates/jobs/tests/uneven.rs
@@ -3,6 +3,7 @@
 //! Run with `--nocapture` to see the figures.
 
 mod dice;
+mod maintenance;
 mod replay;
 
 use indexmap::IndexMap;
