Choose the machines of a wave with regard to the next peak

Cause: the cost of taking a machine down follows the present load of its pool, so that a quiet pool lost machines just before its peak.

Without a forecast the cost is as before.

--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -120,8 +120,9 @@
 
     /// Returns the cost of taking a machine down now.
     ///
-    /// A machine without tasks costs nothing. Otherwise the cost rises with the load of the pool,
-    /// and is lower for machines that can leave their pool.
+    /// A machine without tasks costs nothing. Otherwise the cost rises with the load of the pool, or
+    /// with that of the peak that is expected there before the machine is back, and is lower for
+    /// machines that can leave their pool.
     fn maintenance_cost(&self, machine: &Machine) -> u64 {
         if self.runs_no_tasks(machine) {
             return 0;
@@ -130,8 +131,11 @@
         let Some(PoolState { load, spares, .. }) = states.get(&machine.pool) else {
             return BUSY_MACHINE_COST;
         };
-        let load_per_mille =
-            (load.arrival_rate * 1_000).checked_div(load.capacity).unwrap_or(1_000);
+        let rebalancer = self.rebalancer.borrow();
+        let peaks = &rebalancer.outlook().peaks;
+        let next = peaks.iter().find(|peak| peak.pool == machine.pool);
+        let next = next.map(|peak| (peak.rate, peak.starts_at.saturating_sub(clock::now())));
+        let load_per_mille = wave::load_per_mille(load.arrival_rate, load.capacity, next);
         let spare_cost = spares
             .get_index_of(&machine.executor)
             .map(|rank| 1 + rank as u64 * (BUSY_MACHINE_COST - 1) / spares.len().max(1) as u64);
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -183,6 +183,25 @@
 /// can't be emptied at once.
 const PLANNED_TIME_PERCENT: u64 = 65;
 
+/// Returns the load of a pool that a machine would be missing from, in thousandths of its capacity.
+///
+/// `peak` is the rate of the next peak that is expected there and the time until its start in
+/// milliseconds. It counts if it comes before the machine is back.
+///
+/// # Examples
+///
+/// ```
+/// use jobs::wave::load_per_mille;
+/// assert_eq!(load_per_mille(40_000, 800_000, None), 50);
+/// assert_eq!(load_per_mille(40_000, 800_000, Some((1_200_000, 2_000))), 1_500);
+/// assert_eq!(load_per_mille(40_000, 800_000, Some((1_200_000, 9_000))), 50);
+/// ```
+pub fn load_per_mille(arrival_rate: u64, capacity: u64, peak: Option<(u64, u64)>) -> u64 {
+    let expected = peak.filter(|(_, starts_in)| *starts_in <= MACHINE_CYCLE_MS);
+    let rate = arrival_rate.max(expected.map_or(0, |(rate, _)| rate));
+    (rate * 1_000).checked_div(capacity).unwrap_or(1_000)
+}
+
 /// Decides the next steps of a wave, `elapsed` milliseconds after its order.
 ///
 /// Only as many machines are in progress at once as the deadline requires, and those with the least
