--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -131,6 +131,8 @@
     SharesChanged = 2507,
     /// Durations of the phases of a round of the fleet's duties.
     FleetRound = 2508,
+    /// The forecast of the pools' peaks has changed, or machines moved ahead of a peak.
+    PeakForecast = 2509,
     /// Use of an organisation's limit in a cell, reported once a second while its tasks wait.
     OrganisationLoad = 2601,
     /// Grants of cells that are not configured and have no holder were removed.
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -71,17 +71,21 @@
     /// Machines whose last order for a wave was refused as they were busy, with the time of the next
     /// attempt in milliseconds.
     busy_until: RefCell<IndexMap<String, u64>>,
+    /// Times since which machines are being emptied for waves, by wave and machine, in milliseconds.
+    emptying_since: RefCell<IndexMap<(u64, String), u64>>,
     /// Orders for waves with an unknown outcome, by wave and machine.
     open_orders: RefCell<IndexSet<(u64, String)>>,
-    /// Machines of waves on which long-running tasks were when they were last due.
-    long_running: RefCell<IndexSet<String>>,
     /// Waves reported to the operator, and whether as complete.
     reported: RefCell<IndexMap<u64, bool>>,
+    /// Times at which this holder first saw waves, by the table's clock.
+    waves_seen: RefCell<IndexMap<u64, u64>>,
     /// Times at which waves were first seen by any holder, by the table's clock.
     wave_starts: RefCell<IndexMap<u64, u64>>,
     /// Newest known states of the pools.
     pool_states: RefCell<IndexMap<String, PoolState>>,
     rebalancer: RefCell<Rebalancer>,
+    /// Pool of the expected peak that was logged last.
+    logged_peak: RefCell<Option<String>>,
     /// Times since which machines have had no executor, in milliseconds.
     down_since: RefCell<IndexMap<String, u64>>,
     order_rate: RefCell<OrderRate>,
@@ -97,6 +101,11 @@
 impl Fleet {
     pub fn spawn(ctx: Rc<Context>, tenure: Tenure) -> Self {
         let order_rate = RefCell::new(OrderRate::new(ctx.settings.order_rate));
+        let rebalancer = if ctx.settings.forecast_peaks {
+            Rebalancer::with_forecast()
+        } else {
+            Rebalancer::default()
+        };
         let inner = Rc::new(Inner {
             ctx,
             tenure,
@@ -107,12 +116,14 @@
             listed_at: Cell::new(0),
             accepted: RefCell::default(),
             busy_until: RefCell::default(),
+            emptying_since: RefCell::default(),
             open_orders: RefCell::default(),
-            long_running: RefCell::default(),
             reported: RefCell::default(),
+            waves_seen: RefCell::default(),
             wave_starts: RefCell::default(),
             pool_states: RefCell::default(),
-            rebalancer: RefCell::default(),
+            rebalancer: RefCell::new(rebalancer),
+            logged_peak: RefCell::default(),
             down_since: RefCell::default(),
             order_rate,
             order_count: Cell::new(0),
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -15,54 +15,51 @@
 /// It is higher than the cost of any spare.
 const BUSY_MACHINE_COST: u64 = 100;
 
-/// The machines of a wave, as the holder of the fleet's duties sees them.
-struct WaveMachines<'a> {
-    fleet: &'a Inner,
-    wave: u64,
-    machines: &'a IndexMap<String, Machine>,
-}
-
-impl wave::Machines for WaveMachines<'_> {
-    fn is_empty(&self, name: &str) -> bool {
-        let Some(machine) = self.machines.get(name) else { return true };
-        let duty = self.fleet.duty(&keys::maintenance(self.wave, name));
-        machine.up
-            && !self.fleet.is_recently_ordered(name)
-            && !self.fleet.is_busy(name)
-            && (self.fleet.runs_no_tasks(machine)
-                || duty.is_some_and(|d| d.emptied && d.executor == machine.executor))
-    }
-
-    fn cost(&self, name: &str) -> u64 {
-        match self.machines.get(name) {
-            Some(_) if self.fleet.is_busy(name) => u64::MAX,
-            machine => machine.map_or(0, |m| self.fleet.maintenance_cost(m)),
-        }
-    }
-
-    fn has_long_running(&self, name: &str) -> bool {
-        self.fleet.long_running.borrow().contains(name)
-    }
-}
-
 impl Inner {
     /// Carries out the next steps of a wave.
     pub(super) async fn advance_wave(&self, wave: &Wave) -> Result<(), String> {
         self.check_ordered_machines(wave).await;
-        let elapsed = self.elapsed(wave.number).await?;
+        let elapsed = self.elapsed(wave.number).await;
         let steps = {
             let machines = self.machines.borrow();
+            let moving = self.moving.borrow();
+            let empty = |name: &str| {
+                let Some(machine) = machines.get(name) else { return true };
+                let duty = self.duty(&keys::maintenance(wave.number, name));
+                machine.up
+                    && !self.is_recently_ordered(name)
+                    && !self.is_busy(name)
+                    && (self.runs_no_tasks(machine)
+                        || duty.is_some_and(|d| d.emptied && d.executor == machine.executor))
+            };
             let stages: IndexMap<String, Stage> = wave
                 .machines
                 .iter()
                 .map(|name| {
                     let stage = self.stage(wave.number, name);
-                    (name.clone(), wave::planned_stage(stage, self.is_busy(name)))
+                    let emptying_for = self.emptying_for(wave.number, name, stage);
+                    let is_stuck = self.is_busy(name)
+                        || machines.get(name).is_some_and(|machine| !machine.up)
+                        || (wave::empties_slowly(emptying_for) && !empty(name));
+                    (name.clone(), wave::planned_stage(stage, is_stuck))
                 })
                 .collect();
-            self.update_long_running(&stages, &machines);
-            let view = WaveMachines { fleet: self, wave: wave.number, machines: &machines };
-            wave::plan_steps(wave, &stages, elapsed, &view)
+            // A machine that can't begin now must not be chosen in place of one that can. Those that
+            // are stuck have begun already.
+            let cost = |name: &str| match machines.get(name) {
+                Some(machine)
+                    if machine.up
+                        && !self.is_busy(name)
+                        && !moving.contains_key(name)
+                        && !self.has_duty(name) =>
+                {
+                    let cost = self.maintenance_cost(machine);
+                    let slow = self.has_long_running_tasks(machine);
+                    wave::start_cost(cost, slow, elapsed, wave.time_limit)
+                }
+                _ => wave::CANNOT_BEGIN,
+            };
+            wave::plan_steps(wave, &stages, elapsed, &empty, &cost)
         };
         let mut changes = Vec::new();
         {
@@ -99,38 +96,33 @@
         self.report_wave(wave.number, steps.complete).await
     }
 
-    /// Updates which machines have long-running tasks.
-    ///
-    /// Machines that are being emptied keep the state that they had before: they are no spares of
-    /// their pools in any case.
-    fn update_long_running(
-        &self,
-        stages: &IndexMap<String, Stage>,
-        machines: &IndexMap<String, Machine>,
-    ) {
-        let states = self.pool_states.borrow();
-        let mut long_running = self.long_running.borrow_mut();
-        for name in stages.iter().filter(|(_, stage)| **stage == Stage::Due).map(|(name, _)| name) {
-            let has_long_running = machines.get(name).is_some_and(|machine| {
-                machine.up
-                    && !self.is_reserved(name)
-                    && !self.runs_no_tasks(machine)
-                    && states
-                        .get(&machine.pool)
-                        .is_some_and(|state| !state.spares.contains(&machine.executor))
-            });
-            if has_long_running {
-                long_running.insert(name.clone());
-            } else {
-                long_running.swap_remove(name);
-            }
+    /// Returns the milliseconds for which this holder has seen a machine being emptied for a wave.
+    fn emptying_for(&self, wave: u64, name: &str, stage: Stage) -> u64 {
+        let mut since = self.emptying_since.borrow_mut();
+        let key = (wave, name.to_owned());
+        if stage != Stage::Emptying {
+            since.swap_remove(&key);
+            return 0;
         }
+        let now = clock::now();
+        now.saturating_sub(*since.entry(key).or_insert(now))
+    }
+
+    /// Returns whether a machine is known to run long-running tasks, which have to run elsewhere before
+    /// it is empty.
+    fn has_long_running_tasks(&self, machine: &Machine) -> bool {
+        let states = self.pool_states.borrow();
+        !self.runs_no_tasks(machine)
+            && states
+                .get(&machine.pool)
+                .is_some_and(|state| !state.spares.contains(&machine.executor))
     }
 
     /// Returns the cost of taking a machine down now.
     ///
-    /// A machine without tasks costs nothing. Otherwise the cost rises with the load of the pool,
-    /// and is lower for machines that can leave their pool.
+    /// A machine without tasks costs nothing. Otherwise the cost rises with the load of the pool, or
+    /// with that of the peak that is expected there before the machine is back, and is lower for
+    /// machines that can leave their pool.
     fn maintenance_cost(&self, machine: &Machine) -> u64 {
         if self.runs_no_tasks(machine) {
             return 0;
@@ -139,41 +131,50 @@
         let Some(PoolState { load, spares, .. }) = states.get(&machine.pool) else {
             return BUSY_MACHINE_COST;
         };
-        let load_per_mille =
-            (load.arrival_rate * 1_000).checked_div(load.capacity).unwrap_or(1_000);
+        let rebalancer = self.rebalancer.borrow();
+        let peaks = &rebalancer.outlook().peaks;
+        let next = peaks.iter().find(|peak| peak.pool == machine.pool);
+        let next = next.map(|peak| (peak.rate, peak.starts_at.saturating_sub(clock::now())));
+        let load_per_mille = wave::load_per_mille(load.arrival_rate, load.capacity, next);
         let spare_cost = spares
             .get_index_of(&machine.executor)
             .map(|rank| 1 + rank as u64 * (BUSY_MACHINE_COST - 1) / spares.len().max(1) as u64);
         load_per_mille + spare_cost.unwrap_or(BUSY_MACHINE_COST)
     }
 
-    /// Returns the milliseconds since a wave was first seen by any holder.
-    async fn elapsed(&self, wave: u64) -> Result<u64, String> {
+    /// Returns the milliseconds since a wave was first seen by any holder, or by this one while the
+    /// part of the table that tells is out of service.
+    async fn elapsed(&self, wave: u64) -> u64 {
         let known = self.wave_starts.borrow().get(&wave).copied();
         let start = match known {
             Some(start) => start,
             None => {
                 let place = keys::wave_start(wave);
                 let now = self.ctx.table_now();
+                let seen = *self.waves_seen.borrow_mut().entry(wave).or_insert(now);
                 let transaction = Transaction {
                     expect: vec![(place.clone(), 0)],
-                    writes: vec![(place.clone(), rows::encode(&now))],
+                    writes: vec![(place.clone(), rows::encode(&seen))],
                     removes: Vec::new(),
                 };
                 let start = match self.ctx.ports.store.apply(&transaction).await {
-                    Ok(_) => now,
+                    Ok(_) => seen,
                     Err(TransactionError::Conflict { rows }) => rows
                         .iter()
                         .find(|row| row.place == place)
                         .and_then(|row| rows::decode(row.value.as_deref()?).ok())
-                        .unwrap_or(now),
-                    Err(error) => return Err(error.to_string()),
+                        .unwrap_or(seen),
+                    // Machines whose duties can be written need not wait for this part.
+                    Err(error) => {
+                        self.log_delay(&format!("start of wave {wave}: {error}"));
+                        return now.saturating_sub(seen);
+                    }
                 };
                 self.wave_starts.borrow_mut().insert(wave, start);
                 start
             }
         };
-        Ok(self.ctx.table_now().saturating_sub(start))
+        self.ctx.table_now().saturating_sub(start)
     }
 
     /// Returns the stage of a machine in a wave.
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -3,8 +3,8 @@
 //! Load pattern: a wave names up to half of all machines. Few may be down at once, and each of them
 //! is lost capacity for the queue whose demand peaks. The stops are therefore spread over the time
 //! up to the deadline, idle machines go first, and the next machines are emptied while others are
-//! down. Machines with long-running tasks are begun apart from the others, early and several at a time:
-//! most tasks of a step have to keep working, so that these machines become empty one after the other.
+//! down. Machines that move between pools, are down or can't be emptied for a while must not hold up
+//! the others, and those that take longest to empty must not begin last.
 
 use indexmap::IndexMap;
 
@@ -131,10 +131,50 @@
 
 /// Returns the stage by which a machine is planned.
 ///
-/// A machine that is being emptied but is `busy` counts as not begun, so that the others of its wave
-/// do not wait for it.
-pub fn planned_stage(stage: Stage, busy: bool) -> Stage {
-    if busy && stage == Stage::Emptying { Stage::Due } else { stage }
+/// A machine that is being emptied but can't go on (`stuck`: its order was refused as it was busy, it
+/// is down, or it empties slowly) counts as not begun, so that the others of its wave do not wait for
+/// it.
+pub fn planned_stage(stage: Stage, stuck: bool) -> Stage {
+    if stuck && stage == Stage::Emptying { Stage::Due } else { stage }
+}
+
+/// Time after which a machine that is not empty yet no longer holds a place of its wave, in
+/// milliseconds; most machines are empty by then.
+const SLOW_EMPTYING_MS: u64 = 1_500;
+
+/// Returns whether a machine has been emptied for so long that others should begin meanwhile.
+///
+/// # Examples
+///
+/// ```
+/// assert!(!jobs::wave::empties_slowly(900));
+/// assert!(jobs::wave::empties_slowly(3_000));
+/// ```
+pub fn empties_slowly(emptying_for: u64) -> bool {
+    emptying_for > SLOW_EMPTYING_MS
+}
+
+/// Cost of a machine that can't begin now, as it moves, is down or refuses its orders.
+pub const CANNOT_BEGIN: u64 = u64::MAX;
+/// Part of the wave's time limit after which machines that take long to empty go first, in percent.
+const SLOW_FIRST_PERCENT: u64 = 20;
+
+/// Returns the cost by which a machine is chosen, `elapsed` milliseconds after the order of its wave.
+///
+/// A machine with long-running tasks (`slow`) takes seconds to empty, as other executors have to take
+/// them. At first it goes by its `cost`, and after a part of the time limit before all others.
+///
+/// # Examples
+///
+/// ```
+/// use jobs::wave::start_cost;
+/// assert_eq!(start_cost(150, true, 1_000, 30_000), 150);
+/// assert_eq!(start_cost(150, true, 9_000, 30_000), 0);
+/// assert_eq!(start_cost(150, false, 9_000, 30_000), 150);
+/// ```
+pub fn start_cost(cost: u64, slow: bool, elapsed: u64, time_limit: u64) -> u64 {
+    let slow_first = elapsed * 100 >= time_limit * SLOW_FIRST_PERCENT;
+    if slow && slow_first && cost != CANNOT_BEGIN { 0 } else { cost }
 }
 
 /// Time to empty and stop a machine, in milliseconds; the stop itself takes about half of it.
@@ -143,75 +183,59 @@
 /// can't be emptied at once.
 const PLANNED_TIME_PERCENT: u64 = 65;
 
-/// Time to empty and stop a machine with long-running tasks, in milliseconds: each task waits until
-/// others of its step work again.
-const LONG_RUNNING_CYCLE_MS: u64 = 8_000;
-/// Part of the wave's time limit in which these machines are to be done, in percent, so that an outage
-/// of some seconds leaves time for them.
-const LONG_RUNNING_TIME_PERCENT: u64 = 50;
-
-/// What a wave knows of its machines at a moment.
-pub trait Machines {
-    /// Whether a machine that is being emptied has no runs left.
-    fn is_empty(&self, machine: &str) -> bool;
-
-    /// Cost of taking a machine down now; those with the least go first.
-    fn cost(&self, machine: &str) -> u64;
-
-    /// Whether long-running tasks have to leave the machine first.
-    fn has_long_running(&self, machine: &str) -> bool;
-}
-
-/// Number of machines to have in progress for `unfinished` machines that take `cycle` each.
-fn in_progress_needed(unfinished: usize, cycle: u64, time_left: u64) -> usize {
-    let needed = (unfinished as u64 * cycle).div_ceil(time_left.max(cycle));
-    usize::try_from(needed).unwrap_or(usize::MAX)
+/// Returns the load of a pool that a machine would be missing from, in thousandths of its capacity.
+///
+/// `peak` is the rate of the next peak that is expected there and the time until its start in
+/// milliseconds. It counts if it comes before the machine is back.
+///
+/// # Examples
+///
+/// ```
+/// use jobs::wave::load_per_mille;
+/// assert_eq!(load_per_mille(40_000, 800_000, None), 50);
+/// assert_eq!(load_per_mille(40_000, 800_000, Some((1_200_000, 2_000))), 1_500);
+/// assert_eq!(load_per_mille(40_000, 800_000, Some((1_200_000, 9_000))), 50);
+/// ```
+pub fn load_per_mille(arrival_rate: u64, capacity: u64, peak: Option<(u64, u64)>) -> u64 {
+    let expected = peak.filter(|(_, starts_in)| *starts_in <= MACHINE_CYCLE_MS);
+    let rate = arrival_rate.max(expected.map_or(0, |(rate, _)| rate));
+    (rate * 1_000).checked_div(capacity).unwrap_or(1_000)
 }
 
 /// Decides the next steps of a wave, `elapsed` milliseconds after its order.
 ///
 /// Only as many machines are in progress at once as the deadline requires, and those with the least
-/// cost go first.
+/// `cost` go first; [`CANNOT_BEGIN`] leaves a machine out. `is_empty` returns whether a machine that is being emptied has no runs left.
 pub fn plan_steps(
     wave: &Wave,
     stages: &IndexMap<String, Stage>,
     elapsed: u64,
-    machines: &dyn Machines,
+    is_empty: &dyn Fn(&str) -> bool,
+    cost: &dyn Fn(&str) -> u64,
 ) -> WaveSteps {
     let stage = |m: &String| stages.get(m).copied().unwrap_or_default();
     let at = |s: Stage| wave.machines.iter().filter(move |m| stage(m) == s);
     let max_down = wave.max_down.max(1);
     let mut free_slots = max_down.saturating_sub(at(Stage::Down).count());
     let mut steps = WaveSteps::default();
-    for machine in at(Stage::Emptying).filter(|m| machines.is_empty(m)) {
+    for machine in at(Stage::Emptying).filter(|m| is_empty(m)) {
         if free_slots == 0 {
             break;
         }
         free_slots -= 1;
         steps.take_down.push(machine.clone());
     }
-    let time_left = |percent: u64| (wave.time_limit * percent / 100).saturating_sub(elapsed);
+    let time_left = (wave.time_limit * PLANNED_TIME_PERCENT / 100)
+        .saturating_sub(elapsed)
+        .max(MACHINE_CYCLE_MS);
     let unfinished = wave.machines.iter().filter(|m| stage(m) != Stage::Done).count();
-    let in_progress =
-        in_progress_needed(unfinished, MACHINE_CYCLE_MS, time_left(PLANNED_TIME_PERCENT));
-    let is_begun = |m: &&String| matches!(stage(m), Stage::Emptying | Stage::Down);
-    let is_slow = |m: &&String| stage(m) != Stage::Down && machines.has_long_running(m);
-    let begun = wave.machines.iter().filter(is_begun).filter(|m| !is_slow(m)).count();
-    let mut due: Vec<&String> = at(Stage::Due).collect();
-    due.sort_by_key(|m| machines.cost(m));
-    let free = in_progress.min(max_down + 1).saturating_sub(begun);
-    let quick = due.iter().filter(|m| !is_slow(m)).take(free);
-    let slow_unfinished =
-        wave.machines.iter().filter(|m| stage(m) != Stage::Done).filter(is_slow).count();
-    let slow_in_progress = in_progress_needed(
-        slow_unfinished,
-        LONG_RUNNING_CYCLE_MS,
-        time_left(LONG_RUNNING_TIME_PERCENT),
-    );
-    let slow_begun = at(Stage::Emptying).filter(is_slow).count();
-    let slow_free = slow_in_progress.min(max_down).saturating_sub(slow_begun);
-    let slow = due.iter().filter(|m| is_slow(m)).take(slow_free);
-    steps.start_emptying = slow.chain(quick).map(|m| (*m).clone()).collect();
+    let in_progress = (unfinished as u64 * MACHINE_CYCLE_MS).div_ceil(time_left);
+    let in_progress = usize::try_from(in_progress).unwrap_or(usize::MAX).min(max_down + 1);
+    let begun = at(Stage::Emptying).count() + at(Stage::Down).count();
+    let mut due: Vec<&String> = at(Stage::Due).filter(|m| cost(m) != CANNOT_BEGIN).collect();
+    due.sort_by_key(|m| cost(m));
+    steps.start_emptying =
+        due.into_iter().take(in_progress.saturating_sub(begun)).cloned().collect();
     steps.complete = unfinished == 0;
     steps
 }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -209,27 +209,6 @@
     );
 }
 
-/// Machines of a simulated wave.
-struct Simulated<'a> {
-    is_empty: &'a dyn Fn(&str) -> bool,
-    cost: &'a dyn Fn(&str) -> u64,
-    has_long_running: &'a dyn Fn(&str) -> bool,
-}
-
-impl wave::Machines for Simulated<'_> {
-    fn is_empty(&self, machine: &str) -> bool {
-        (self.is_empty)(machine)
-    }
-
-    fn cost(&self, machine: &str) -> u64 {
-        (self.cost)(machine)
-    }
-
-    fn has_long_running(&self, machine: &str) -> bool {
-        (self.has_long_running)(machine)
-    }
-}
-
 /// Simulates a wave whose machines take 500 ms to empty and `stop` milliseconds to stop.
 ///
 /// Returns the duration of the wave in milliseconds and the most machines down at once.
@@ -243,12 +222,7 @@
                 *stage = Stage::Done;
             }
         }
-        let machines = Simulated {
-            is_empty: &|m| now >= since[m] + 500,
-            cost: &|_| 0,
-            has_long_running: &|_| false,
-        };
-        let steps = plan_steps(wave, &stages, now, &machines);
+        let steps = plan_steps(wave, &stages, now, &|m| now >= since[m] + 500, &|_| 0);
         if steps.complete {
             return (now, most);
         }
@@ -299,8 +273,7 @@
             stages.iter().map(|(m, s)| (m.clone(), wave::planned_stage(*s, is_busy(m)))).collect();
         let is_empty = |m: &str| now >= since[m] + 500;
         let cost = |m: &str| if is_busy(m) { u64::MAX } else { u64::from(!refuses(m)) };
-        let machines = Simulated { is_empty: &is_empty, cost: &cost, has_long_running: &|_| false };
-        let steps = plan_steps(&wave, &planned, now, &machines);
+        let steps = plan_steps(&wave, &planned, now, &is_empty, &cost);
         for machine in steps.start_emptying {
             since.entry(machine.clone()).or_insert(now);
             stages.entry(machine).or_insert(Stage::Emptying);
@@ -353,13 +326,23 @@
             let empty = empty_at.get(m).is_some_and(|at| now >= *at);
             if has_long_running(m) { empty } else { now >= since[m] + 500 }
         };
-        let cost = |m: &str| if has_long_running(m) { 1_100 } else { 1_000 };
-        let machines =
-            Simulated { is_empty: &is_empty, cost: &cost, has_long_running: &has_long_running };
-        let steps = plan_steps(&wave, &stages, now, &machines);
+        let cost = |m: &str| {
+            let slow = has_long_running(m);
+            let cost = if slow { 1_100 } else { 1_000 };
+            wave::start_cost(cost, slow, now, wave.time_limit)
+        };
+        let is_stuck = |m: &str| wave::empties_slowly(now - since[m]) && !is_empty(m);
+        let planned = stages
+            .iter()
+            .map(|(m, s)| {
+                let stuck = *s == Stage::Emptying && is_stuck(m);
+                (m.clone(), wave::planned_stage(*s, stuck))
+            })
+            .collect();
+        let steps = plan_steps(&wave, &planned, now, &is_empty, &cost);
         for machine in steps.start_emptying {
-            since.insert(machine.clone(), now);
-            stages.insert(machine, Stage::Emptying);
+            since.entry(machine.clone()).or_insert(now);
+            stages.entry(machine).or_insert(Stage::Emptying);
         }
         for machine in steps.take_down {
             since.insert(machine.clone(), now);
@@ -385,12 +368,7 @@
 #[test]
 fn the_machines_with_the_least_cost_go_first() {
     let wave = Wave { number: 1, machines: names("m", 4), max_down: 1, time_limit: 60_000 };
-    let machines = Simulated {
-        is_empty: &|_| false,
-        cost: &|m| u64::from(m != "m2"),
-        has_long_running: &|_| false,
-    };
-    let steps = plan_steps(&wave, &IndexMap::new(), 0, &machines);
+    let steps = plan_steps(&wave, &IndexMap::new(), 0, &|_| false, &|m| u64::from(m != "m2"));
     assert_eq!(steps.start_emptying, ["m2"]);
 }
 
