Admit jobs by the predicted wait in the order of the pool

Cause: the admission rule compared a backlog in CPU only with the capacity, as it was when the load was published, up to 600 ms before. It left out memory, the work accepted since, and the order: a small job counted the work of all larger ones. Retry delays of clients refused together were equal. A job that no executor could run was accepted and never ended.

Change: the holder publishes with its load an outlook of under 1 KB: the open work of started jobs, the waiting work by place in the order without the jobs that others will pass, the work accepted in 400 ms by place, the capacity and the free part of it, in CPU and memory, and the largest executor. A process predicts the wait of a job from it and from the age of the load, and refuses the job if the wait is 300 ms longer than it can afford, with the wait as the retry delay, longer by up to half by the job's id. A pool without capacity refuses nothing. A job larger than each executor of its pool, while no machine is on its way, or than its organisation's limit, is refused for 30 to 45 s. Loads without an outlook, from holders of an earlier version, are judged as before.

The new tests in decisions.rs use the new interface; there was nothing of it before the change.

--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -6,7 +6,7 @@
 
 use futures_util::future::try_join_all;
 use indexmap::{IndexMap, IndexSet};
-use jobs::admit::{self, Verdict};
+use jobs::admit::{self, Incoming, Request, Verdict};
 use jobs::organisation::{Credential, Denial};
 use jobs::row::JobRow;
 use jobs::{Job, Queue, State};
@@ -91,6 +91,13 @@
     pub organisation: Option<String>,
 }
 
+/// Why a job is refused, and when a retry can be accepted.
+struct Refusal {
+    why: &'static str,
+    /// Delay before the client should retry, in milliseconds.
+    retry_after: u64,
+}
+
 /// Handles client requests for the lifetime of the process.
 #[expect(missing_debug_implementations, reason = "holds trait objects")]
 pub struct JobApi {
@@ -198,7 +205,7 @@
         let part = keys::part(&queue.name, id);
         let waited = self.time_since_first_request(id);
         let now = self.ctx.table_now();
-        let refusal = self.overload_delay(queue, cell, job, waited);
+        let refusal = self.refusal(access, id, job, waited);
         let submission = Submission {
             id: id.to_owned(),
             cell: cell.clone(),
@@ -226,9 +233,9 @@
                 );
                 Reply::Accepted
             }
-            (StoreOutcome::Refused, Some(retry_after)) => {
-                self.log_refusal(id, access, job, retry_after);
-                Reply::Refused { overloaded: true, retry_after }
+            (StoreOutcome::Refused, Some(refusal)) => {
+                self.log_refusal(id, access, job, &refusal, waited);
+                Reply::Refused { overloaded: true, retry_after: refusal.retry_after }
             }
             (StoreOutcome::Refused, None) | (StoreOutcome::Unknown, _) => self.outcome_unknown(id),
         }
@@ -262,7 +269,7 @@
     }
 
     /// Logs a refusal with the load that caused it and the age of that load.
-    fn log_refusal(&self, id: &str, access: &Access, job: &Job, retry_after: u64) {
+    fn log_refusal(&self, id: &str, access: &Access, job: &Job, refusal: &Refusal, waited: u64) {
         let (queue, cell) = (&access.queue, access.queue.pool.as_str());
         let load = self.ctx.loads.borrow().get(cell).cloned().unwrap_or_default();
         let age = self.ctx.table_now().saturating_sub(load.published_at);
@@ -270,11 +277,13 @@
             base::Event::JobRefused,
             &[
                 ("job", &id),
-                ("why", &"load"),
+                ("why", &refusal.why),
                 ("queue", &queue.name),
                 ("cell", &cell),
                 ("organisation", &access.organisation.as_deref().unwrap_or_default()),
-                ("after_ms", &retry_after),
+                ("after_ms", &refusal.retry_after),
+                ("waited_ms", &waited),
+                ("core_ms", &(job.work() / 1_000)),
                 ("chain_ms", &job.critical_path()),
                 ("ahead", &load.timely_backlog),
                 ("backlog", &load.backlog),
@@ -286,29 +295,60 @@
         );
     }
 
-    /// Returns a retry delay in milliseconds if the job can't be completed in time.
-    fn overload_delay(&self, queue: &Queue, cell: &str, job: &Job, waited: u64) -> Option<u64> {
+    /// Returns the reason and a retry delay in milliseconds if the job can't be completed in time, or
+    /// not at all.
+    fn refusal(&self, access: &Access, id: &str, job: &Job, waited: u64) -> Option<Refusal> {
+        if self.exceeds_limit(access, job) {
+            let retry_after = admit::unservable_retry(id);
+            return Some(Refusal { why: "limit", retry_after });
+        }
+        let queue = &access.queue;
         let loads = self.ctx.loads.borrow();
-        let load = loads.get(cell)?;
-        if self.ctx.table_now() > load.published_at + MAX_LOAD_AGE_MS || job.is_long_running() {
+        let load = loads.get(&queue.pool)?;
+        let now = self.ctx.table_now();
+        if now > load.published_at + MAX_LOAD_AGE_MS || job.is_long_running() {
             return None;
         }
         let critical_path = job.critical_path();
         let objective = critical_path * queue.stretch / 1_000 + queue.objective_base;
-        let load = admit::Load {
-            jobs: usize::try_from(load.jobs).unwrap_or(usize::MAX),
-            timely_backlog: load.timely_backlog,
-            backlog: load.backlog,
-            capacity: load.capacity,
-            incoming_capacity: load.incoming,
-            incoming_delay: load.incoming_by.saturating_sub(self.ctx.table_now()),
+        let incoming_delay = load.incoming_by.saturating_sub(now);
+        let verdict = match &load.outlook {
+            Some(outlook) => {
+                let request = Request { id, job, priority: queue.priority, objective, waited };
+                let incoming = Incoming { cpu: load.incoming, delay: incoming_delay };
+                let jobs = usize::try_from(load.jobs).unwrap_or(usize::MAX);
+                let age = now.saturating_sub(load.published_at);
+                admit::decide_by_outlook(outlook, jobs, &request, incoming, age)
+            }
+            None => {
+                let load = admit::Load {
+                    jobs: usize::try_from(load.jobs).unwrap_or(usize::MAX),
+                    timely_backlog: load.timely_backlog,
+                    backlog: load.backlog,
+                    capacity: load.capacity,
+                    incoming_capacity: load.incoming,
+                    incoming_delay,
+                };
+                admit::decide(&load, objective, critical_path, waited)
+            }
         };
-        match admit::decide(&load, objective, critical_path, waited) {
+        let is_too_large = load.outlook.as_ref().is_some_and(|outlook| !outlook.can_run(job));
+        match verdict {
             Verdict::Accept => None,
-            Verdict::Refuse(retry_after) => Some(retry_after),
+            Verdict::Refuse(retry_after) => {
+                Some(Refusal { why: if is_too_large { "size" } else { "load" }, retry_after })
+            }
         }
     }
 
+    /// Whether a task of the job needs more than its organisation may use at all.
+    fn exceeds_limit(&self, access: &Access, job: &Job) -> bool {
+        let config = self.ctx.config();
+        let organisations = config.as_ref().and_then(|config| config.organisations.as_ref());
+        let organisation = access.organisation.as_ref().and_then(|name| organisations?.get(name));
+        organisation.is_some_and(|organisation| !organisation.allows_tasks_of(job))
+    }
+
     /// Returns a job's state.
     pub async fn state(&self, queue: &Queue, id: &str, remaining: u64) -> Reply {
         let part = keys::part(&queue.name, id);
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -533,6 +533,7 @@
             arrival_rate: self.inflow.borrow_mut().rate(now),
             long_running: limits.long_running_cpu,
             min_executors: limits.min_executors,
+            outlook: Some(cell.outlook(now)),
             published_at: self.ctx.table_now(),
             jobs_read_until: self.feed_clock.get(),
         }
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -2,6 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use jobs::State;
+use jobs::admit::Outlook;
 use jobs::wave::Stage;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -82,6 +83,9 @@
     /// Fewest executors on which the long-running tasks fit, by processor, memory and limits.
     #[serde(rename = "f", default)]
     pub min_executors: usize,
+    /// What a new job has to wait for; none from a holder of an earlier version.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub outlook: Option<Outlook>,
     /// Time of publication, by the table's clock in milliseconds.
     #[serde(rename = "c")]
     pub published_at: u64,
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -159,6 +159,12 @@
             line.field("room"),
             line.field("load_age_ms")
         ),
+        Some(line) if line.field("why") == "size" => {
+            "refused: a task is larger than each executor of the pool".to_owned()
+        }
+        Some(line) if line.field("why") == "limit" => {
+            "refused: a task is larger than its organisation's limit".to_owned()
+        }
         Some(line) => format!(
             "refused: {}, last heard {} ms before",
             line.field("why"),
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -82,6 +82,7 @@
         let early = self.config.early_start;
         let mut ready: Vec<ReadyJob> = Vec::new();
         for (job, entry) in self.jobs.values_mut().enumerate() {
+            entry.seen_at.get_or_insert(now);
             if entry.state.is_final()
                 || entry.start_blocked
                 || (entry.inherited && !inherited_settled)
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -3,7 +3,9 @@
 use indexmap::IndexMap;
 
 use super::{Cell, JobEntry};
+use crate::admit::{ARRIVAL_WINDOW_MS, Amount, JobWork, Outlook, OutlookBuilder};
 use crate::job::{State, Step, TaskId};
+use crate::order::Candidate;
 use crate::place;
 use crate::worker::{Obstacle, Resources, Worker};
 
@@ -80,6 +82,27 @@
         (timely, all)
     }
 
+    /// What a new job has to wait for, for admission at `now` and shortly after.
+    pub fn outlook(&self, now: u64) -> Outlook {
+        let mut builder = OutlookBuilder::default();
+        let jobs = self.jobs.values().filter(|e| !e.state.is_final());
+        for entry in jobs.filter(|e| !e.candidate.long_running) {
+            let started = entry.state == State::Running;
+            let candidate = Candidate { started, ..entry.candidate };
+            let is_recent =
+                !entry.inherited && entry.seen_at.is_some_and(|at| at + ARRIVAL_WINDOW_MS > now);
+            let accepted = is_recent.then(|| JobWork::of(&entry.job));
+            builder.add_job(&candidate, open_job_work(entry), accepted, now);
+        }
+        let (mut capacity, mut free) = (Amount::default(), Amount::default());
+        for worker in self.workers.values().filter(|w| w.accepts_tasks(now)) {
+            let (all, left) = (worker.registration.capacity, worker.free());
+            capacity.add(Amount(all.cpu, all.memory));
+            free.add(Amount(left.cpu, left.memory));
+        }
+        builder.build(capacity, free, self.largest_executor())
+    }
+
     /// CPU that late jobs use or could use, in thousandths of a core, whether or not their results
     /// are still of use.
     ///
@@ -265,6 +288,25 @@
     }
 }
 
+/// Estimated work of a job's tasks that have not started, by whether they can start.
+fn open_job_work(entry: &JobEntry) -> JobWork {
+    let Some((_, steps)) = entry.occurrences.get_index(0) else {
+        return if entry.job.schedule.is_none() {
+            JobWork::of(&entry.job)
+        } else {
+            JobWork::default()
+        };
+    };
+    let mut work = JobWork::default();
+    for (state, spec) in steps.iter().zip(&entry.job.steps) {
+        let need = place::required_resources(spec);
+        let amount = Amount::of_tasks(state.open_count as u64, need, spec.estimate);
+        let is_ready = spec.depends_on.iter().all(|n| steps[*n].is_done());
+        if is_ready { &mut work.ready } else { &mut work.later }.add(amount);
+    }
+    work
+}
+
 /// Estimated work of `tasks` tasks of a step; 0 for best-effort steps, which use only CPU that
 /// others leave.
 fn step_work(tasks: u64, spec: &Step) -> u64 {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -181,6 +181,8 @@
     crash_record: CrashRecord,
     /// When executors were last to be kept for its suspects, in milliseconds.
     quarantine_tried_at: u64,
+    /// Time of the first assignment pass over it, in milliseconds.
+    seen_at: Option<u64>,
 }
 
 /// A job to admit to a cell.
@@ -332,6 +334,7 @@
             suspects: IndexSet::new(),
             crash_record: CrashRecord::default(),
             quarantine_tried_at: 0,
+            seen_at: None,
             job: arrival.job,
         };
         for (occurrence, steps) in &arrival.progress.occurrences {
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -104,6 +104,16 @@
         self.latest_start() + doublings * WORK_DOUBLING_MS / 16 + priority * PRIORITY_STEP_MS
     }
 
+    /// Whether the job has started and can still be in time.
+    pub fn is_started_and_timely(&self, now: u64) -> bool {
+        self.started && now <= self.latest_start()
+    }
+
+    /// Whether the job has not started and can be in time, with time to spare.
+    pub fn is_new_and_timely(&self, now: u64) -> bool {
+        !self.started && now <= self.latest_start()
+    }
+
     /// Time until which the result is useful, in milliseconds.
     pub fn useful_until(&self) -> u64 {
         let span = self.objective.saturating_sub(self.requested_at);
@@ -134,8 +144,8 @@
         let latest = self.latest_start();
         let (class, key) = match () {
             () if self.long_running => (0, self.requested_at),
-            () if now <= latest && self.started => (1, latest),
-            () if now <= latest => (2, self.place()),
+            () if self.is_started_and_timely(now) => (1, latest),
+            () if self.is_new_and_timely(now) => (2, self.place()),
             // A later latest start means a better chance.
             () if now + self.critical_path <= self.objective => (3, u64::MAX - latest),
             () if now <= self.useful_until() => (4, self.requested_at),
--- a/crates/jobs/src/organisation.rs
+++ b/crates/jobs/src/organisation.rs
@@ -9,6 +9,8 @@
 use sha2::{Digest, Sha256};
 use strum::Display;
 
+use crate::job::Job;
+use crate::place::required_resources;
 use crate::worker::Resources;
 
 /// Number of digest bytes that logs show; enough to tell the keys of a deployment apart.
@@ -25,6 +27,32 @@
     pub limit: Resources,
 }
 
+impl Organisation {
+    /// Whether the limit allows each task of a job, if nothing else of the organisation runs.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use jobs::{Job, Organisation, Resources, Step};
+    /// let limit = Resources { cpu: 4_000, ..Resources::default() };
+    /// let organisation = Organisation { limit, ..Organisation::default() };
+    /// let job = |cpu| {
+    ///     let resources = Resources { cpu, memory: 100, gpus: 0 };
+    ///     Job { steps: vec![Step { resources, ..Step::default() }], ..Job::default() }
+    /// };
+    /// assert!(organisation.allows_tasks_of(&job(4_000)));
+    /// assert!(!organisation.allows_tasks_of(&job(4_001)));
+    /// ```
+    pub fn allows_tasks_of(&self, job: &Job) -> bool {
+        let within = |need: u64, limit: u64| limit == 0 || need <= limit;
+        job.steps.iter().map(required_resources).all(|need| {
+            within(need.cpu, self.limit.cpu)
+                && within(need.memory, self.limit.memory)
+                && within(need.gpus, self.limit.gpus)
+        })
+    }
+}
+
 /// SHA-256 digest of an organisation's key.
 ///
 /// The product keeps and logs digests only, so that a log line or a memory dump opens no queue.
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -5,11 +5,15 @@
 
 use dice::SeededRng;
 use indexmap::IndexMap;
-use jobs::admit::{Load, Verdict, decide};
+use jobs::admit::{
+    Amount, Incoming, JobWork, Load, Outlook, OutlookBuilder, Request, Verdict, decide,
+    decide_by_outlook,
+};
 use jobs::order::Candidate;
 use jobs::relocate::{Action, Relocation};
 use jobs::share::{Demand, Inflow, Rebalancer, machines_needed};
 use jobs::wave::{self, ListedMachine, NextAction, Stage, Wave, plan_steps};
+use jobs::{Job, Resources, Step};
 
 const MACHINE_CPU: u64 = 16_000;
 
@@ -417,6 +421,99 @@
     );
 }
 
+/// A job of equal tasks, each of which takes half a second.
+fn job_of(count: u32, cpu: u64, memory: u64) -> Job {
+    let resources = Resources { cpu, memory, gpus: 0 };
+    Job {
+        steps: vec![Step { count, resources, estimate: 500, ..Step::default() }],
+        ..Job::default()
+    }
+}
+
+/// Outlook of a pool of four full machines with equal started jobs, each of which has eight small tasks
+/// to start; some were accepted in the last 400 ms.
+fn outlook(started: usize, accepted: usize, memory: u64) -> Outlook {
+    let job = job_of(8, 1_000, memory);
+    let candidate = Candidate {
+        long_running: false,
+        started: true,
+        priority: 0,
+        requested_at: 9_900,
+        objective: 11_300,
+        critical_path: 500,
+        work: job.work(),
+    };
+    let mut builder = OutlookBuilder::default();
+    for n in 0..started {
+        let accepted = (n < accepted).then(|| JobWork::of(&job));
+        builder.add_job(&candidate, JobWork::of(&job), accepted, 10_000);
+    }
+    let machine = Resources { cpu: MACHINE_CPU, memory: 32_000, gpus: 0 };
+    builder.build(Amount(4 * MACHINE_CPU, 128_000), Amount::default(), machine)
+}
+
+/// Decides on a job that needs 500 ms and should be completed in 1,400 ms.
+fn decide_on(outlook: &Outlook, job: &Job, waited: u64, incoming: Incoming, age: u64) -> Verdict {
+    let request = Request { id: "a", job, priority: 0, objective: 1_400, waited };
+    decide_by_outlook(outlook, 10, &request, incoming, age)
+}
+
+/// Guards against pools that look free because only their CPU is counted.
+#[test]
+fn a_pool_whose_memory_is_short_refuses_jobs_that_would_come_too_late() {
+    let job = job_of(8, 1_000, 100);
+    let none = Incoming::default();
+    // 12 jobs of four core seconds take 0.8 s of 64 cores, and with 6 GB a task 2.4 s of 128 GB.
+    assert_eq!(decide_on(&outlook(12, 0, 100), &job, 0, none, 100), Verdict::Accept);
+    assert!(matches!(decide_on(&outlook(12, 0, 6_000), &job, 0, none, 100), Verdict::Refuse(_)));
+}
+
+/// Guards against processes that accept on the same load for as long as it is the newest that they
+/// have.
+#[test]
+fn jobs_accepted_since_the_load_was_published_count_by_the_rate_of_the_latest() {
+    let job = job_of(8, 1_000, 100);
+    let none = Incoming::default();
+    // 10 jobs in 400 ms bring 1.7 times as much work as the pool does.
+    assert_eq!(decide_on(&outlook(10, 10, 100), &job, 0, none, 50), Verdict::Accept);
+    assert!(matches!(decide_on(&outlook(10, 10, 100), &job, 0, none, 600), Verdict::Refuse(_)));
+    assert_eq!(decide_on(&outlook(10, 0, 100), &job, 0, none, 600), Verdict::Accept);
+}
+
+/// Guards against a retry that is accepted although it has no time left, and against refusals while
+/// the pool has room.
+#[test]
+fn a_retried_job_is_accepted_while_it_has_time_or_the_pool_has_room() {
+    let job = job_of(8, 1_000, 100);
+    let none = Incoming::default();
+    assert_eq!(decide_on(&outlook(12, 0, 100), &job, 0, none, 100), Verdict::Accept);
+    assert!(matches!(decide_on(&outlook(12, 0, 100), &job, 800, none, 100), Verdict::Refuse(_)));
+    assert_eq!(decide_on(&outlook(0, 0, 100), &job, 3_000, none, 100), Verdict::Accept);
+    assert!(matches!(decide_on(&outlook(18, 0, 100), &job, 0, none, 100), Verdict::Refuse(_)));
+    let machines = Incoming { cpu: 16 * MACHINE_CPU, delay: 100 };
+    assert_eq!(decide_on(&outlook(18, 0, 100), &job, 0, machines, 100), Verdict::Accept);
+}
+
+/// Guards against accepted jobs that no executor can run, and against clients that all come back at
+/// once.
+#[test]
+fn a_job_larger_than_any_executor_is_refused_for_long_and_retries_are_spread() {
+    let large = job_of(1, MACHINE_CPU + 1, 100);
+    let free = outlook(0, 0, 100);
+    let none = Incoming::default();
+    assert!(matches!(decide_on(&free, &large, 0, none, 0), Verdict::Refuse(30_000..45_000)));
+    let machines = Incoming { cpu: MACHINE_CPU, delay: 100 };
+    assert_eq!(decide_on(&free, &large, 0, machines, 0), Verdict::Accept);
+    let refused = |id: &str| {
+        let request = Request { id, job: &large, priority: 0, objective: 1_400, waited: 0 };
+        decide_by_outlook(&free, 10, &request, none, 0)
+    };
+    let ids: Vec<String> = (0..40).map(|n| format!("{n:016x}")).collect();
+    let delays: IndexMap<String, ()> =
+        ids.iter().map(|id| (format!("{:?}", refused(id)), ())).collect();
+    assert!(delays.len() > 35, "{} different delays of 40", delays.len());
+}
+
 #[test]
 fn a_job_that_may_be_in_time_without_time_to_spare_goes_before_late_jobs() {
     let job = |requested_at, critical_path: u64| Candidate {
--- a/crates/jobs/tests/peak.rs
+++ b/crates/jobs/tests/peak.rs
@@ -131,13 +131,14 @@
 /// Least value of the results at each peak, in percent of the value if all jobs ended in time.
 ///
 /// With an order by work alone and a margin of 40 percent on estimates, these peaks gave 90.5, 75.1,
-/// 72.4, 91.3 and 61.1.
-const MIN_VALUES: [(&str, f64); 5] = [
+/// 72.4, 91.3 and 61.1; the last was not measured.
+const MIN_VALUES: [(&str, f64); 6] = [
     ("small", 92.0),
     ("rising", 76.5),
     ("rising, rough estimates", 72.5),
     ("large", 91.0),
     ("short of machines", 61.5),
+    ("short of memory", 80.0),
 ];
 
 /// Guards against an order that serves less work in time at a peak, and against one that leaves out
@@ -151,6 +152,7 @@
         Scenario { estimate_error: 0.9, ..rising.clone() },
         large_jobs(),
         Scenario { machines: (62, 20), ..rising },
+        Scenario { needs: (2_000.0, 9_000.0), ..small_jobs() },
     ];
     for (scenario, (name, least)) in scenarios.iter().zip(MIN_VALUES) {
         let (score, tenths) = measure(name, scenario);
--- a/crates/jobs/tests/pool/mod.rs
+++ b/crates/jobs/tests/pool/mod.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use indexmap::IndexMap;
-use jobs::admit::{self, Verdict};
+use jobs::admit::{self, Incoming, Outlook, Request, Verdict};
 use jobs::cell::{Arrival, Order, StartOutcome};
 use jobs::worker::{EndedRun, PresentRun};
 use jobs::{
@@ -273,8 +273,7 @@
             let offset = process * READ_INTERVAL_MS / PROCESSES;
             let read_at = now - (now + offset) % READ_INTERVAL_MS;
             let view = published.iter().rfind(|(at, _)| at + PUBLISH_DELAY_MS <= read_at);
-            let waited = now - all[n].requested_at;
-            match decide(view, &queue, &all[n], waited, now) {
+            match decide(view, &queue, &format!("{n:016x}"), &all[n], now) {
                 Verdict::Accept => {
                     all[n].accepted_at = Some(now);
                     stored.entry(now + STORE_DELAY_MS).or_default().push(n);
@@ -341,23 +340,23 @@
 
 /// What a holder publishes for admission.
 struct View {
-    load: admit::Load,
+    outlook: Outlook,
+    jobs: usize,
+    /// CPU of the machines on the way, in thousandths of a core.
+    incoming: u64,
+    /// Mean time of their arrival, in milliseconds.
     incoming_by: u64,
 }
 
 impl View {
     fn new(cell: &Cell, coming: &[u64], now: u64) -> Self {
-        let (timely_backlog, backlog) = cell.backlog(now);
-        let accepting = cell.workers().values().filter(|w| w.accepts_tasks(now));
-        let load = admit::Load {
+        let count = coming.len() as u64;
+        Self {
+            outlook: cell.outlook(now),
             jobs: cell.job_count(),
-            timely_backlog,
-            backlog,
-            capacity: accepting.map(|w| w.registration.capacity.cpu).sum(),
-            incoming_capacity: coming.len() as u64 * MACHINE.cpu,
-            incoming_delay: 0,
-        };
-        Self { load, incoming_by: coming.iter().copied().max().unwrap_or(0) }
+            incoming: count * MACHINE.cpu,
+            incoming_by: coming.iter().sum::<u64>().checked_div(count).unwrap_or(0),
+        }
     }
 }
 
@@ -365,16 +364,20 @@
 fn decide(
     view: Option<&(u64, View)>,
     queue: &Queue,
+    id: &str,
     job: &Replayed,
-    waited: u64,
     now: u64,
 ) -> Verdict {
-    let Some((_, view)) = view else { return Verdict::Accept };
-    let critical_path = job.job.critical_path();
-    let objective = critical_path * queue.stretch / 1_000 + queue.objective_base;
-    let incoming_delay = view.incoming_by.saturating_sub(now);
-    let load = admit::Load { incoming_delay, ..view.load };
-    admit::decide(&load, objective, critical_path, waited)
+    let Some((published_at, view)) = view else { return Verdict::Accept };
+    let request = Request {
+        id,
+        job: &job.job,
+        priority: queue.priority,
+        objective: job.job.critical_path() * queue.stretch / 1_000 + queue.objective_base,
+        waited: now - job.requested_at,
+    };
+    let incoming = Incoming { cpu: view.incoming, delay: view.incoming_by.saturating_sub(now) };
+    admit::decide_by_outlook(&view.outlook, view.jobs, &request, incoming, now - published_at)
 }
 
 fn registration(id: &str) -> Registration {
