--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -1,6 +1,7 @@
 //! Rows that the cells store in the table, as JSON with one-letter keys.
 
 use indexmap::{IndexMap, IndexSet};
+use jobs::admit::Outlook;
 use jobs::quota::Entry;
 use jobs::wave::Stage;
 use jobs::{Resources, State};
@@ -83,6 +84,9 @@
     /// Fewest executors on which the long-running tasks fit, by processor, memory and limits.
     #[serde(rename = "f", default)]
     pub min_executors: usize,
+    /// What a new job has to wait for; none from a holder of an earlier version.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub outlook: Option<Outlook>,
     /// Time of publication, by the table's clock in milliseconds.
     #[serde(rename = "c")]
     pub published_at: u64,
