Poll executors on that the list of machines does not name

Cause: an executor that was silent and missing from one list of machines counted as dead for good, even if it answered again. It got no tasks and no polls, so that a run which it had begun late was never stopped by the cell.

Change: while the registry lists it, such an executor is polled as rarely as an idle one. If it answers, it is in use again; its runs were released, so that those of tasks that have started elsewhere are stopped. Another incarnation or another executor at its address ends it for good.

Ruled out: waiting for a second list before an executor counts as dead, which delays the tasks of all lost executors.

--- a/crates/cells/src/owner/poll.rs
+++ b/crates/cells/src/owner/poll.rs
@@ -36,7 +36,7 @@
         let ids: Vec<String> = {
             let cell = self.cell.borrow();
             let polled = self.polled.borrow();
-            let alive = cell.workers().iter().filter(|(_, w)| !w.dead);
+            let alive = cell.workers().iter().filter(|(_, w)| w.is_polled());
             alive.map(|(id, _)| id).filter(|id| !polled.contains(*id)).cloned().collect()
         };
         for id in ids {
@@ -114,7 +114,8 @@
                         self.log_unavailable(&id, &detail);
                     }
                     self.mark_missing_dead().await;
-                    RETRY_PAUSE_MS
+                    let is_dead = self.cell.borrow().workers().get(&id).is_some_and(|w| w.dead);
+                    if is_dead { IDLE_PAUSE_MS } else { RETRY_PAUSE_MS }
                 }
             };
             self.wait_for_next_poll(&id, pause_ms).await;
@@ -222,7 +223,7 @@
     /// Builds the next poll request; `None` for an executor that has ended.
     fn poll_request(&self, id: &str) -> Option<PollRequest> {
         let mut cell = self.cell.borrow_mut();
-        let worker = cell.workers().get(id).filter(|w| !w.dead)?;
+        let worker = cell.workers().get(id).filter(|w| w.is_polled())?;
         let acked_through = worker.last_durable_end;
         let immediate = worker.runs.is_empty()
             || worker.last_seen_end > worker.last_durable_end
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -510,6 +510,7 @@
     pub fn mark_dead(&mut self, id: &str, now: u64) {
         self.handle_crash(id, now);
         self.release_all(id, now);
+        self.rule_out_life(id);
     }
 
     /// Like [`Self::mark_dead`], for an executor that has ended by an order.
@@ -553,6 +554,9 @@
             .collect();
         for id in &dead {
             self.handle_crash(id, now);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.presumed_dead = true;
+            }
         }
         dead
     }
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -39,6 +39,7 @@
     /// Handles an executor's answer to a poll that was sent at `sent`.
     pub fn handle_poll(&mut self, id: &str, answer: &ExecutorReport, sent: u64, now: u64) {
         self.replace_restarted(now);
+        self.revive(id);
         let longest_lease = self.longest_lease;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_answer(answer.clock, now);
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -47,6 +47,7 @@
         if !worker.dead {
             self.handle_crash(id, now);
         }
+        self.rule_out_life(id);
         let later = self.workers.keys().filter(|other| incarnation::is_replaced_by(id, other));
         match later.max_by_key(|other| incarnation::start(other)).cloned() {
             Some(next) => {
@@ -62,6 +63,26 @@
         }
     }
 
+    /// Records that an executor that counts as dead has certainly ended.
+    pub(super) fn rule_out_life(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.presumed_dead = false;
+        }
+    }
+
+    /// Takes an executor into use again that has answered although the list of machines did not name
+    /// it.
+    ///
+    /// Its runs were released, so that those of tasks that have started elsewhere since are stopped
+    /// when its answer shows them.
+    pub(super) fn revive(&mut self, id: &str) {
+        let Some(worker) = self.workers.get_mut(id).filter(|w| w.dead && w.is_polled()) else {
+            return;
+        };
+        worker.dead = false;
+        worker.presumed_dead = false;
+    }
+
     /// Ends the earlier incarnations of executors that were registered anew.
     pub(super) fn replace_restarted(&mut self, now: u64) {
         for id in std::mem::take(&mut self.new_incarnations) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -245,6 +245,8 @@
     pub joined: bool,
     /// Whether the incarnation is known to have ended, so that it has no runs.
     pub dead: bool,
+    /// Whether it counts as dead only since the list of machines did not name it.
+    pub presumed_dead: bool,
     /// Whether it is to be drained, for maintenance or a move of its machine.
     pub leaving: bool,
     /// Time since which it has been leaving or not ready, in milliseconds.
@@ -299,6 +301,7 @@
             dead: false,
             leaving: false,
             leaving_since: None,
+            presumed_dead: false,
             used: Resources::default(),
             runs: IndexMap::new(),
             long_running: 0,
@@ -409,6 +412,13 @@
     /// Whether the executor tells its start, so that it may start again under its name.
     pub fn may_restart(&self) -> bool {
         incarnation::start(&self.registration.id).is_some()
+    /// Whether the executor is to be polled.
+    ///
+    /// One that the list of machines did not name may answer again while the registry lists it.
+    pub fn is_polled(&self) -> bool {
+        !self.dead || (self.presumed_dead && self.listed)
+    }
+
     }
 
     /// Whether an answer with this clock comes from another incarnation, whose clock began anew.
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -272,6 +272,23 @@
     }
 }
 
+/// Guards against an executor that is never used or polled again, as the list of machines did not name
+/// it while it was silent, and against two runs of a task that has started elsewhere since.
+#[test]
+fn an_executor_presumed_dead_that_answers_again_is_a_new_one() {
+    let mut cell = started(StartOutcome::Running(61_020));
+    cell.handle_poll("a~100", &report(61_400, &[("aa", 1)]), 60_400, 60_410);
+    cell.handle_no_answer("a~100");
+    let live = std::iter::once("b~100".to_owned()).collect();
+    assert_eq!(cell.mark_missing_dead(&live, 60_500, 60_510), ["a~100"]);
+    assert_eq!(starts(&cell.tick(60_520, 0)), [("b~100", 2)]);
+    assert!(cell.workers()["a~100"].is_polled());
+    cell.handle_poll("a~100", &report(62_400, &[("aa", 1)]), 61_400, 61_410);
+    assert_eq!(stops(&cell.tick(61_420, 0)), [("a~100", 1)], "the task runs elsewhere");
+    let worker = &cell.workers()["a~100"];
+    assert!(!worker.dead && worker.joined && worker.runs.len() == 1);
+}
+
 /// One incarnation of an executor in the replay below; its clock begins at 0.
 struct Host {
     id: String,
