Acknowledge ends only until the executor has received the number

Cause: each poll repeated the acknowledged number. The numbers of a new incarnation begin anew, so that it dropped its own ends up to that number before any holder had read them, and their tasks ran again.

Change: to an executor that tells its start, the number is sent until a poll with it was answered, not while the executor does not answer, and in a poll that does not wait. The next poll follows at once, so that ends are seen as early as before. Checks of ids and of runs in doubt no longer allocate or parse for idle executors.

Ruled out: sending no acknowledgement before the incarnation has answered a poll without one, which doubles all polls. What remains is a restart while a poll with an acknowledgement is under way.

--- a/crates/cells/src/owner/poll.rs
+++ b/crates/cells/src/owner/poll.rs
@@ -81,12 +81,20 @@
                     }
                     let seen = cell.workers().get(&id).map_or(0, |w| w.last_seen_end);
                     cell.handle_poll(&id, &report, sent, now);
+                    cell.record_acknowledged(&id, request.acked_through);
                     drop(cell);
                     self.log_ends(&id, &report, seen);
                     if has_ends {
                         self.wake.notify_one();
                     }
-                    if busy || has_ends { self.busy_pause() } else { self.idle_pause(&id) }
+                    let is_acknowledgement =
+                        request.acked_through > 0 && incarnation::start(&id).is_some();
+                    match () {
+                        // The poll has not waited for the next end, as one without it would have.
+                        () if is_acknowledgement && busy && !has_ends => 0,
+                        () if busy || has_ends => self.busy_pause(),
+                        () => self.idle_pause(&id),
+                    }
                 }
                 Err(OrderError::Fenced) => {
                     self.cell.borrow_mut().supersede();
@@ -224,8 +232,10 @@
     fn poll_request(&self, id: &str) -> Option<PollRequest> {
         let mut cell = self.cell.borrow_mut();
         let worker = cell.workers().get(id).filter(|w| w.is_polled())?;
-        let acked_through = worker.last_durable_end;
+        let acked_through = worker.end_to_acknowledge();
+        // A new incarnation may drop its own ends up to the number for as long as such a poll waits.
         let immediate = worker.runs.is_empty()
+            || (acked_through > 0 && worker.may_restart())
             || worker.last_seen_end > worker.last_durable_end
             || !worker.joined;
         let outcome_pending =
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -74,6 +74,13 @@
         self.adjust_best_effort_pace(id, answer);
     }
 
+    /// Records that an executor has answered a poll that acknowledged the ends up to a number.
+    pub fn record_acknowledged(&mut self, id: &str, sequence: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.record_acknowledged(sequence);
+        }
+    }
+
     /// Keeps an end from being acknowledged until its effect on its job has been written.
     fn await_durability(&mut self, id: &str, end: &EndedRun) {
         if self.dirty.contains(&end.task.job)
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -192,12 +192,12 @@
     pub(super) fn expire_unverified(&mut self, owned_at: u64, now: u64) {
         let time_limit = LATE_ORDER_MS + self.longest_lease;
         let mut expired: Vec<(String, TaskId)> = Vec::new();
-        for (id, worker) in self.workers.iter().filter(|(_, w)| w.may_restart()) {
+        for (id, worker) in self.workers.iter().filter(|(_, w)| !w.runs.is_empty()) {
             let is_unread = worker.dead || !worker.joined || worker.leases_expired(owned_at);
             let is_over = |slot: &Slot| {
                 slot.unverified_since.is_some_and(|since| owned_at > since + time_limit)
             };
-            if is_unread {
+            if is_unread && worker.may_restart() {
                 let over = worker.runs.iter().filter(|(_, slot)| is_over(slot));
                 expired.extend(over.map(|(task, _)| (id.clone(), task.clone())));
             }
--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -81,8 +81,10 @@
         return (name, None);
     }
     // A number is taken for a start only in the form in which `id` writes it.
+    let is_plain = suffix.bytes().all(|byte| byte.is_ascii_digit())
+        && (suffix.len() == 1 || !suffix.starts_with('0'));
     match suffix.parse::<u64>() {
-        Ok(start) if start.to_string() == suffix => (name, Some(start)),
+        Ok(start) if is_plain => (name, Some(start)),
         _ => (id, None),
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -267,6 +267,8 @@
     pub last_seen_end: u64,
     /// Sequence number up to which the results of all ended runs are durable.
     pub last_durable_end: u64,
+    /// Sequence number up to which the executor has certainly received the acknowledgement.
+    pub last_acknowledged_end: u64,
     /// Ended runs whose results are not durable yet, by sequence number with the id of the job.
     pub pending_ends: BTreeMap<u64, String>,
     /// Time of the last answer, in milliseconds; 0 before the first.
@@ -299,9 +301,9 @@
             listed: true,
             joined: false,
             dead: false,
+            presumed_dead: false,
             leaving: false,
             leaving_since: None,
-            presumed_dead: false,
             used: Resources::default(),
             runs: IndexMap::new(),
             long_running: 0,
@@ -310,6 +312,7 @@
             best_effort_pace: 100,
             last_seen_end: 0,
             last_durable_end: 0,
+            last_acknowledged_end: 0,
             pending_ends: BTreeMap::new(),
             last_answer_at: 0,
             clock: 0,
@@ -409,9 +412,6 @@
         self.last_answer_at > 0 && least_clock > self.lease_end
     }
 
-    /// Whether the executor tells its start, so that it may start again under its name.
-    pub fn may_restart(&self) -> bool {
-        incarnation::start(&self.registration.id).is_some()
     /// Whether the executor is to be polled.
     ///
     /// One that the list of machines did not name may answer again while the registry lists it.
@@ -419,6 +419,9 @@
         !self.dead || (self.presumed_dead && self.listed)
     }
 
+    /// Whether the executor tells its start, so that it may start again under its name.
+    pub fn may_restart(&self) -> bool {
+        incarnation::start(&self.registration.id).is_some()
     }
 
     /// Whether an answer with this clock comes from another incarnation, whose clock began anew.
@@ -449,6 +452,21 @@
         self.last_durable_end = self.last_durable_end.max(durable);
     }
 
+    /// Sequence number to acknowledge in the next poll.
+    ///
+    /// It is 0 for an executor that may restart if it has received that number before, or did not
+    /// answer last: a new incarnation would drop its own ends up to the number.
+    pub fn end_to_acknowledge(&self) -> u64 {
+        let is_received = self.last_acknowledged_end >= self.last_durable_end;
+        let is_withheld = (is_received || self.unanswered > 0) && self.may_restart();
+        if is_withheld { 0 } else { self.last_durable_end }
+    }
+
+    /// Records that the executor has answered a poll that acknowledged the ends up to a number.
+    pub fn record_acknowledged(&mut self, sequence: u64) {
+        self.last_acknowledged_end = self.last_acknowledged_end.max(sequence);
+    }
+
     /// Adds a run and reserves its resources; replaces an earlier run of the same task.
     pub fn add_run(&mut self, task: TaskId, slot: Slot) {
         self.remove_run(&task);
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -272,6 +272,45 @@
     }
 }
 
+/// Guards against two names or starts whose ids are the same.
+#[test]
+fn names_and_starts_are_told_from_ids() {
+    for name in ["", "i", "i~", "i~1", "i~01", "i~+1", "i~x", "~", "i~1~", "i~18446744073709551616"]
+    {
+        for start in [None, Some(0), Some(1_700), Some(u64::MAX)] {
+            let id = incarnation::id(name, start);
+            assert_eq!((incarnation::name(&id), incarnation::start(&id)), (name, start));
+        }
+    }
+}
+
+/// Guards against an acknowledgement that is repeated in each poll, or while the executor does not
+/// answer, so that the next incarnation drops its own ends up to that number.
+#[test]
+fn an_acknowledgement_is_not_repeated_once_it_was_received() {
+    let mut cell = started(StartOutcome::Unknown);
+    let ended = EndedRun {
+        sequence: 4,
+        task: task("aa"),
+        run: 1,
+        outcome: RunOutcome::Done,
+        checkpoint: String::new(),
+    };
+    let answer = ExecutorReport { ended: vec![ended], ..report(61_100, &[]) };
+    cell.handle_poll("a~100", &answer, 60_100, 60_110);
+    assert_eq!(cell.workers()["a~100"].end_to_acknowledge(), 3, "the end is not durable yet");
+    let (_, flush) = cell.take_changes();
+    cell.flush_done(&flush);
+    assert_eq!(cell.workers()["a~100"].end_to_acknowledge(), 4);
+    // No answer to the poll: the acknowledgement may be lost, and the executor may have restarted.
+    cell.handle_no_answer("a~100");
+    assert_eq!(cell.workers()["a~100"].end_to_acknowledge(), 0);
+    cell.handle_poll("a~100", &report(61_300, &[]), 60_300, 60_310);
+    assert_eq!(cell.workers()["a~100"].end_to_acknowledge(), 4);
+    cell.record_acknowledged("a~100", 4);
+    assert_eq!(cell.workers()["a~100"].end_to_acknowledge(), 0);
+}
+
 /// Guards against an executor that is never used or polled again, as the list of machines did not name
 /// it while it was silent, and against two runs of a task that has started elsewhere since.
 #[test]
@@ -446,7 +485,7 @@
             }
             next_poll.insert(id.clone(), now + 200);
             let worker = &cell.workers()[&id];
-            let (acked, has_runs) = (worker.last_durable_end, !worker.runs.is_empty());
+            let (acked, has_runs) = (worker.end_to_acknowledge(), !worker.runs.is_empty());
             let lease_end = if has_runs { cell.grant_lease(&id, now) } else { None };
             calls.push((now + 1, now, id, Call::Poll { lease_end, acked }, true));
         }
@@ -499,6 +538,7 @@
                     });
                     let (present, ended) = (present.collect(), host.ended.clone());
                     cell.handle_poll(&id, &ExecutorReport { clock, present, ended }, sent, now);
+                    cell.record_acknowledged(&id, acked);
                 }
             }
         }
