--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -39,6 +39,7 @@
     /// Handles an executor's answer to a poll that was sent at `sent`.
     pub fn handle_poll(&mut self, id: &str, answer: &ExecutorReport, sent: u64, now: u64) {
         self.replace_restarted(now);
+        self.revive(id);
         let longest_lease = self.longest_lease;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_answer(answer.clock, now);
@@ -73,6 +74,13 @@
         self.adjust_best_effort_pace(id, answer);
     }
 
+    /// Records that an executor has answered a poll that acknowledged the ends up to a number.
+    pub fn record_acknowledged(&mut self, id: &str, sequence: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.record_acknowledged(sequence);
+        }
+    }
+
     /// Keeps an end from being acknowledged until its effect on its job has been written.
     fn await_durability(&mut self, id: &str, end: &EndedRun) {
         if self.dirty.contains(&end.task.job)
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -253,6 +253,8 @@
     pub joined: bool,
     /// Whether the incarnation is known to have ended, so that it has no runs.
     pub dead: bool,
+    /// Whether it counts as dead only since the list of machines did not name it.
+    pub presumed_dead: bool,
     /// Whether it is to be drained, for maintenance or a move of its machine.
     pub leaving: bool,
     /// Time since which it has been leaving or not ready, in milliseconds.
@@ -273,6 +275,8 @@
     pub last_seen_end: u64,
     /// Sequence number up to which the results of all ended runs are durable.
     pub last_durable_end: u64,
+    /// Sequence number up to which the executor has certainly received the acknowledgement.
+    pub last_acknowledged_end: u64,
     /// Ended runs whose results are not durable yet, by sequence number with the id of the job.
     pub pending_ends: BTreeMap<u64, String>,
     /// Time of the last answer, in milliseconds; 0 before the first.
@@ -305,6 +309,7 @@
             listed: true,
             joined: false,
             dead: false,
+            presumed_dead: false,
             leaving: false,
             leaving_since: None,
             used: Resources::default(),
@@ -315,6 +320,7 @@
             best_effort_pace: 100,
             last_seen_end: 0,
             last_durable_end: 0,
+            last_acknowledged_end: 0,
             pending_ends: BTreeMap::new(),
             last_answer_at: 0,
             clock: 0,
@@ -421,6 +427,13 @@
         self.last_answer_at > 0 && least_clock > self.lease_end
     }
 
+    /// Whether the executor is to be polled.
+    ///
+    /// One that the list of machines did not name may answer again while the registry lists it.
+    pub fn is_polled(&self) -> bool {
+        !self.dead || (self.presumed_dead && self.listed)
+    }
+
     /// Whether the executor tells its start, so that it may start again under its name.
     pub fn may_restart(&self) -> bool {
         incarnation::start(&self.registration.id).is_some()
@@ -454,6 +467,21 @@
         self.last_durable_end = self.last_durable_end.max(durable);
     }
 
+    /// Sequence number to acknowledge in the next poll.
+    ///
+    /// It is 0 for an executor that may restart if it has received that number before, or did not
+    /// answer last: a new incarnation would drop its own ends up to the number.
+    pub fn end_to_acknowledge(&self) -> u64 {
+        let is_received = self.last_acknowledged_end >= self.last_durable_end;
+        let is_withheld = (is_received || self.unanswered > 0) && self.may_restart();
+        if is_withheld { 0 } else { self.last_durable_end }
+    }
+
+    /// Records that the executor has answered a poll that acknowledged the ends up to a number.
+    pub fn record_acknowledged(&mut self, sequence: u64) {
+        self.last_acknowledged_end = self.last_acknowledged_end.max(sequence);
+    }
+
     /// Adds a run and reserves its resources; replaces an earlier run of the same task.
     pub fn add_run(&mut self, task: TaskId, slot: Slot) {
         self.remove_run(&task);
