Share a limit among cells in whole tasks and by turns

Cause: cells that ask for more than there is got equal parts of the limit, whatever their tasks need. Ruled out: parts by the need alone, where a cell with a long queue takes nearly all; exact sizes of all waiting tasks in the rows, which would be written with each pass. Change: a cell that asks also writes the size of its next task or gang, at least a sixteenth of the limit. Parts are whole units, what is left over goes to the cells in the order of their turns, and the cell whose turn it is gets one unit in any case. Turns change every 4 s by the table's clock, so that all holders count alike; a difference changes requests only.

--- a/crates/cells/src/allowance.rs
+++ b/crates/cells/src/allowance.rs
@@ -63,6 +63,8 @@
     pub capacity: Resources,
     /// Whether all runs are known that former holders may have started.
     pub settled: bool,
+    /// Number of the turn, which all holders count alike.
+    pub turn: u64,
     /// Cells of the configuration.
     pub configured: &'a IndexSet<String>,
     /// Cells that are not in the configuration and have no holder.
@@ -115,6 +117,7 @@
     ///     needs: &IndexMap::from([("a".to_owned(), need)]),
     ///     capacity: amount(64_000),
     ///     settled: true,
+    ///     turn: 0,
     ///     configured: &cells,
     ///     abandoned: &none,
     /// };
@@ -304,16 +307,13 @@
                 let granted = *kept.as_ref()?.get(name)?;
                 Some(Entry { granted, ..Entry::default() })
             });
-            let others: Vec<Entry> = content
-                .entries(name)
-                .filter(|(cell, _)| *cell != self.cell)
-                .map(|(_, entry)| entry)
-                .collect();
+            let (others, position) = self.in_turn(&content, name, now.turn);
             let since = self.excessive_since.get(name);
             let decision = decide(&Situation {
                 limit,
                 own,
                 others: &others,
+                position,
                 need: now.needs.get(name).copied().unwrap_or_default(),
                 capacity: now.capacity,
                 complete,
@@ -327,6 +327,21 @@
         content
     }
 
+    /// Returns the entries of the other cells in the order of their turns, and the number of them
+    /// before this cell.
+    fn in_turn(&self, content: &GrantRow, organisation: &str, turn: u64) -> (Vec<Entry>, usize) {
+        let mut entries: Vec<(&str, Entry)> = content.entries(organisation).collect();
+        if !entries.iter().any(|(cell, _)| *cell == self.cell) {
+            entries.push((&self.cell, Entry::default()));
+        }
+        entries.sort_by_key(|(cell, _)| *cell);
+        let first = turn % entries.len() as u64;
+        entries.rotate_left(usize::try_from(first).unwrap_or(0));
+        let position = entries.iter().position(|(cell, _)| *cell == self.cell).unwrap_or(0);
+        entries.remove(position);
+        (entries.into_iter().map(|(_, entry)| entry).collect(), position)
+    }
+
     /// Records what a decision means besides the entry to write.
     fn record(&mut self, organisation: &str, decision: &Decision, at: u64) {
         if decision.excessive {
--- a/crates/cells/src/owner/allowance.rs
+++ b/crates/cells/src/owner/allowance.rs
@@ -29,6 +29,9 @@
 /// Ratio of the most that a cell asks for to its capacity. More machines may be on their way, and
 /// the demand for them must not be hidden by a grant that follows the capacity.
 const CAPACITY_FACTOR: u64 = 4;
+/// Duration of a turn, in which one of the cells that ask for more than there is gets whole units
+/// first, in milliseconds; a few times the duration of a task, so that its share becomes free.
+const TURN_MS: u64 = 4_000;
 /// Time without a published load after which a cell that is not configured counts as abandoned, in
 /// milliseconds. Its last runs have ended in less than half of that: the configuration applies
 /// within 3 s, and orders and leases of its holder are valid for 8 s.
@@ -134,6 +137,7 @@
             needs: &needs,
             capacity,
             settled,
+            turn: self.ctx.table_now() / TURN_MS,
             configured: &configured,
             abandoned: &abandoned,
         };
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -218,6 +218,9 @@
     /// Amounts that the cell needs, while it has been granted less.
     #[serde(rename = "w", default, skip_serializing_if = "is_nothing")]
     wanted: Amounts,
+    /// Amounts that its next task, or gang, needs.
+    #[serde(rename = "u", default, skip_serializing_if = "is_nothing")]
+    unit: Amounts,
 }
 
 /// Whether all amounts are 0, which a row leaves out.
@@ -228,14 +231,22 @@
 impl From<Entry> for Grant {
     fn from(entry: Entry) -> Self {
         let amounts = |r: Resources| [r.cpu, r.memory, r.gpus];
-        Self { granted: amounts(entry.granted), wanted: amounts(entry.wanted) }
+        Self {
+            granted: amounts(entry.granted),
+            wanted: amounts(entry.wanted),
+            unit: amounts(entry.unit),
+        }
     }
 }
 
 impl From<Grant> for Entry {
     fn from(grant: Grant) -> Self {
         let resources = |[cpu, memory, gpus]: Amounts| Resources { cpu, memory, gpus };
-        Self { granted: resources(grant.granted), wanted: resources(grant.wanted) }
+        Self {
+            granted: resources(grant.granted),
+            wanted: resources(grant.wanted),
+            unit: resources(grant.unit),
+        }
     }
 }
 
--- a/crates/cells/tests/allowance.rs
+++ b/crates/cells/tests/allowance.rs
@@ -100,13 +100,15 @@
     /// Executors that have answered, with the use that the holder knows of.
     joined: IndexMap<usize, u64>,
     waiting: u64,
+    /// Amount that the next waiting task needs.
+    next: u64,
     lost: bool,
 }
 
 impl Holder {
     fn new(cell: usize, epoch: u64) -> Self {
         let exchange = Exchange::new(CELLS[cell], epoch);
-        Self { cell, epoch, exchange, joined: IndexMap::new(), waiting: 0, lost: false }
+        Self { cell, epoch, exchange, joined: IndexMap::new(), waiting: 0, next: 0, lost: false }
     }
 
     fn note(&mut self, observations: &[Observation]) {
@@ -212,6 +214,7 @@
             unknown: cpu(unknown),
             waiting: cpu(holder.waiting),
             waiting_tasks: holder.waiting / 1_000,
+            next: cpu(holder.next),
         }
     }
 
@@ -227,6 +230,7 @@
             needs: &IndexMap::from([(ORGANISATION.to_owned(), need)]),
             capacity: cpu(EXECUTOR_CPU * EXECUTORS_PER_CELL as u64),
             settled: need.unknown == Resources::default(),
+            turn: self.now / 4_000,
             configured: &configured,
             abandoned: &IndexSet::new(),
         };
@@ -569,6 +573,40 @@
     assert_eq!((model.use_of(0), model.use_of(1)), (8_000, 8_000));
 }
 
+/// Guards against equal parts that are no whole number of tasks, so that less than the limit runs.
+#[test]
+fn parts_of_a_small_limit_are_whole_tasks() {
+    let mut model = Model::new();
+    model.limit = 3_000;
+    for cell in 0..2 {
+        (model.holders[cell].waiting, model.holders[cell].next) = (8_000, 1_000);
+    }
+    for round in 0..20 {
+        model.settle();
+        (0..2).for_each(|cell| model.fill(cell));
+        assert_eq!(model.total_use(), 3_000, "{round}");
+        (0..model.executors.len()).for_each(|executor| model.end(executor));
+    }
+}
+
+/// Guards against a task above the equal part of its cell that waits as long as another cell asks.
+#[test]
+fn a_task_above_the_equal_part_has_its_turn() {
+    let mut model = Model::new();
+    (model.holders[0].waiting, model.holders[0].next) = (10_000, 10_000);
+    (model.holders[1].waiting, model.holders[1].next) = (24_000, 1_000);
+    model.fill(1);
+    let started = (0..12).any(|_| {
+        Model::members(1).for_each(|executor| (0..4).for_each(|_| model.end(executor)));
+        model.settle();
+        let started = model.start(0, 0, 10_000);
+        model.fill(1);
+        assert!(model.check().is_ok());
+        started
+    });
+    assert!(started);
+}
+
 /// Guards against a row that nobody can read and that either lifts the limit or stops everybody.
 #[test]
 fn a_row_that_cannot_be_decoded_is_replaced() {
@@ -612,6 +650,7 @@
         needs: &needs,
         capacity: cpu(64_000),
         settled: true,
+        turn: 0,
         configured: &configured,
         abandoned: &abandoned,
     };
--- a/crates/cells/tests/allowance_peak.rs
+++ b/crates/cells/tests/allowance_peak.rs
@@ -133,6 +133,7 @@
             needs: &needs,
             capacity: Resources { cpu: u64::MAX, memory: u64::MAX, gpus: u64::MAX },
             settled: true,
+            turn: now / 4_000,
             configured: &configured,
             abandoned: &IndexSet::new(),
         };
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -162,6 +162,7 @@
                 self.assign_suspects(item.job, &mut pass);
             }
         }
+        self.end_quota_pass(&pass.quota);
         self.compared = pass.compared;
         self.reservations = pass.reservations;
     }
--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -61,6 +61,8 @@
     short_since: Option<u64>,
     /// Amount that its waiting tasks need, and their number.
     waiting: (Resources, u64),
+    /// Amount that the first task, or gang, needs which the last pass did not start for the grant.
+    next: Resources,
     /// Share of its waiting tasks that can start, in thousandths.
     startable: u64,
 }
@@ -87,6 +89,8 @@
 pub(super) struct QuotaPass {
     /// Amounts that may be in use, and those reserved in this pass.
     used: HashMap<String, Resources>,
+    /// Amounts that the first tasks, or gangs, need which their grants kept from starting.
+    next: HashMap<String, Resources>,
     /// Organisations whose next task waits for other tasks of the organisation to end.
     closed: IndexSet<String>,
 }
@@ -147,7 +151,8 @@
             .iter()
             .map(|(name, quota)| {
                 let (waiting, waiting_tasks) = quota.waiting;
-                (name.clone(), Need { unknown, waiting, waiting_tasks, ..Need::default() })
+                let (used, next) = (Resources::default(), quota.next);
+                (name.clone(), Need { used, unknown, waiting, waiting_tasks, next })
             })
             .collect();
         let runs = self.workers.values().flat_map(|worker| worker.runs.values());
@@ -167,6 +172,7 @@
         let settled = self.inherited_settled();
         for quota in self.quotas.by_organisation.values_mut() {
             quota.waiting = Default::default();
+            quota.next = Resources::default();
         }
         for entry in self.jobs.values().filter(|e| !e.state.is_final()) {
             let name = entry.organisation.as_ref();
@@ -270,6 +276,15 @@
         pass
     }
 
+    /// Ends an assignment pass: keeps what the grants have kept from starting.
+    pub(super) fn end_quota_pass(&mut self, pass: &QuotaPass) {
+        for (name, need) in &pass.next {
+            if let Some(quota) = self.quotas.by_organisation.get_mut(name) {
+                quota.next = *need;
+            }
+        }
+    }
+
     /// Whether `count` tasks of a step may start within the allowance of the job's organisation.
     ///
     /// If they may not, but could beside fewer tasks of the organisation, no other task of it starts
@@ -297,10 +312,14 @@
                 && worker.registration.capacity.fits(place::required_resources(spec))
                 && place::is_eligible(spec, worker, 0)
         };
-        if quota.allowance.admits(Resources::default(), need)
-            && self.workers.values().any(placeable)
-        {
-            pass.quota.closed.insert(name.to_owned());
+        let is_placeable = self.workers.values().any(placeable);
+        let name = name.to_owned();
+        let fits_grant = quota.allowance.admits(Resources::default(), need);
+        if is_placeable {
+            pass.quota.next.entry(name.clone()).or_insert(need);
+            if fits_grant {
+                pass.quota.closed.insert(name);
+            }
         }
         false
     }
--- a/crates/jobs/src/quota.rs
+++ b/crates/jobs/src/quota.rs
@@ -25,6 +25,10 @@
 /// written again with each job that arrives at a peak.
 const WANTED_STEPS: u64 = 16;
 
+/// Least unit in which cells that ask share a limit, as a part of the limit; smaller tasks leave
+/// little over, and their sizes would change with each pass.
+const UNIT_DIVISOR: u64 = 16;
+
 /// Entry of a cell for an organisation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Entry {
@@ -32,6 +36,9 @@
     pub granted: Resources,
     /// Amount that the cell needs in total while it has been granted less; 0 otherwise.
     pub wanted: Resources,
+    /// Amount that its next waiting task, or gang, needs, if that is much of the limit; 0 while the
+    /// cell asks for nothing.
+    pub unit: Resources,
 }
 
 /// What an organisation needs in a cell.
@@ -45,6 +52,8 @@
     pub waiting: Resources,
     /// Number of waiting tasks.
     pub waiting_tasks: u64,
+    /// Amount that the first task, or gang, needs which the grant kept from starting.
+    pub next: Resources,
 }
 
 impl Need {
@@ -126,8 +135,10 @@
     pub limit: Resources,
     /// Entry of this cell; `None` if it has none.
     pub own: Option<Entry>,
-    /// Entries of the other cells.
+    /// Entries of the other cells, in the order of their turns.
     pub others: &'a [Entry],
+    /// Number of these cells whose turns are before that of this cell.
+    pub position: usize,
     /// What the organisation needs in this cell.
     pub need: Need,
     /// Most that this cell's executors can run at a time.
@@ -150,6 +161,7 @@
 ///     limit: amount(16_000),
 ///     own: Some(Entry { granted: amount(2_000), ..Entry::default() }),
 ///     others: &[Entry { granted: amount(12_000), ..Entry::default() }],
+///     position: 0,
 ///     need: Need { waiting: amount(10_000), ..Need::default() },
 ///     capacity: amount(64_000),
 ///     complete: true,
@@ -167,8 +179,14 @@
             others: situation
                 .others
                 .iter()
-                .map(|entry| (pick(&entry.granted), pick(&entry.wanted)))
+                .map(|entry| OtherAmounts {
+                    granted: pick(&entry.granted),
+                    wanted: pick(&entry.wanted),
+                    unit: pick(&entry.unit),
+                })
                 .collect(),
+            position: situation.position,
+            unit: pick(&situation.need.next).max(pick(&situation.limit) / UNIT_DIVISOR),
             used: pick(&situation.need.used),
             unknown: pick(&situation.need.unknown),
             waiting: pick(&situation.need.waiting),
@@ -184,7 +202,11 @@
         gpus: pick(&gpus),
     };
     Decision {
-        entry: Entry { granted: join(|d| d.granted), wanted: join(|d| d.wanted) },
+        entry: Entry {
+            granted: join(|d| d.granted),
+            wanted: join(|d| d.wanted),
+            unit: join(|d| d.unit),
+        },
         start_limit: join(|d| d.start_limit),
         excessive: cpu.excessive || memory.excessive || gpus.excessive,
     }
@@ -220,8 +242,9 @@
 struct Amounts {
     limit: u64,
     granted: u64,
-    /// Granted and wanted amounts of the other cells.
-    others: Vec<(u64, u64)>,
+    others: Vec<OtherAmounts>,
+    position: usize,
+    unit: u64,
     used: u64,
     unknown: u64,
     waiting: u64,
@@ -230,10 +253,18 @@
     return_excess: bool,
 }
 
+/// [`Entry`] for one resource.
+struct OtherAmounts {
+    granted: u64,
+    wanted: u64,
+    unit: u64,
+}
+
 /// [`Decision`] for one resource.
 struct AmountDecision {
     granted: u64,
     wanted: u64,
+    unit: u64,
     start_limit: u64,
     excessive: bool,
 }
@@ -241,7 +272,8 @@
 fn decide_amount(amounts: &Amounts) -> AmountDecision {
     let limit = amounts.limit;
     if limit == 0 {
-        return AmountDecision { granted: 0, wanted: 0, start_limit: u64::MAX, excessive: false };
+        let start_limit = u64::MAX;
+        return AmountDecision { granted: 0, wanted: 0, unit: 0, start_limit, excessive: false };
     }
     // What may be in use is never returned. A use without a grant, of a limit that is new, is
     // recorded even if the sum then exceeds the limit.
@@ -250,16 +282,17 @@
     let most = amounts.capacity.min(limit).max(amounts.used);
     let need = amounts.used.saturating_add(amounts.waiting).min(most);
     let others_granted: u64 =
-        amounts.others.iter().fold(0, |sum, (granted, _)| sum.saturating_add(*granted));
+        amounts.others.iter().fold(0, |sum, other| sum.saturating_add(other.granted));
     let total = others_granted.saturating_add(amounts.granted);
     if total > limit || amounts.granted < amounts.used {
         let granted = if total > limit { floor } else { amounts.granted.max(floor) };
         let wanted = wanted(need, granted, limit);
-        return AmountDecision { granted, wanted, start_limit: granted, excessive: false };
+        let unit = if wanted > 0 { amounts.unit } else { 0 };
+        return AmountDecision { granted, wanted, unit, start_limit: granted, excessive: false };
     }
     let free = if amounts.complete { limit - total } else { 0 };
     let asked: u64 =
-        amounts.others.iter().map(|(granted, wanted)| wanted.saturating_sub(*granted)).sum();
+        amounts.others.iter().map(|other| other.wanted.saturating_sub(other.granted)).sum();
     let slack = need / NEED_SLACK_DIVISOR + limit / LIMIT_SLACK_DIVISOR;
     let comfortable = need.saturating_add(slack).min(limit);
     let shortage = asked.saturating_sub(free);
@@ -286,9 +319,11 @@
         granted = granted.min(share.max(floor));
     }
     granted = granted.max(floor);
+    let wanted = wanted(need, granted, limit);
     AmountDecision {
         granted,
-        wanted: wanted(need, granted, limit),
+        wanted,
+        unit: if wanted > 0 { amounts.unit } else { 0 },
         start_limit: start_limit.min(granted),
         excessive,
     }
@@ -306,25 +341,62 @@
 /// Part of the limit that this cell may take if all cells that ask get equal parts, up to their
 /// needs.
 ///
-/// Cells that do not ask keep what they have.
+/// Parts are whole units, so that nothing is left over in each cell that no task fits. The cell
+/// whose turn it is gets at least one unit, and what is left over; otherwise a task larger than an
+/// equal part would wait as long as others ask. Cells that do not ask keep what they have.
 fn fair_share(amounts: &Amounts, need: u64) -> u64 {
-    let is_asking = |(granted, wanted): &&(u64, u64)| wanted > granted;
-    let kept: u64 = amounts
+    let is_asking = |other: &&OtherAmounts| other.wanted > other.granted;
+    let kept = amounts
         .others
         .iter()
         .filter(|other| !is_asking(other))
-        .fold(0, |sum, (granted, _)| sum.saturating_add(*granted));
-    let mut needs: Vec<u64> =
-        amounts.others.iter().filter(is_asking).map(|(_, wanted)| *wanted).collect();
-    needs.push(need);
-    needs.sort_unstable();
-    let mut left = amounts.limit.saturating_sub(kept);
-    for (n, other) in needs.iter().enumerate() {
-        let equal = left / (needs.len() - n) as u64;
-        if *other > equal {
-            return need.min(equal);
+        .fold(0_u64, |sum, other| sum.saturating_add(other.granted));
+    let asking = |other: &OtherAmounts| (other.wanted, other.unit);
+    let (before, after) = amounts.others.split_at(amounts.position.min(amounts.others.len()));
+    let mut cells: Vec<(u64, u64)> = before.iter().filter(is_asking).map(asking).collect();
+    let own = cells.len();
+    cells.push((need, amounts.unit));
+    cells.extend(after.iter().filter(is_asking).map(asking));
+    share_in_units(amounts.limit.saturating_sub(kept), &cells)[own]
+}
+
+/// Divides an amount among cells with a need and a unit each, in the order of their turns.
+fn share_in_units(amount: u64, cells: &[(u64, u64)]) -> Vec<u64> {
+    let mut shares = equal_shares(amount, cells);
+    let Some((need, unit)) = cells.first().copied() else { return shares };
+    let first = shares[0].div_ceil(unit.max(1)).saturating_mul(unit).min(need).min(amount);
+    shares = equal_shares(amount - first, &cells[1..]);
+    shares.insert(0, first);
+    for (share, (need, unit)) in shares.iter_mut().zip(cells).skip(1) {
+        if *share < *need {
+            *share -= *share % (*unit).max(1);
         }
-        left -= *other;
     }
-    need
+    let mut left = amount.saturating_sub(shares.iter().sum());
+    for (share, (need, unit)) in shares.iter_mut().zip(cells).skip(1) {
+        let more = (*unit).min(need.saturating_sub(*share));
+        if more <= left {
+            *share += more;
+            left -= more;
+        }
+    }
+    for (share, (need, _)) in shares.iter_mut().zip(cells) {
+        let more = left.min(need.saturating_sub(*share));
+        *share += more;
+        left -= more;
+    }
+    shares
+}
+
+/// Divides an amount equally among cells, each up to its need.
+fn equal_shares(amount: u64, cells: &[(u64, u64)]) -> Vec<u64> {
+    let mut order: Vec<usize> = (0..cells.len()).collect();
+    order.sort_by_key(|n| cells[*n].0);
+    let mut shares = vec![0; cells.len()];
+    let mut left = amount;
+    for (done, n) in order.into_iter().enumerate() {
+        shares[n] = cells[n].0.min(left / (cells.len() - done) as u64);
+        left -= shares[n];
+    }
+    shares
 }
--- a/crates/jobs/tests/quota.rs
+++ b/crates/jobs/tests/quota.rs
@@ -261,6 +261,7 @@
         limit: cpu(16_000),
         own: Some(Entry { granted: cpu(own), ..Entry::default() }),
         others,
+        position: 0,
         need,
         capacity: cpu(64_000),
         complete: true,
@@ -274,12 +275,12 @@
 
 #[test]
 fn what_is_not_needed_is_returned_when_another_cell_asks() {
-    let others = [Entry { granted: cpu(4_000), wanted: cpu(10_000) }];
+    let others = [Entry { granted: cpu(4_000), wanted: cpu(10_000), unit: cpu(1_000) }];
     let decision = decide(&situation(12_000, &others, need(5_000, 2_000)));
     assert_eq!(decision.entry.granted, cpu(7_000));
     assert_eq!(decision.entry.wanted, cpu(0));
     // No more than what is asked for is returned.
-    let others = [Entry { granted: cpu(4_000), wanted: cpu(5_000) }];
+    let others = [Entry { granted: cpu(4_000), wanted: cpu(5_000), unit: cpu(1_000) }];
     let decision = decide(&situation(12_000, &others, need(5_000, 2_000)));
     assert_eq!(decision.entry.granted, cpu(11_000));
 }
