Put off what an organisation sends beyond its weight

Cause: the organisation of a job had no part in the order, so that one that sent several times its weight took the capacity of the others.

Change: the holder counts the accepted jobs of each organisation against its weight (jobs::fair). A job beyond it by more than 1.5 s is placed 2 s later in the order. The load lists up to 50 organisations that are beyond their weight, and processes predict the waits of their jobs from the later place. Jobs without an organisation, and organisations without a weight, are served as before.

--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -291,6 +291,10 @@
                 ("coming", &load.incoming),
                 ("jobs", &load.jobs),
                 ("load_age_ms", &age),
+                (
+                    "beyond_share",
+                    &access.organisation.as_ref().is_some_and(|o| load.beyond_share.contains(o)),
+                ),
             ],
         );
     }
@@ -314,7 +318,15 @@
         let incoming_delay = load.incoming_by.saturating_sub(now);
         let verdict = match &load.outlook {
             Some(outlook) => {
-                let request = Request { id, job, priority: queue.priority, objective, waited };
+                let organisation = access.organisation.as_deref();
+                let request = Request {
+                    id,
+                    job,
+                    priority: queue.priority,
+                    beyond_share: organisation.is_some_and(|o| load.beyond_share.contains(o)),
+                    objective,
+                    waited,
+                };
                 let incoming = Incoming { cpu: load.incoming, delay: incoming_delay };
                 let jobs = usize::try_from(load.jobs).unwrap_or(usize::MAX);
                 let age = now.saturating_sub(load.published_at);
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -17,7 +17,7 @@
 use jobs::row::JobRow;
 use jobs::share::Inflow;
 use jobs::wave::Stage;
-use jobs::{CellConfig, Progress};
+use jobs::{CellConfig, Organisations, Progress};
 use tokio::sync::{Mutex, Notify, Semaphore};
 
 use crate::clock;
@@ -53,6 +53,8 @@
 /// Maximum number of executors published as ready to leave the pool; keeps their row at a sixth of
 /// the largest that the table accepts.
 const MAX_PUBLISHED_SPARES: usize = 500;
+/// Maximum number of organisations published as beyond their weight; every process reads them.
+const MAX_PUBLISHED_ORGANISATIONS: usize = 50;
 /// Number of copies of the pool's state, each in a part of its own.
 pub(crate) const POOL_STATE_COPIES: usize = 3;
 /// Time for which the first copy of the pool's state may wait to be written before the others are
@@ -367,7 +369,10 @@
     /// Passes the queues of the current configuration to the scheduler.
     fn configure(&self) {
         if let Some(config) = self.ctx.config() {
-            self.cell.borrow_mut().configure(config.queues.values());
+            let mut cell = self.cell.borrow_mut();
+            cell.configure(config.queues.values());
+            let organisations = config.organisations.iter().flat_map(Organisations::iter);
+            cell.configure_shares(organisations.map(|o| (o.name.as_str(), o.weight)));
         }
     }
 
@@ -534,6 +539,11 @@
             long_running: limits.long_running_cpu,
             min_executors: limits.min_executors,
             outlook: Some(cell.outlook(now)),
+            beyond_share: cell
+                .beyond_share(now)
+                .take(MAX_PUBLISHED_ORGANISATIONS)
+                .map(str::to_owned)
+                .collect(),
             published_at: self.ctx.table_now(),
             jobs_read_until: self.feed_clock.get(),
         }
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -86,6 +86,9 @@
     /// What a new job has to wait for; none from a holder of an earlier version.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub outlook: Option<Outlook>,
+    /// Organisations that send beyond their weight.
+    #[serde(rename = "y", default, skip_serializing_if = "IndexSet::is_empty")]
+    pub beyond_share: IndexSet<String>,
     /// Time of publication, by the table's clock in milliseconds.
     #[serde(rename = "c")]
     pub published_at: u64,
--- a/crates/jobs/src/admit.rs
+++ b/crates/jobs/src/admit.rs
@@ -321,6 +321,8 @@
     pub job: &'a Job,
     /// Priority of its queue.
     pub priority: u32,
+    /// Whether it is beyond the weight of its organisation.
+    pub beyond_share: bool,
     /// Time in which the job should be completed, from the client's first request, in milliseconds.
     pub objective: u64,
     /// Time since the client's first request, in milliseconds.
@@ -347,6 +349,7 @@
             long_running: false,
             started: false,
             priority: request.priority,
+            beyond_share: request.beyond_share,
             requested_at: 0,
             objective: request.objective,
             critical_path: request.job.critical_path(),
@@ -440,7 +443,14 @@
 /// ```
 /// use jobs::admit::{Incoming, Outlook, Request, Verdict, decide_by_outlook};
 /// let job = jobs::Job::default();
-/// let request = Request { id: "a", job: &job, priority: 0, objective: 600, waited: 5_000 };
+/// let request = Request {
+///     id: "a",
+///     job: &job,
+///     priority: 0,
+///     beyond_share: false,
+///     objective: 600,
+///     waited: 5_000,
+/// };
 /// let outlook = Outlook::default();
 /// let verdict = decide_by_outlook(&outlook, 1, &request, Incoming::default(), 200);
 /// assert_eq!(verdict, Verdict::Accept, "a pool without a known capacity refuses nothing");
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -33,6 +33,7 @@
 pub use wait::WaitingTask;
 
 use crate::crash::Crashes;
+use crate::fair::Shares;
 use crate::job::{Job, State, TaskId};
 use crate::order::Candidate;
 use crate::progress::Progress;
@@ -219,6 +220,7 @@
     /// Latest time at which this holder certainly still held the cell, in milliseconds.
     last_owned: u64,
     queues: IndexMap<String, Queue>,
+    shares: Shares,
     jobs: IndexMap<String, JobEntry>,
     workers: IndexMap<String, Worker>,
     /// Orders that the next tick returns.
@@ -274,6 +276,7 @@
             acquired: now,
             last_owned: now,
             queues: IndexMap::new(),
+            shares: Shares::default(),
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
             orders: Vec::new(),
@@ -300,11 +303,25 @@
         }
         for entry in self.jobs.values_mut() {
             if let Some(queue) = self.queues.get(&entry.queue) {
-                entry.candidate = candidate(queue, &entry.job, entry.candidate.requested_at);
+                let beyond_share = entry.candidate.beyond_share;
+                entry.candidate = Candidate {
+                    beyond_share,
+                    ..candidate(queue, &entry.job, entry.candidate.requested_at)
+                };
             }
         }
     }
 
+    /// Updates the weights of all organisations, in thousandths of a job a second.
+    pub fn configure_shares<'a>(&mut self, weights: impl Iterator<Item = (&'a str, u64)>) {
+        self.shares.configure(weights);
+    }
+
+    /// Organisations that send beyond their weight at a time.
+    pub fn beyond_share(&self, now: u64) -> impl Iterator<Item = &str> {
+        self.shares.used_up(now)
+    }
+
     /// Admits a job and returns whether it is new.
     ///
     /// A job that is already in the cell, or that has ended, is left unchanged.
@@ -315,8 +332,15 @@
         let default_queue = Queue { max_attempts: 1, ..Queue::default() };
         let queue = self.queues.get(&arrival.queue).unwrap_or(&default_queue);
         let begun = arrival.progress.started;
+        // Jobs of a former holder arrive at once when they are read back, not at their rate.
+        let counted = arrival.organisation.as_deref().filter(|_| !arrival.inherited);
+        let beyond_share =
+            counted.is_some_and(|name| self.shares.count(name, arrival.requested_at));
         let mut entry = JobEntry {
-            candidate: candidate(queue, &arrival.job, arrival.requested_at),
+            candidate: Candidate {
+                beyond_share,
+                ..candidate(queue, &arrival.job, arrival.requested_at)
+            },
             payload: Rc::from(arrival.job.payload.as_str()),
             part: arrival.part,
             queue: arrival.queue,
@@ -625,6 +649,7 @@
         long_running: job.is_long_running(),
         started: false,
         priority: queue.priority,
+        beyond_share: false,
         requested_at,
         objective,
         critical_path,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod cell;
 pub mod crash;
+pub mod fair;
 pub mod flush;
 pub mod job;
 pub mod order;
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -6,8 +6,8 @@
 //! 1. Long-running jobs, because time without their tasks can't be made up for.
 //! 2. Started jobs that can still meet their objective: little more work brings their full value.
 //! 3. New jobs that can meet their objective with time to spare, which covers errors of estimates.
-//!    They go by their latest start, which is put off for large jobs and for queues of lower
-//!    priority: small jobs bring more value for their work, and a large one can make room for many.
+//!    They go by their latest start, which is put off for large jobs, for queues of lower
+//!    priority and for what an organisation sends beyond its weight: small jobs bring more value for their work, and a large one can make room for many.
 //!    As the key of a job does not change, each job is delayed by a bounded number of later ones.
 //! 4. Jobs that may meet their objective, but without time to spare, the best chance first. They
 //!    get resources when several machines arrive at once.
@@ -31,6 +31,9 @@
 /// Time by which a job's place is put off for each step of its queue's priority, in milliseconds;
 /// with the limit on these steps, at most half a peak.
 const PRIORITY_STEP_MS: u64 = 200;
+/// Time by which a job beyond the weight of its organisation is put off, in milliseconds; longer than
+/// small jobs can wait, so that it gets what the others leave.
+const BEYOND_SHARE_MS: u64 = 2_000;
 /// Steps of priority that count for a job's place.
 const MAX_PRIORITY_STEPS: u32 = 10;
 
@@ -47,6 +50,8 @@
     pub started: bool,
     /// Priority of its queue; 0 is the highest.
     pub priority: u32,
+    /// Whether it is beyond the weight of its organisation.
+    pub beyond_share: bool,
     /// Time of the client's first request, in milliseconds.
     pub requested_at: u64,
     /// Time by which the job should be completed, in milliseconds.
@@ -87,6 +92,7 @@
     ///     long_running: false,
     ///     started: false,
     ///     priority: 0,
+    ///     beyond_share: false,
     ///     requested_at: 0,
     ///     objective: 2_000,
     ///     critical_path: 600,
@@ -101,7 +107,11 @@
     pub fn place(&self) -> u64 {
         let priority = u64::from(self.priority.min(MAX_PRIORITY_STEPS));
         let doublings = sixteenths_of_doublings(self.work);
-        self.latest_start() + doublings * WORK_DOUBLING_MS / 16 + priority * PRIORITY_STEP_MS
+        let share = if self.beyond_share { BEYOND_SHARE_MS } else { 0 };
+        self.latest_start()
+            + doublings * WORK_DOUBLING_MS / 16
+            + priority * PRIORITY_STEP_MS
+            + share
     }
 
     /// Whether the job has started and can still be in time.
@@ -130,6 +140,7 @@
     ///     long_running: false,
     ///     started: false,
     ///     priority: 0,
+    ///     beyond_share: false,
     ///     requested_at: 0,
     ///     objective: 1_900,
     ///     critical_path: 600,
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -438,6 +438,7 @@
         long_running: false,
         started: true,
         priority: 0,
+        beyond_share: false,
         requested_at: 9_900,
         objective: 11_300,
         critical_path: 500,
@@ -454,7 +455,8 @@
 
 /// Decides on a job that needs 500 ms and should be completed in 1,400 ms.
 fn decide_on(outlook: &Outlook, job: &Job, waited: u64, incoming: Incoming, age: u64) -> Verdict {
-    let request = Request { id: "a", job, priority: 0, objective: 1_400, waited };
+    let request =
+        Request { id: "a", job, priority: 0, beyond_share: false, objective: 1_400, waited };
     decide_by_outlook(outlook, 10, &request, incoming, age)
 }
 
@@ -505,7 +507,14 @@
     let machines = Incoming { cpu: MACHINE_CPU, delay: 100 };
     assert_eq!(decide_on(&free, &large, 0, machines, 0), Verdict::Accept);
     let refused = |id: &str| {
-        let request = Request { id, job: &large, priority: 0, objective: 1_400, waited: 0 };
+        let request = Request {
+            id,
+            job: &large,
+            priority: 0,
+            beyond_share: false,
+            objective: 1_400,
+            waited: 0,
+        };
         decide_by_outlook(&free, 10, &request, none, 0)
     };
     let ids: Vec<String> = (0..40).map(|n| format!("{n:016x}")).collect();
@@ -520,6 +529,7 @@
         long_running: false,
         started: false,
         priority: 0,
+        beyond_share: false,
         requested_at,
         objective: requested_at + critical_path * 1_600 / 1_000 + 600,
         critical_path,
@@ -542,6 +552,7 @@
         long_running: false,
         started: false,
         priority: 0,
+        beyond_share: false,
         requested_at: 0,
         objective,
         critical_path: 1_000,
@@ -562,6 +573,7 @@
         long_running: false,
         started: false,
         priority,
+        beyond_share: false,
         requested_at,
         objective: requested_at + 2_200,
         critical_path: 1_000,
--- a/crates/jobs/tests/peak.rs
+++ b/crates/jobs/tests/peak.rs
@@ -17,6 +17,7 @@
         estimate_error: 0.2,
         machines: (62, 60),
         weights: Vec::new(),
+        shared: false,
         hot: None,
     }
 }
@@ -161,3 +162,44 @@
         assert!(largest >= score.served() / 2.0, "{name}: {largest:.0} % of the largest tenth");
     }
 }
+
+/// Twenty organisations with uneven weights at the peak of small jobs.
+fn organisations() -> Scenario {
+    let weights = (1..=20).map(|n| 1.0 / f64::from(n).sqrt()).collect();
+    Scenario { weights, shared: true, ..small_jobs() }
+}
+
+/// Scores of the hot organisation, if any, and of the nineteen others.
+fn of_hot_and_others(name: &str, scenario: &Scenario) -> (Score, Score) {
+    let jobs: Vec<Replayed> = SEEDS.flat_map(|seed| replay(scenario, seed)).collect();
+    let mean = mean_work(&jobs);
+    let (hot, others): (Vec<&Replayed>, Vec<&Replayed>) =
+        jobs.iter().partition(|job| job.organisation == Some(HOT));
+    let (hot, others) = (Score::of(hot.into_iter(), mean), Score::of(others.into_iter(), mean));
+    println!(
+        "{name}: {:.1} % of {} of the organisation and {:.1} % of {} of the others in time",
+        hot.served(),
+        hot.offered,
+        others.served(),
+        others.offered
+    );
+    (hot, others)
+}
+
+/// Position of the organisation that sends beyond its weight.
+const HOT: usize = 3;
+
+/// Guards against an organisation that takes the capacity of others by sending more than its weight,
+/// and against weights that keep out jobs while all keep to them.
+#[test]
+fn an_organisation_that_sends_beyond_its_weight_does_not_delay_the_others() {
+    let calm = organisations();
+    let hot = Scenario { hot: Some(HOT), ..calm.clone() };
+    let (_, plain) = of_hot_and_others("no shares", &Scenario { shared: false, ..calm.clone() });
+    let (_, calm) = of_hot_and_others("all within their weights", &calm);
+    of_hot_and_others("hot, no shares", &Scenario { shared: false, ..hot.clone() });
+    let (hot, others) = of_hot_and_others("hot", &hot);
+    assert!(calm.served() >= plain.served() - 1.5, "weights cost {plain:?}, with them {calm:?}");
+    assert!(others.served() >= calm.served() - 6.0, "{others:?} instead of {calm:?}");
+    assert!(hot.served() > 20.0, "what is left is not used: {hot:?}");
+}
--- a/crates/jobs/tests/pool/mod.rs
+++ b/crates/jobs/tests/pool/mod.rs
@@ -67,6 +67,8 @@
     pub machines: (u64, u64),
     /// Weights of the organisations; empty for none.
     pub weights: Vec<f64>,
+    /// Whether the pool knows the weights.
+    pub shared: bool,
     /// Organisation that sends five times its weight for 6 s.
     pub hot: Option<usize>,
 }
@@ -243,6 +245,13 @@
         ..Queue::default()
     };
     cell.configure(std::iter::once(&queue));
+    let total: f64 = scenario.weights.iter().sum();
+    let names: Vec<String> = (0..scenario.weights.len()).map(|n| format!("o{n}")).collect();
+    if scenario.shared {
+        // Together the weights allow the rate of the peak.
+        let weights = scenario.weights.iter().map(|w| (w / total * 5_000.0 * scenario.rate) as u64);
+        cell.configure_shares(names.iter().map(String::as_str).zip(weights));
+    }
     let peak = START_MS + LEAD_MS;
     let (initial, later) = scenario.machines;
     let arrives =
@@ -346,6 +355,8 @@
     incoming: u64,
     /// Mean time of their arrival, in milliseconds.
     incoming_by: u64,
+    /// Organisations that send beyond their weight.
+    beyond: Vec<String>,
 }
 
 impl View {
@@ -356,6 +367,7 @@
             jobs: cell.job_count(),
             incoming: count * MACHINE.cpu,
             incoming_by: coming.iter().sum::<u64>().checked_div(count).unwrap_or(0),
+            beyond: cell.beyond_share(now).map(str::to_owned).collect(),
         }
     }
 }
@@ -373,6 +385,7 @@
         id,
         job: &job.job,
         priority: queue.priority,
+        beyond_share: job.organisation.is_some_and(|n| view.beyond.contains(&format!("o{n}"))),
         objective: job.job.critical_path() * queue.stretch / 1_000 + queue.objective_base,
         waited: now - job.requested_at,
     };
