Add a summary of served jobs from logs

Cause: the share of accepted jobs that end in time, and the refused jobs, could be read from the logs only job by job.

Change: `jtally served` reads logs and prints accepted, in time, late, unserved and refused jobs and the waits until the first start, by queue and organisation, as a table or as JSON.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -72,6 +72,11 @@
             /// Log file; may be given several times; default: standard input.
             repeated --logs logs: PathBuf
         }
+        /// Sums up the logs by queue and organisation: accepted, in time, late and refused jobs, and waits.
+        cmd served {
+            /// Log file; may be given several times; default: standard input.
+            repeated --logs logs: PathBuf
+        }
         /// Shows the state of the control process and its list of other processes.
         cmd status { }
     }
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -50,12 +50,12 @@
 
 impl LogLine {
     /// Returns the name of the event, which follows its number in the message.
-    fn event(&self) -> &str {
+    pub(crate) fn event(&self) -> &str {
         self.message.split_once(' ').map_or(self.message.as_str(), |(_, name)| name)
     }
 
     /// Returns a field, or an empty text if there is none.
-    fn field(&self, name: &str) -> &str {
+    pub(crate) fn field(&self, name: &str) -> &str {
         self.fields.get(name).map_or("", String::as_str)
     }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod instance;
 mod plan;
 mod print;
+mod service;
 mod timeline;
 
 use std::process::ExitCode;
@@ -33,6 +34,9 @@
     if let JtallyCmd::Explain(args) = &flags.subcommand {
         return explain::show(&args.job, &args.logs, json);
     }
+    if let JtallyCmd::Served(args) = &flags.subcommand {
+        return service::show(&args.logs, json);
+    }
     let client = ControlClient::open(flags.at.as_deref())?;
     match flags.subcommand {
         JtallyCmd::Contract(contract) => match contract.subcommand {
@@ -55,8 +59,8 @@
             instance::order(&client, &args.instance, Some(args.pool), args.reason, json).await
         }
         JtallyCmd::Timeline(args) => timeline::show(&client, args.filter.as_deref(), json).await,
-        // Handled above, as it needs no control process.
-        JtallyCmd::Explain(_) => Ok(()),
+        // Handled above, as they need no control process.
+        JtallyCmd::Explain(_) | JtallyCmd::Served(_) => Ok(()),
         JtallyCmd::Status(_) => instance::status(&client, json).await,
     }
 }
