Judge a job by the backlogs as well as by the outlook

Cause: the outlook leaves out late work, so that a pool full of long late tasks looked free.

Change: a job that the prediction accepts is judged by the former rule on the backlogs, too. The replay does the same.

The tests of jtally-platform pass without the soak, which was not run.

--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -316,33 +316,34 @@
         let critical_path = job.critical_path();
         let objective = critical_path * queue.stretch / 1_000 + queue.objective_base;
         let incoming_delay = load.incoming_by.saturating_sub(now);
-        let verdict = match &load.outlook {
-            Some(outlook) => {
-                let organisation = access.organisation.as_deref();
-                let request = Request {
-                    id,
-                    job,
-                    priority: queue.priority,
-                    beyond_share: organisation.is_some_and(|o| load.beyond_share.contains(o)),
-                    objective,
-                    waited,
-                };
-                let incoming = Incoming { cpu: load.incoming, delay: incoming_delay };
-                let jobs = usize::try_from(load.jobs).unwrap_or(usize::MAX);
-                let age = now.saturating_sub(load.published_at);
-                admit::decide_by_outlook(outlook, jobs, &request, incoming, age)
-            }
-            None => {
-                let load = admit::Load {
-                    jobs: usize::try_from(load.jobs).unwrap_or(usize::MAX),
-                    timely_backlog: load.timely_backlog,
-                    backlog: load.backlog,
-                    capacity: load.capacity,
-                    incoming_capacity: load.incoming,
-                    incoming_delay,
-                };
-                admit::decide(&load, objective, critical_path, waited)
-            }
+        let by_outlook = load.outlook.as_ref().map_or(Verdict::Accept, |outlook| {
+            let organisation = access.organisation.as_deref();
+            let request = Request {
+                id,
+                job,
+                priority: queue.priority,
+                beyond_share: organisation.is_some_and(|o| load.beyond_share.contains(o)),
+                objective,
+                waited,
+            };
+            let incoming = Incoming { cpu: load.incoming, delay: incoming_delay };
+            let jobs = usize::try_from(load.jobs).unwrap_or(usize::MAX);
+            let age = now.saturating_sub(load.published_at);
+            admit::decide_by_outlook(outlook, jobs, &request, incoming, age)
+        });
+        // The outlook leaves out late work, which may still fill the pool with long tasks.
+        let verdict = if by_outlook == Verdict::Accept {
+            let load = admit::Load {
+                jobs: usize::try_from(load.jobs).unwrap_or(usize::MAX),
+                timely_backlog: load.timely_backlog,
+                backlog: load.backlog,
+                capacity: load.capacity,
+                incoming_capacity: load.incoming,
+                incoming_delay,
+            };
+            admit::decide(&load, objective, critical_path, waited)
+        } else {
+            by_outlook
         };
         let is_too_large = load.outlook.as_ref().is_some_and(|outlook| !outlook.can_run(job));
         match verdict {
--- a/crates/jobs/tests/pool/mod.rs
+++ b/crates/jobs/tests/pool/mod.rs
@@ -350,7 +350,7 @@
 /// What a holder publishes for admission.
 struct View {
     outlook: Outlook,
-    jobs: usize,
+    load: admit::Load,
     /// CPU of the machines on the way, in thousandths of a core.
     incoming: u64,
     /// Mean time of their arrival, in milliseconds.
@@ -362,9 +362,19 @@
 impl View {
     fn new(cell: &Cell, coming: &[u64], now: u64) -> Self {
         let count = coming.len() as u64;
+        let (timely_backlog, backlog) = cell.backlog(now);
+        let accepting = cell.workers().values().filter(|w| w.accepts_tasks(now));
+        let load = admit::Load {
+            jobs: cell.job_count(),
+            timely_backlog,
+            backlog,
+            capacity: accepting.map(|w| w.registration.capacity.cpu).sum(),
+            incoming_capacity: count * MACHINE.cpu,
+            incoming_delay: 0,
+        };
         Self {
             outlook: cell.outlook(now),
-            jobs: cell.job_count(),
+            load,
             incoming: count * MACHINE.cpu,
             incoming_by: coming.iter().sum::<u64>().checked_div(count).unwrap_or(0),
             beyond: cell.beyond_share(now).map(str::to_owned).collect(),
@@ -390,7 +400,14 @@
         waited: now - job.requested_at,
     };
     let incoming = Incoming { cpu: view.incoming, delay: view.incoming_by.saturating_sub(now) };
-    admit::decide_by_outlook(&view.outlook, view.jobs, &request, incoming, now - published_at)
+    let age = now - published_at;
+    match admit::decide_by_outlook(&view.outlook, view.load.jobs, &request, incoming, age) {
+        Verdict::Accept => {
+            let load = admit::Load { incoming_delay: incoming.delay, ..view.load };
+            admit::decide(&load, request.objective, job.job.critical_path(), request.waited)
+        }
+        refused @ Verdict::Refuse(_) => refused,
+    }
 }
 
 fn registration(id: &str) -> Registration {
