--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cell;
 pub mod crash;
 pub mod difference;
+pub mod fair;
 pub mod flush;
 pub mod forecast;
 pub mod incarnation;
--- a/crates/jobs/tests/pool/mod.rs
+++ b/crates/jobs/tests/pool/mod.rs
@@ -67,6 +67,8 @@
     pub machines: (u64, u64),
     /// Weights of the organisations; empty for none.
     pub weights: Vec<f64>,
+    /// Whether the pool knows the weights.
+    pub shared: bool,
     /// Organisation that sends five times its weight for 6 s.
     pub hot: Option<usize>,
 }
@@ -243,6 +245,13 @@
         ..Queue::default()
     };
     cell.configure(std::iter::once(&queue));
+    let total: f64 = scenario.weights.iter().sum();
+    let names: Vec<String> = (0..scenario.weights.len()).map(|n| format!("o{n}")).collect();
+    if scenario.shared {
+        // Together the weights allow the rate of the peak.
+        let weights = scenario.weights.iter().map(|w| (w / total * 5_000.0 * scenario.rate) as u64);
+        cell.configure_shares(names.iter().map(String::as_str).zip(weights));
+    }
     let peak = START_MS + LEAD_MS;
     let (initial, later) = scenario.machines;
     let arrives =
@@ -341,21 +350,34 @@
 /// What a holder publishes for admission.
 struct View {
     outlook: Outlook,
-    jobs: usize,
+    load: admit::Load,
     /// CPU of the machines on the way, in thousandths of a core.
     incoming: u64,
     /// Mean time of their arrival, in milliseconds.
     incoming_by: u64,
+    /// Organisations that send beyond their weight.
+    beyond: Vec<String>,
 }
 
 impl View {
     fn new(cell: &Cell, coming: &[u64], now: u64) -> Self {
         let count = coming.len() as u64;
+        let (timely_backlog, backlog) = cell.backlog(now);
+        let accepting = cell.workers().values().filter(|w| w.accepts_tasks(now));
+        let load = admit::Load {
+            jobs: cell.job_count(),
+            timely_backlog,
+            backlog,
+            capacity: accepting.map(|w| w.registration.capacity.cpu).sum(),
+            incoming_capacity: count * MACHINE.cpu,
+            incoming_delay: 0,
+        };
         Self {
             outlook: cell.outlook(now),
-            jobs: cell.job_count(),
+            load,
             incoming: count * MACHINE.cpu,
             incoming_by: coming.iter().sum::<u64>().checked_div(count).unwrap_or(0),
+            beyond: cell.beyond_share(now).map(str::to_owned).collect(),
         }
     }
 }
@@ -373,11 +395,19 @@
         id,
         job: &job.job,
         priority: queue.priority,
+        beyond_share: job.organisation.is_some_and(|n| view.beyond.contains(&format!("o{n}"))),
         objective: job.job.critical_path() * queue.stretch / 1_000 + queue.objective_base,
         waited: now - job.requested_at,
     };
     let incoming = Incoming { cpu: view.incoming, delay: view.incoming_by.saturating_sub(now) };
-    admit::decide_by_outlook(&view.outlook, view.jobs, &request, incoming, now - published_at)
+    let age = now - published_at;
+    match admit::decide_by_outlook(&view.outlook, view.load.jobs, &request, incoming, age) {
+        Verdict::Accept => {
+            let load = admit::Load { incoming_delay: incoming.delay, ..view.load };
+            admit::decide(&load, request.objective, job.job.critical_path(), request.waited)
+        }
+        refused @ Verdict::Refuse(_) => refused,
+    }
 }
 
 fn registration(id: &str) -> Registration {
