Begin machines with long-running tasks apart from the others in a wave

Ruled out: to begin all of them first at once, which closes their executors to new tasks at a peak. Change: they are planned apart from the others from the start of the wave, as many at once as half of the time needs; the others still pass machines that can't begin or are stuck.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -75,6 +75,8 @@
     emptying_since: RefCell<IndexMap<(u64, String), u64>>,
     /// Orders for waves with an unknown outcome, by wave and machine.
     open_orders: RefCell<IndexSet<(u64, String)>>,
+    /// Machines of waves that had long-running tasks before they were emptied.
+    long_running: RefCell<IndexSet<String>>,
     /// Waves reported to the operator, and whether as complete.
     reported: RefCell<IndexMap<u64, bool>>,
     /// Times at which this holder first saw waves, by the table's clock.
@@ -118,6 +120,7 @@
             busy_until: RefCell::default(),
             emptying_since: RefCell::default(),
             open_orders: RefCell::default(),
+            long_running: RefCell::default(),
             reported: RefCell::default(),
             waves_seen: RefCell::default(),
             wave_starts: RefCell::default(),
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -53,13 +53,14 @@
                         && !moving.contains_key(name)
                         && !self.has_duty(name) =>
                 {
-                    let cost = self.maintenance_cost(machine);
-                    let slow = self.has_long_running_tasks(machine);
-                    wave::start_cost(cost, slow, elapsed, wave.time_limit)
+                    self.maintenance_cost(machine)
                 }
                 _ => wave::CANNOT_BEGIN,
             };
-            wave::plan_steps(wave, &stages, elapsed, &empty, &cost)
+            self.update_long_running(&stages, &machines);
+            let long_running = self.long_running.borrow();
+            let has_long_running = |name: &str| long_running.contains(name);
+            wave::plan_steps(wave, &stages, elapsed, &empty, &cost, &has_long_running)
         };
         let mut changes = Vec::new();
         {
@@ -108,6 +109,33 @@
         now.saturating_sub(*since.entry(key).or_insert(now))
     }
 
+    /// Updates which machines have long-running tasks.
+    ///
+    /// Machines that are being emptied keep the state that they had before: they are no spares of
+    /// their pools in any case.
+    fn update_long_running(
+        &self,
+        stages: &IndexMap<String, Stage>,
+        machines: &IndexMap<String, Machine>,
+    ) {
+        let mut long_running = self.long_running.borrow_mut();
+        for (name, stage) in stages {
+            if self.has_duty(name) && *stage != Stage::Done {
+                continue;
+            }
+            let has_long_running = machines.get(name).is_some_and(|machine| {
+                machine.up
+                    && !self.moving.borrow().contains_key(name)
+                    && self.has_long_running_tasks(machine)
+            });
+            if has_long_running {
+                long_running.insert(name.clone());
+            } else {
+                long_running.swap_remove(name);
+            }
+        }
+    }
+
     /// Returns whether a machine is known to run long-running tasks, which have to run elsewhere before
     /// it is empty.
     fn has_long_running_tasks(&self, machine: &Machine) -> bool {
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -4,7 +4,8 @@
 //! is lost capacity for the queue whose demand peaks. The stops are therefore spread over the time
 //! up to the deadline, idle machines go first, and the next machines are emptied while others are
 //! down. Machines that move between pools, are down or can't be emptied for a while must not hold up
-//! the others, and those that take longest to empty must not begin last.
+//! the others. Machines with long-running tasks are planned apart from the others and begin early: most
+//! tasks of a step have to keep working, so that these machines become empty one after the other.
 
 use indexmap::IndexMap;
 
@@ -156,27 +157,6 @@
 
 /// Cost of a machine that can't begin now, as it moves, is down or refuses its orders.
 pub const CANNOT_BEGIN: u64 = u64::MAX;
-/// Part of the wave's time limit after which machines that take long to empty go first, in percent.
-const SLOW_FIRST_PERCENT: u64 = 20;
-
-/// Returns the cost by which a machine is chosen, `elapsed` milliseconds after the order of its wave.
-///
-/// A machine with long-running tasks (`slow`) takes seconds to empty, as other executors have to take
-/// them. At first it goes by its `cost`, and after a part of the time limit before all others.
-///
-/// # Examples
-///
-/// ```
-/// use jobs::wave::start_cost;
-/// assert_eq!(start_cost(150, true, 1_000, 30_000), 150);
-/// assert_eq!(start_cost(150, true, 9_000, 30_000), 0);
-/// assert_eq!(start_cost(150, false, 9_000, 30_000), 150);
-/// ```
-pub fn start_cost(cost: u64, slow: bool, elapsed: u64, time_limit: u64) -> u64 {
-    let slow_first = elapsed * 100 >= time_limit * SLOW_FIRST_PERCENT;
-    if slow && slow_first && cost != CANNOT_BEGIN { 0 } else { cost }
-}
-
 /// Time to empty and stop a machine, in milliseconds; the stop itself takes about half of it.
 const MACHINE_CYCLE_MS: u64 = 4_000;
 /// Part of the wave's time limit to plan with, in percent; the rest is a reserve for machines that
@@ -202,16 +182,32 @@
     (rate * 1_000).checked_div(capacity).unwrap_or(1_000)
 }
 
+/// Time to empty and stop a machine with long-running tasks, in milliseconds: each task waits until
+/// others of its step work again.
+const LONG_RUNNING_CYCLE_MS: u64 = 8_000;
+/// Part of the wave's time limit in which these machines are to be done, in percent, so that an outage
+/// of some seconds leaves time for them.
+const LONG_RUNNING_TIME_PERCENT: u64 = 50;
+
+/// Number of machines to have in progress for `unfinished` machines that take `cycle` each.
+fn in_progress_needed(unfinished: usize, cycle: u64, time_left: u64) -> usize {
+    let needed = (unfinished as u64 * cycle).div_ceil(time_left.max(cycle));
+    usize::try_from(needed).unwrap_or(usize::MAX)
+}
+
 /// Decides the next steps of a wave, `elapsed` milliseconds after its order.
 ///
 /// Only as many machines are in progress at once as the deadline requires, and those with the least
-/// `cost` go first; [`CANNOT_BEGIN`] leaves a machine out. `is_empty` returns whether a machine that is being emptied has no runs left.
+/// `cost` go first; [`CANNOT_BEGIN`] leaves a machine out. `is_empty` returns whether a machine that
+/// is being emptied has no runs left, and `has_long_running` whether long-running tasks have to leave
+/// a machine that is not empty.
 pub fn plan_steps(
     wave: &Wave,
     stages: &IndexMap<String, Stage>,
     elapsed: u64,
     is_empty: &dyn Fn(&str) -> bool,
     cost: &dyn Fn(&str) -> u64,
+    has_long_running: &dyn Fn(&str) -> bool,
 ) -> WaveSteps {
     let stage = |m: &String| stages.get(m).copied().unwrap_or_default();
     let at = |s: Stage| wave.machines.iter().filter(move |m| stage(m) == s);
@@ -225,17 +221,29 @@
         free_slots -= 1;
         steps.take_down.push(machine.clone());
     }
-    let time_left = (wave.time_limit * PLANNED_TIME_PERCENT / 100)
-        .saturating_sub(elapsed)
-        .max(MACHINE_CYCLE_MS);
+    let time_left = |percent: u64| (wave.time_limit * percent / 100).saturating_sub(elapsed);
     let unfinished = wave.machines.iter().filter(|m| stage(m) != Stage::Done).count();
-    let in_progress = (unfinished as u64 * MACHINE_CYCLE_MS).div_ceil(time_left);
-    let in_progress = usize::try_from(in_progress).unwrap_or(usize::MAX).min(max_down + 1);
-    let begun = at(Stage::Emptying).count() + at(Stage::Down).count();
+    let is_slow = |m: &&String| {
+        matches!(stage(m), Stage::Due | Stage::Emptying) && has_long_running(m.as_str())
+    };
+    let is_begun = |m: &&String| matches!(stage(m), Stage::Emptying | Stage::Down);
     let mut due: Vec<&String> = at(Stage::Due).filter(|m| cost(m) != CANNOT_BEGIN).collect();
     due.sort_by_key(|m| cost(m));
-    steps.start_emptying =
-        due.into_iter().take(in_progress.saturating_sub(begun)).cloned().collect();
+
+    let wanted = in_progress_needed(unfinished, MACHINE_CYCLE_MS, time_left(PLANNED_TIME_PERCENT));
+    let begun = wave.machines.iter().filter(|m| is_begun(m) && !is_slow(m)).count();
+    let free = wanted.min(max_down + 1).saturating_sub(begun);
+    let quick = due.iter().copied().filter(|m| !is_slow(m)).take(free);
+
+    let slow_count = wave.machines.iter().filter(is_slow).count();
+    let slow_wanted =
+        in_progress_needed(slow_count, LONG_RUNNING_CYCLE_MS, time_left(LONG_RUNNING_TIME_PERCENT));
+    // Those that can't begin have begun before, or can't be emptied now.
+    let slow_begun = wave.machines.iter().filter(is_slow).filter(|m| !due.contains(m)).count();
+    let slow_free = slow_wanted.min(max_down).saturating_sub(slow_begun);
+    let slow = due.iter().copied().filter(is_slow).take(slow_free);
+
+    steps.start_emptying = slow.chain(quick).cloned().collect();
     steps.complete = unfinished == 0;
     steps
 }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -226,7 +226,7 @@
                 *stage = Stage::Done;
             }
         }
-        let steps = plan_steps(wave, &stages, now, &|m| now >= since[m] + 500, &|_| 0);
+        let steps = plan_steps(wave, &stages, now, &|m| now >= since[m] + 500, &|_| 0, &|_| false);
         if steps.complete {
             return (now, most);
         }
@@ -277,7 +277,7 @@
             stages.iter().map(|(m, s)| (m.clone(), wave::planned_stage(*s, is_busy(m)))).collect();
         let is_empty = |m: &str| now >= since[m] + 500;
         let cost = |m: &str| if is_busy(m) { u64::MAX } else { u64::from(!refuses(m)) };
-        let steps = plan_steps(&wave, &planned, now, &is_empty, &cost);
+        let steps = plan_steps(&wave, &planned, now, &is_empty, &cost, &|_| false);
         for machine in steps.start_emptying {
             since.entry(machine.clone()).or_insert(now);
             stages.entry(machine).or_insert(Stage::Emptying);
@@ -331,9 +331,12 @@
             if has_long_running(m) { empty } else { now >= since[m] + 500 }
         };
         let cost = |m: &str| {
-            let slow = has_long_running(m);
-            let cost = if slow { 1_100 } else { 1_000 };
-            wave::start_cost(cost, slow, now, wave.time_limit)
+            let begun = stages.get(m).is_some_and(|stage| *stage == Stage::Emptying);
+            match has_long_running(m) {
+                _ if begun => wave::CANNOT_BEGIN,
+                true => 1_100,
+                false => 1_000,
+            }
         };
         let is_stuck = |m: &str| wave::empties_slowly(now - since[m]) && !is_empty(m);
         let planned = stages
@@ -343,7 +346,7 @@
                 (m.clone(), wave::planned_stage(*s, stuck))
             })
             .collect();
-        let steps = plan_steps(&wave, &planned, now, &is_empty, &cost);
+        let steps = plan_steps(&wave, &planned, now, &is_empty, &cost, &has_long_running);
         for machine in steps.start_emptying {
             since.entry(machine.clone()).or_insert(now);
             stages.entry(machine).or_insert(Stage::Emptying);
@@ -372,7 +375,8 @@
 #[test]
 fn the_machines_with_the_least_cost_go_first() {
     let wave = Wave { number: 1, machines: names("m", 4), max_down: 1, time_limit: 60_000 };
-    let steps = plan_steps(&wave, &IndexMap::new(), 0, &|_| false, &|m| u64::from(m != "m2"));
+    let steps =
+        plan_steps(&wave, &IndexMap::new(), 0, &|_| false, &|m| u64::from(m != "m2"), &|_| false);
     assert_eq!(steps.start_emptying, ["m2"]);
 }
 
--- a/crates/jobs/tests/maintenance/mod.rs
+++ b/crates/jobs/tests/maintenance/mod.rs
@@ -110,8 +110,7 @@
             return wave::CANNOT_BEGIN;
         }
         let cost = if self.peaks(name, now) { 1_200 } else { 50 };
-        let cost = cost + if slow { 100 } else { 20 };
-        wave::start_cost(cost, slow, now, self.wave.time_limit)
+        cost + if slow { 100 } else { 20 }
     }
 
     /// Replays the wave up to its deadline; returns the number of machines that are left.
@@ -145,11 +144,13 @@
                 (name.clone(), wave::planned_stage(*stage, stuck))
             });
             let planned = planned.collect();
-            let steps =
-                plan_steps(&self.wave, &planned, now, &|name| self.is_empty(name, now), &|name| {
-                    let begun = self.stages.get(name) == Some(&Stage::Emptying);
-                    if begun { wave::CANNOT_BEGIN } else { self.cost(name, now) }
-                });
+            let is_empty = |name: &str| self.is_empty(name, now);
+            let cost = |name: &str| {
+                let begun = self.stages.get(name) == Some(&Stage::Emptying);
+                if begun { wave::CANNOT_BEGIN } else { self.cost(name, now) }
+            };
+            let has_long_running = |name: &str| self.machines[name].long_running;
+            let steps = plan_steps(&self.wave, &planned, now, &is_empty, &cost, &has_long_running);
             let begin = steps.start_emptying.iter().filter(|name| !self.is_moving(name, now));
             for name in begin.cloned().collect::<Vec<_>>() {
                 self.stages.insert(name.clone(), Stage::Emptying);
