--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -7,6 +7,7 @@
 use base::Timeline;
 use indexmap::{IndexMap, IndexSet};
 use jobs::Configuration;
+use jobs::order::Policy;
 use jobs::wave::Wave;
 use tokio::sync::Notify;
 
@@ -52,10 +53,25 @@
     pub order_rate: u64,
     /// Whether machines move ahead of peaks that can be forecast.
     pub forecast_peaks: bool,
+    /// Order of new jobs; `None` to let the configuration decide.
+    pub order: Option<Policy>,
     /// Time limits of the platform.
     pub bounds: Bounds,
 }
 
+impl Settings {
+    /// Returns the order of new jobs.
+    ///
+    /// Unless the settings name one, new jobs go by their latest start where organisations compete for
+    /// the executors, and by their work elsewhere.
+    pub fn policy(&self, config: &Configuration) -> Policy {
+        self.order.unwrap_or(match config.organisations {
+            Some(_) => Policy::LatestStart,
+            None => Policy::LeastWork,
+        })
+    }
+}
+
 /// Clients of the platform and of the executors.
 #[expect(missing_debug_implementations, reason = "trait objects have no common form")]
 #[derive(Clone)]
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -383,6 +383,7 @@
         if let Some(config) = self.ctx.config() {
             let mut cell = self.cell.borrow_mut();
             cell.configure(config.queues.values());
+            cell.set_policy(self.ctx.settings.policy(&config));
             let organisations = config.organisations.iter().flat_map(Organisations::iter);
             cell.configure_shares(organisations.map(|o| (o.name.as_str(), o.weight)));
             drop(cell);
@@ -554,7 +555,7 @@
             arrival_rate: self.inflow.borrow_mut().rate(now),
             long_running: limits.long_running_cpu,
             min_executors: limits.min_executors,
-            outlook: Some(cell.outlook(now)),
+            outlook: cell.outlook(now),
             beyond_share: cell
                 .beyond_share(now)
                 .take(MAX_PUBLISHED_ORGANISATIONS)
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -84,7 +84,8 @@
     /// Fewest executors on which the long-running tasks fit, by processor, memory and limits.
     #[serde(rename = "f", default)]
     pub min_executors: usize,
-    /// What a new job has to wait for; none from a holder of an earlier version.
+    /// What a new job has to wait for; none from a holder of an earlier version, or one that does not
+    /// serve new jobs by their latest start.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub outlook: Option<Outlook>,
     /// Organisations that send beyond their weight.
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -424,6 +424,7 @@
         cpu: 1_000,
         order_rate: 40,
         forecast_peaks: true,
+        order: None,
         bounds,
     };
     let metrics = Metrics::register(&prometheus::Registry::new()).expect("names are unique");
--- a/crates/jobs/src/admit.rs
+++ b/crates/jobs/src/admit.rs
@@ -8,8 +8,8 @@
 //! refused at once with a retry delay, which differs between jobs. A job whose tasks no executor of the
 //! pool can run is refused, too.
 //!
-//! Dozens of processes admit jobs by a load that is some hundred milliseconds old. The holder therefore
-//! publishes an [`Outlook`]: the waiting work by its place in the scheduling order, for CPU and memory,
+//! Dozens of processes admit jobs by a load that is some hundred milliseconds old. With
+//! [`Policy::LatestStart`] the holder therefore publishes an [`Outlook`]: the waiting work by its place in the scheduling order, for CPU and memory,
 //! and the work that was accepted lately, which stands for what was accepted since. A retried job has less time left, because its objective
 //! counts from the client's first request.
 
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::{Job, Step};
-use crate::order::{Candidate, USEFUL_SPAN_PERCENT};
+use crate::order::{Candidate, Policy, USEFUL_SPAN_PERCENT};
 use crate::place::required_resources;
 use crate::worker::Resources;
 
@@ -346,6 +346,7 @@
     /// left out: at the end of a peak it would keep out jobs that are in time.
     fn wait(&self, request: &Request<'_>, incoming: Incoming, age: u64) -> u64 {
         let candidate = Candidate {
+            policy: Policy::LatestStart,
             long_running: false,
             started: false,
             priority: request.priority,
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -5,7 +5,7 @@
 use super::{Cell, JobEntry};
 use crate::admit::{ARRIVAL_WINDOW_MS, Amount, JobWork, Outlook, OutlookBuilder};
 use crate::job::{State, Step, TaskId};
-use crate::order::Candidate;
+use crate::order::{Candidate, Policy};
 use crate::place;
 use crate::worker::{Obstacle, Resources, Worker};
 
@@ -84,8 +84,12 @@
         (timely, all)
     }
 
-    /// What a new job has to wait for, for admission at `now` and shortly after.
-    pub fn outlook(&self, now: u64) -> Outlook {
+    /// What a new job has to wait for, for admission at `now` and shortly after; `None` unless new jobs go
+    /// by their latest start.
+    pub fn outlook(&self, now: u64) -> Option<Outlook> {
+        if self.policy != Policy::LatestStart {
+            return None;
+        }
         let mut builder = OutlookBuilder::default();
         let jobs = self.jobs.values().filter(|e| !e.state.is_final());
         for entry in jobs.filter(|e| !e.candidate.long_running) {
@@ -102,7 +106,7 @@
             capacity.add(Amount(all.cpu, all.memory));
             free.add(Amount(left.cpu, left.memory));
         }
-        builder.build(capacity, free, self.largest_executor())
+        Some(builder.build(capacity, free, self.largest_executor()))
     }
 
     /// CPU that late jobs use or could use, in thousandths of a core, whether or not their results
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -40,7 +40,7 @@
 use crate::crash::Crashes;
 use crate::fair::Shares;
 use crate::job::{Job, State, TaskId};
-use crate::order::Candidate;
+use crate::order::{Candidate, Policy};
 use crate::progress::Progress;
 use crate::queue::Queue;
 use crate::worker::{Registration, Worker};
@@ -225,6 +225,7 @@
     /// Latest time at which this holder certainly still held the cell, in milliseconds.
     last_owned: u64,
     queues: IndexMap<String, Queue>,
+    policy: Policy,
     shares: Shares,
     jobs: IndexMap<String, JobEntry>,
     workers: IndexMap<String, Worker>,
@@ -294,6 +295,7 @@
             acquired: now,
             last_owned: now,
             queues: IndexMap::new(),
+            policy: Policy::default(),
             shares: Shares::default(),
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
@@ -320,6 +322,12 @@
         }
     }
 
+    /// Sets the order of new jobs.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+        self.jobs.values_mut().for_each(|entry| entry.candidate.policy = policy);
+    }
+
     /// Updates the configuration of the given queues; queues that are not given keep theirs.
     pub fn configure<'a>(&mut self, queues: impl Iterator<Item = &'a Queue>) {
         for queue in queues {
@@ -327,8 +335,9 @@
         }
         for entry in self.jobs.values_mut() {
             if let Some(queue) = self.queues.get(&entry.queue) {
-                let beyond_share = entry.candidate.beyond_share;
+                let Candidate { policy, beyond_share, .. } = entry.candidate;
                 entry.candidate = Candidate {
+                    policy,
                     beyond_share,
                     ..candidate(queue, &entry.job, entry.candidate.requested_at)
                 };
@@ -362,6 +371,7 @@
             counted.is_some_and(|name| self.shares.count(name, arrival.requested_at));
         let mut entry = JobEntry {
             candidate: Candidate {
+                policy: self.policy,
                 beyond_share,
                 ..candidate(queue, &arrival.job, arrival.requested_at)
             },
@@ -681,6 +691,7 @@
     let objective =
         requested_at + critical_path.saturating_mul(queue.stretch) / 1_000 + queue.objective_base;
     Candidate {
+        policy: Policy::default(),
         long_running: job.is_long_running(),
         started: false,
         priority: queue.priority,
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -6,9 +6,11 @@
 //! 1. Long-running jobs, because time without their tasks can't be made up for.
 //! 2. Started jobs that can still meet their objective: little more work brings their full value.
 //! 3. New jobs that can meet their objective with time to spare, which covers errors of estimates.
-//!    They go by their latest start, which is put off for large jobs, for queues of lower
-//!    priority and for what an organisation sends beyond its weight: small jobs bring more value for their work, and a large one can make room for many.
-//!    As the key of a job does not change, each job is delayed by a bounded number of later ones.
+//!    With [`Policy::LeastWork`] the smallest go first. With [`Policy::LatestStart`] they go by their
+//!    latest start, which is put off for large jobs, for queues of lower priority and for what an
+//!    organisation sends beyond its weight: small jobs bring more value for their work, and a large one
+//!    can make room for many. As the key of a job does not change, each job is delayed by a bounded
+//!    number of later ones.
 //! 4. Jobs that may meet their objective, but without time to spare, the best chance first. They
 //!    get resources when several machines arrive at once.
 //! 5. Late jobs, in the order of their first request.
@@ -22,9 +24,11 @@
 const JOB_OVERHEAD_MS: u64 = 250;
 /// Safety margin on the estimated duration of a started job, in percent.
 const STARTED_JOB_MARGIN_PERCENT: u64 = 15;
-/// Safety margin on the estimated duration of a job that has not started, in percent. A larger one moves
-/// jobs too early to the class without time to spare.
-const NEW_JOB_MARGIN_PERCENT: u64 = 20;
+/// Safety margin on the estimated duration of a job that has not started, in percent.
+const NEW_JOB_MARGIN_PERCENT: u64 = 40;
+/// The same with [`Policy::LatestStart`]. A larger one moves jobs too early to the class without time to
+/// spare.
+const LATEST_START_MARGIN_PERCENT: u64 = 20;
 /// Time by which a job's place is put off for each doubling of its work, in milliseconds; long enough
 /// that small jobs overtake, and short enough that large ones still end in time.
 const WORK_DOUBLING_MS: u64 = 130;
@@ -41,9 +45,22 @@
 /// value up to three times the objective.
 pub(crate) const USEFUL_SPAN_PERCENT: u64 = 300;
 
+/// Order of the new jobs that can meet their objective with time to spare.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// The least work first, whoever sends it: when resources are short, most clients are served in
+    /// time.
+    #[default]
+    LeastWork,
+    /// By [`Candidate::place`]; admission predicts the wait from the places of the other jobs.
+    LatestStart,
+}
+
 /// Properties of a job that decide its rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
+    /// Order of the new jobs.
+    pub policy: Policy,
     /// Whether its tasks run until the job is cancelled.
     pub long_running: bool,
     /// Whether a task has started.
@@ -75,20 +92,25 @@
 impl Candidate {
     /// Latest start that still meets the objective, in milliseconds.
     pub fn latest_start(&self) -> u64 {
-        let margin = if self.started { STARTED_JOB_MARGIN_PERCENT } else { NEW_JOB_MARGIN_PERCENT };
+        let margin = match self.policy {
+            _ if self.started => STARTED_JOB_MARGIN_PERCENT,
+            Policy::LeastWork => NEW_JOB_MARGIN_PERCENT,
+            Policy::LatestStart => LATEST_START_MARGIN_PERCENT,
+        };
         self.objective.saturating_sub(
             self.critical_path + self.critical_path * margin / 100 + JOB_OVERHEAD_MS,
         )
     }
 
-    /// Place among the jobs that have not started and can be in time, in milliseconds; the smallest
-    /// goes first.
+    /// Place among the jobs that have not started and can be in time with [`Policy::LatestStart`], in
+    /// milliseconds; the smallest goes first.
     ///
     /// # Examples
     ///
     /// ```
-    /// use jobs::order::Candidate;
+    /// use jobs::order::{Candidate, Policy};
     /// let job = Candidate {
+    ///     policy: Policy::LatestStart,
     ///     long_running: false,
     ///     started: false,
     ///     priority: 0,
@@ -135,8 +157,9 @@
     /// # Examples
     ///
     /// ```
-    /// use jobs::order::Candidate;
+    /// use jobs::order::{Candidate, Policy};
     /// let early = Candidate {
+    ///     policy: Policy::LatestStart,
     ///     long_running: false,
     ///     started: false,
     ///     priority: 0,
@@ -156,7 +179,10 @@
         let (class, key) = match () {
             () if self.long_running => (0, self.requested_at),
             () if self.is_started_and_timely(now) => (1, latest),
-            () if self.is_new_and_timely(now) => (2, self.place()),
+            () if self.is_new_and_timely(now) => match self.policy {
+                Policy::LeastWork => (2, self.work),
+                Policy::LatestStart => (2, self.place()),
+            },
             // A later latest start means a better chance.
             () if now + self.critical_path <= self.objective => (3, u64::MAX - latest),
             () if now <= self.useful_until() => (4, self.requested_at),
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -9,7 +9,7 @@
     Amount, Incoming, JobWork, Load, Outlook, OutlookBuilder, Request, Verdict, decide,
     decide_by_outlook,
 };
-use jobs::order::Candidate;
+use jobs::order::{Candidate, Policy};
 use jobs::relocate::{Action, Relocation};
 use jobs::share::{Demand, Inflow, Rebalancer, machines_needed};
 use jobs::wave::{self, ListedMachine, NextAction, Stage, Wave, plan_steps};
@@ -503,6 +503,7 @@
 fn outlook(started: usize, accepted: usize, memory: u64) -> Outlook {
     let job = job_of(8, 1_000, memory);
     let candidate = Candidate {
+        policy: Policy::LatestStart,
         long_running: false,
         started: true,
         priority: 0,
@@ -594,6 +595,7 @@
 #[test]
 fn a_job_that_may_be_in_time_without_time_to_spare_goes_before_late_jobs() {
     let job = |requested_at, critical_path: u64| Candidate {
+        policy: Policy::LatestStart,
         long_running: false,
         started: false,
         priority: 0,
@@ -617,6 +619,7 @@
 #[test]
 fn with_more_timely_jobs_than_capacity_the_smallest_go_first() {
     let job = |objective, work| Candidate {
+        policy: Policy::LatestStart,
         long_running: false,
         started: false,
         priority: 0,
@@ -633,11 +636,33 @@
     assert!(Candidate { started: true, ..large }.rank(100) < small.rank(100));
 }
 
+/// Guards against an order for competing organisations that also takes effect where there are none.
+#[test]
+fn the_least_work_goes_first_unless_another_order_is_set() {
+    let job = |objective, work| Candidate {
+        policy: Policy::default(),
+        long_running: false,
+        started: false,
+        priority: 0,
+        beyond_share: false,
+        requested_at: 0,
+        objective,
+        critical_path: 500,
+        work,
+    };
+    let (early, small) = (job(1_900, 21_000_000), job(9_000, 20_000_000));
+    assert!(small.rank(100) < early.rank(100));
+    let by_latest_start =
+        |job: Candidate| Candidate { policy: Policy::LatestStart, ..job }.rank(100);
+    assert!(by_latest_start(early) < by_latest_start(small));
+}
+
 /// Guards against large jobs and queues of low priority that wait without a bound, as smaller jobs and
 /// those of other queues keep coming.
 #[test]
 fn a_job_is_overtaken_only_by_jobs_that_come_within_a_bounded_time() {
     let job = |requested_at, work, priority| Candidate {
+        policy: Policy::LatestStart,
         long_running: false,
         started: false,
         priority,
--- a/crates/jobs/tests/pool/mod.rs
+++ b/crates/jobs/tests/pool/mod.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use jobs::admit::{self, Incoming, Outlook, Request, Verdict};
 use jobs::cell::{Arrival, Order, StartOutcome};
+use jobs::order::Policy;
 use jobs::worker::{EndedRun, PresentRun};
 use jobs::{
     Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources, RunOutcome,
@@ -245,6 +246,7 @@
         ..Queue::default()
     };
     cell.configure(std::iter::once(&queue));
+    cell.set_policy(Policy::LatestStart);
     let total: f64 = scenario.weights.iter().sum();
     let names: Vec<String> = (0..scenario.weights.len()).map(|n| format!("o{n}")).collect();
     if scenario.shared {
@@ -349,7 +351,7 @@
 
 /// What a holder publishes for admission.
 struct View {
-    outlook: Outlook,
+    outlook: Option<Outlook>,
     load: admit::Load,
     /// CPU of the machines on the way, in thousandths of a core.
     incoming: u64,
@@ -401,7 +403,10 @@
     };
     let incoming = Incoming { cpu: view.incoming, delay: view.incoming_by.saturating_sub(now) };
     let age = now - published_at;
-    match admit::decide_by_outlook(&view.outlook, view.load.jobs, &request, incoming, age) {
+    let by_outlook = view.outlook.as_ref().map_or(Verdict::Accept, |outlook| {
+        admit::decide_by_outlook(outlook, view.load.jobs, &request, incoming, age)
+    });
+    match by_outlook {
         Verdict::Accept => {
             let load = admit::Load { incoming_delay: incoming.delay, ..view.load };
             admit::decide(&load, request.objective, job.job.critical_path(), request.waited)
