Replay the seeds of a peak in threads of their own

The tests of peaks took 34 s and, on a busier machine, 50 s, most of it in the first test, which replays 24 peaks one after the other. The seeds of a scenario are independent of each other.

--- a/crates/jobs/tests/peak.rs
+++ b/crates/jobs/tests/peak.rs
@@ -4,6 +4,9 @@
 mod dice;
 mod pool;
 
+use std::ops::RangeInclusive;
+use std::thread;
+
 use pool::{Replayed, Scenario, replay};
 
 /// Small jobs on 62 executors, and 60 more that arrive during the peak.
@@ -104,9 +107,18 @@
     sorted.chunks(tenth).map(|part| Score::of(part.iter().copied(), mean)).collect()
 }
 
+/// Replays a scenario with several seeds, each in a thread of its own.
+fn replay_all(scenario: &Scenario, seeds: RangeInclusive<u64>) -> Vec<Replayed> {
+    thread::scope(|scope| {
+        let replays: Vec<_> =
+            seeds.map(|seed| scope.spawn(move || replay(scenario, seed))).collect();
+        replays.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
+    })
+}
+
 /// Replays a scenario with several seeds, and prints the result by organisation and size.
 fn measure(name: &str, scenario: &Scenario) -> (Score, Vec<Score>) {
-    let jobs: Vec<Replayed> = SEEDS.flat_map(|seed| replay(scenario, seed)).collect();
+    let jobs = replay_all(scenario, SEEDS);
     let score = Score::of(jobs.iter(), mean_work(&jobs));
     let tenths = by_tenth(&jobs);
     println!(
@@ -127,7 +139,7 @@
 }
 
 /// Seeds of the replays.
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
+const SEEDS: RangeInclusive<u64> = 1..=4;
 
 /// Least value of the results at each peak, in percent of the value if all jobs ended in time.
 ///
@@ -171,7 +183,7 @@
 
 /// Scores of the hot organisation, if any, and of the nineteen others.
 fn of_hot_and_others(name: &str, scenario: &Scenario) -> (Score, Score) {
-    let jobs: Vec<Replayed> = SEEDS.flat_map(|seed| replay(scenario, seed)).collect();
+    let jobs = replay_all(scenario, SEEDS);
     let mean = mean_work(&jobs);
     let (hot, others): (Vec<&Replayed>, Vec<&Replayed>) =
         jobs.iter().partition(|job| job.organisation == Some(HOT));
