Copy a row of grants only for a change

Cause: every 25 ms a holder decides about its grants. Each time it copied all eight rows with the names and entries of all cells, replaced its own entries, and compared the copies with the rows. It also hashed each organisation's name for each row, and divided the limit among asking cells when none asked.

Change: decisions are made on the row as it is, which is copied when one of them differs from it. Names are assigned to rows once for all rows. The division is left out if no other cell asks, as its result is not used then.

--- a/crates/cells/src/allowance.rs
+++ b/crates/cells/src/allowance.rs
@@ -13,6 +13,8 @@
 //! [`Exchange`] has neither I/O nor a clock. The holder of a cell passes in the rows that it reads
 //! and the results of its writes.
 
+use std::borrow::Cow;
+
 use indexmap::{IndexMap, IndexSet};
 use jobs::Resources;
 use jobs::quota::{Decision, Entry, Need, Situation, decide, smaller, within_limit};
@@ -266,17 +268,29 @@
             return None;
         }
         let mut proposals: IndexMap<u64, (u64, GrantRow)> = IndexMap::new();
+        let mut decisions = Vec::with_capacity(now.limits.len());
+        let numbered: Vec<(u64, &String, Resources)> =
+            now.limits.iter().map(|(name, limit)| (keys::grant_row(name), name, *limit)).collect();
         for number in 0..keys::GRANT_ROWS {
-            let Some(version) = self.rows.get(&number).map(|row| row.version) else { continue };
-            let next = self.next_content(number, now, at);
+            let Some(known) = self.rows.get(&number) else { continue };
+            let version = known.version;
+            let limits = numbered.iter().filter(|(row, ..)| *row == number);
+            let limits: Vec<(&String, Resources)> =
+                limits.map(|(_, name, limit)| (*name, *limit)).collect();
+            let next = self.next_content(known, &limits, now, at, &mut decisions);
             let unsettled = self.open.iter().any(|write| {
                 write.rows.get(&number).is_some_and(|(expected, _)| *expected == version)
             });
             // A write with an unknown outcome may still be applied until another one is.
-            if unsettled || self.rows[&number].content.as_ref() != Some(&next) {
-                proposals.insert(number, (version, next));
+            let is_same =
+                matches!(next, Cow::Borrowed(_)) || known.content.as_ref() == Some(&*next);
+            if unsettled || !is_same {
+                proposals.insert(number, (version, next.into_owned()));
             }
         }
+        for (name, decision) in decisions {
+            self.record(name, &decision, at);
+        }
         if proposals.is_empty() || at < self.next_write_at {
             return None;
         }
@@ -291,58 +305,78 @@
         Some(transaction)
     }
 
-    /// Decides about the entries of this cell in a row, and returns the row's content with them.
-    fn next_content(&mut self, number: u64, now: &Circumstances<'_>, at: u64) -> GrantRow {
-        let known = &self.rows[&number];
-        let mut content = known.content.clone().unwrap_or_else(|| GrantRow {
-            awaited: now.configured.union(&known.cells).cloned().collect(),
-            ..GrantRow::default()
-        });
+    /// Decides about the entries of this cell in a row, for organisations with these limits, and
+    /// returns the row's content with them.
+    ///
+    /// Most decisions change nothing, so that the content is copied only for a change.
+    fn next_content<'s, 'n>(
+        &'s self,
+        known: &'s KnownRow,
+        limits: &[(&'n String, Resources)],
+        now: &Circumstances<'n>,
+        at: u64,
+        decisions: &mut Vec<(&'n String, Decision)>,
+    ) -> Cow<'s, GrantRow> {
+        let mut content = match &known.content {
+            Some(content) => Cow::Borrowed(content),
+            None => Cow::Owned(GrantRow {
+                awaited: now.configured.union(&known.cells).cloned().collect(),
+                ..GrantRow::default()
+            }),
+        };
         now.abandoned
             .iter()
             .filter(|cell| **cell != self.cell)
-            .for_each(|c| content.remove_cell(c));
-        let limits = now.limits.iter().filter(|(name, _)| keys::grant_row(name) == number);
-        let limits: Vec<(&String, Resources)> =
-            limits.map(|(name, limit)| (name, *limit)).collect();
+            .for_each(|c| content.to_mut().remove_cell(c));
         let is_named = content.epochs.contains_key(&self.cell) || !content.awaited.is_empty();
         if limits.is_empty() && !is_named {
             return content;
         }
         // A holder that has the grants of before records them; a later one knows only the runs.
-        let former_epoch = content.epochs.insert(self.cell.clone(), self.epoch);
-        if now.settled || (known.kept.is_some() && former_epoch != Some(self.epoch)) {
-            content.awaited.shift_remove(&self.cell);
+        let former_epoch = content.epochs.get(&self.cell).copied();
+        if former_epoch != Some(self.epoch) {
+            content.to_mut().epochs.insert(self.cell.clone(), self.epoch);
+        }
+        let is_recorded = now.settled || (known.kept.is_some() && former_epoch != Some(self.epoch));
+        if is_recorded && content.awaited.contains(&self.cell) {
+            content.to_mut().awaited.shift_remove(&self.cell);
         }
         let complete = content.awaited.is_empty();
-        let kept = known.kept.clone();
-        for (name, cells) in &mut content.organisations {
-            if !now.limits.contains_key(name) {
-                cells.shift_remove(&self.cell);
+        let is_unlimited = |(name, cells): (&String, &IndexMap<String, Grant>)| {
+            !now.limits.contains_key(name) && cells.contains_key(&self.cell)
+        };
+        if content.organisations.iter().any(is_unlimited) {
+            for (name, cells) in &mut content.to_mut().organisations {
+                if !now.limits.contains_key(name) {
+                    cells.shift_remove(&self.cell);
+                }
             }
         }
         for (name, limit) in limits {
-            let own = content.entry(name, &self.cell).or_else(|| {
-                let granted = *kept.as_ref()?.get(name)?;
-                Some(Entry { granted, ..Entry::default() })
-            });
+            let own = content.entry(name, &self.cell);
+            let kept =
+                || Some(Entry { granted: *known.kept.as_ref()?.get(*name)?, ..Entry::default() });
             let (others, position) = self.in_turn(&content, name, now.turn);
-            let since = self.excessive_since.get(name);
+            let since = self.excessive_since.get(*name);
             let decision = decide(&Situation {
-                limit,
-                own,
+                limit: *limit,
+                own: own.or_else(kept),
                 others: &others,
                 position,
-                need: now.needs.get(name).copied().unwrap_or_default(),
+                need: now.needs.get(*name).copied().unwrap_or_default(),
                 capacity: now.capacity,
                 complete,
                 return_excess: since.is_some_and(|since| at >= since + EXCESS_MS),
             });
-            self.record(name, &decision, at);
-            let entry = Grant::from(decision.entry);
-            content.organisations.entry(name.clone()).or_default().insert(self.cell.clone(), entry);
+            decisions.push((*name, decision));
+            if own != Some(decision.entry) {
+                let cells = content.to_mut().organisations.entry((*name).clone()).or_default();
+                cells.insert(self.cell.clone(), Grant::from(decision.entry));
+            }
+        }
+        if content.organisations.values().any(IndexMap::is_empty) {
+            content.to_mut().organisations.retain(|_, cells| !cells.is_empty());
         }
-        content.organisations.retain(|_, cells| !cells.is_empty());
         content
     }
 
--- a/crates/jobs/src/quota.rs
+++ b/crates/jobs/src/quota.rs
@@ -296,7 +296,7 @@
     let slack = need / NEED_SLACK_DIVISOR + limit / LIMIT_SLACK_DIVISOR;
     let comfortable = need.saturating_add(slack).min(limit);
     let shortage = asked.saturating_sub(free);
-    let share = fair_share(amounts, need);
+    let share = if asked == 0 { need } else { fair_share(amounts, need) };
     let mut granted = amounts.granted;
     let mut start_limit = u64::MAX;
     let mut excessive = false;
