Take the whole critical path of jobs with nothing done

Cause: each pass computed the remaining critical path of every job with open tasks, with an allocation each. Nearly all jobs of a backlog have no step that is done, so that it is the whole path, which is known.

Measured with callgrind, jobs/tests/cost: with organisations 424.6 million instructions before, 407.0 after; without, 400.7 and 382.3. The digests of the orders are as before.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -476,6 +476,10 @@
     let Some((_, steps)) = entry.occurrences.get_index(0) else {
         return entry.candidate.critical_path;
     };
+    // Most jobs of a backlog have done nothing yet.
+    if !steps.iter().any(StepState::is_done) {
+        return entry.candidate.critical_path;
+    }
     entry.job.remaining_critical_path(|n| steps[n].is_done())
 }
 
