Look up the jobs of runs with another speed only

Cause: each poll looked up the job of every run of the executor to learn whether it is a best-effort task, before it compared the run's speed with the one to order, which is the same for nearly all runs.

--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -310,13 +310,16 @@
             answer.present.iter().filter_map(tail_latency).collect();
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.best_effort_pace = pace::next(worker.best_effort_pace, &tail_latencies);
-        for (task, slot) in &mut worker.runs {
+        let pace = worker.best_effort_pace;
+        // Most runs have this speed, so that their jobs need not be looked up.
+        let changed = |slot: &Slot| slot.phase == Phase::Running && slot.pace != pace;
+        for (task, slot) in worker.runs.iter_mut().filter(|(_, slot)| changed(slot)) {
             let best_effort = self
                 .jobs
                 .get(&task.job)
                 .and_then(|e| e.job.steps.get(task.step))
                 .is_some_and(|spec| spec.best_effort);
-            if best_effort && slot.phase == Phase::Running && slot.pace != worker.best_effort_pace {
+            if best_effort {
                 slot.pace = worker.best_effort_pace;
                 self.orders.push(Order::Pace {
                     worker: id.to_owned(),
