Keep from copying limits and cells for each decision

Cause: each decision about grants, every 25 ms, copied the limits with the names of all organisations, and the names of all cells in all rows.

Change: the limits are shared, and the cells are read in place.

Not measured apart: the loop runs only in a node. The tests of cells pass.

--- a/crates/cells/src/allowance.rs
+++ b/crates/cells/src/allowance.rs
@@ -447,8 +447,8 @@
         }
     }
 
-    /// Returns the cells that the rows name.
-    pub fn cells(&self) -> IndexSet<String> {
-        self.rows.values().flat_map(|row| &row.cells).cloned().collect()
+    /// Returns the cells that the rows name; one may be named by several.
+    pub fn cells(&self) -> impl Iterator<Item = &str> {
+        self.rows.values().flat_map(|row| &row.cells).map(String::as_str)
     }
 }
--- a/crates/cells/src/owner/allowance.rs
+++ b/crates/cells/src/owner/allowance.rs
@@ -58,7 +58,7 @@
             .collect();
         let named = limits.iter().map(|(name, limit)| (name.as_str(), *limit));
         self.cell.borrow_mut().set_limits(named);
-        *self.limits.borrow_mut() = limits;
+        *self.limits.borrow_mut() = Rc::new(limits);
     }
 
     /// Passes the grants to the scheduler.
@@ -119,12 +119,12 @@
 
     /// Decides once about the cell's grants, and writes them if they change.
     async fn exchange_once(&self) {
-        let limits = self.limits.borrow().clone();
+        let limits = Rc::clone(&self.limits.borrow());
         let config = self.ctx.config();
         let pools = config.iter().flat_map(|config| config.pools.values());
         let configured: IndexSet<String> =
             pools.filter(|pool| !pool.standby).map(|pool| pool.name.clone()).collect();
-        let abandoned = self.abandoned_cells(&self.exchange.borrow().cells(), &configured);
+        let abandoned = self.abandoned_cells(&configured);
         let (needs, settled, capacity) = {
             let cell = self.cell.borrow();
             let mut capacity = Resources::default();
@@ -178,23 +178,19 @@
         }
     }
 
-    /// Returns those of some cells that are not configured and whose holders have published nothing
+    /// Returns the cells with grants that are not configured and whose holders have published nothing
     /// for long; none while loads may not be written at all.
-    fn abandoned_cells(
-        &self,
-        cells: &IndexSet<String>,
-        configured: &IndexSet<String>,
-    ) -> IndexSet<String> {
+    fn abandoned_cells(&self, configured: &IndexSet<String>) -> IndexSet<String> {
         let loads = self.ctx.loads.borrow();
         let now = self.ctx.table_now();
         let published_at = |cell: &str| loads.get(cell).map_or(0, |load| load.published_at);
         if now > published_at(&self.tenure.cell) + OWN_LOAD_AGE_MS {
             return IndexSet::new();
         }
-        let is_abandoned = |cell: &&String| {
+        let is_abandoned = |cell: &&str| {
             !configured.contains(*cell) && now > published_at(cell) + ABANDONED_AFTER_MS
         };
-        cells.iter().filter(is_abandoned).cloned().collect()
+        self.exchange.borrow().cells().filter(is_abandoned).map(str::to_owned).collect()
     }
 
     /// Logs the organisations whose tasks wait, those with the most waiting work first.
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -127,7 +127,7 @@
     /// Time since which the first copy of the pool's state waits to be written, in milliseconds.
     pool_state_delayed_since: Cell<Option<u64>>,
     /// Limits of the organisations that have one, by the current configuration.
-    limits: RefCell<IndexMap<String, Resources>>,
+    limits: RefCell<Rc<IndexMap<String, Resources>>>,
     /// Grants of the cell, and their exchange with other holders.
     exchange: RefCell<Exchange>,
     /// Time at which this process took the cell, in milliseconds.
