Register executors again only if their entries differ

Cause: every executor writes its registry entry each second or two, so that the registry has another version at nearly each pass. Each time the pass copied the entries of all executors of its pool into the scheduler, though their content seldom changes.

Change: an entry that the scheduler already has is skipped.

Not measured apart: the loop runs only in a node. The tests of cells pass.

--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -197,10 +197,11 @@
         }
         let mut added: Vec<Registration> = Vec::new();
         for (id, registration) in listed {
-            if cell.workers().contains_key(id) {
-                cell.register(registration.clone());
-            } else {
-                added.push(registration.clone());
+            match cell.workers().get(id) {
+                // The registry changes with each pass, as every executor writes its entry.
+                Some(worker) if worker.listed && worker.registration == *registration => {}
+                Some(_) => cell.register(registration.clone()),
+                None => added.push(registration.clone()),
             }
         }
         if added.is_empty() {
