Keep an entry of an awaited cell from passing for its grant

A random run of the model test found 17,000 of 16,000 in use. A new holder replaced a row that could not be decoded, before it had heard of all runs of former holders, and wrote an entry without a grant. After a second fault of the row it took this entry for the grant that the cell had, and the cell was awaited no more, so that others used the whole limit beside its runs. Ruled out: starts of the former holder, which stayed within its grant.

Entries that are written while the cell is awaited are no longer kept.

Before: the new test has 32,000 of 16,000 in use, and the case of the model test fails. After: both pass.

--- a/crates/cells/src/allowance.rs
+++ b/crates/cells/src/allowance.rs
@@ -39,7 +39,8 @@
     /// Content; `None` if the row can't be decoded or was removed.
     content: Option<GrantRow>,
     /// Grants of this cell in the last content that could be decoded, if this holder had written
-    /// its epoch there.
+    /// its epoch there and the cell was not awaited. Entries of an awaited cell do not tell yet what
+    /// former holders started.
     kept: Option<IndexMap<String, Resources>>,
     /// Cells that the last content that could be decoded names.
     cells: IndexSet<String>,
@@ -190,11 +191,12 @@
             self.lower_kept(number);
         }
         let Some(known) = self.rows.get_mut(&number) else { return };
-        if content.epochs.get(&self.cell) == Some(&self.epoch) {
+        let is_awaited = content.awaited.contains(&self.cell);
+        if content.epochs.get(&self.cell) == Some(&self.epoch) && !is_awaited {
             let own =
                 |name: &String| Some((name.clone(), content.entry(name, &self.cell)?.granted));
             known.kept = Some(content.organisations.keys().filter_map(own).collect());
-        } else if !content.awaited.contains(&self.cell) {
+        } else if !is_awaited {
             // The entries were removed as those of a cell without a holder.
             known.kept = None;
         }
--- a/crates/cells/tests/allowance.rs
+++ b/crates/cells/tests/allowance.rs
@@ -668,6 +668,35 @@
     }
 }
 
+/// Guards against a new holder that takes its entry for the cell's grant although it has not heard of
+/// all runs, if the row can't be decoded for a second time.
+#[test]
+fn a_cell_is_awaited_until_its_runs_are_known() {
+    let mut model = Model::new();
+    model.holders[0].waiting = LIMIT;
+    model.settle();
+    model.fill(0);
+    assert_eq!(model.total_use(), LIMIT);
+    model.take_over(0, false);
+    let new = model.holder(0);
+    for _ in 0..2 {
+        model.table.corrupt();
+        model.read(new);
+        model.decide(new, Fate::Applied);
+    }
+    let other = model.holder(1);
+    model.holders[other].waiting = LIMIT;
+    for holder in 0..model.holders.len() - 1 {
+        (0..EXECUTORS_PER_CELL).for_each(|n| model.poll(holder, n));
+        model.read(holder);
+        model.decide(holder, Fate::Applied);
+    }
+    model.read(other);
+    model.decide(other, Fate::Applied);
+    model.fill(1);
+    assert!(model.check().is_ok(), "{:?}", model.check());
+}
+
 /// Guards against a removed pool whose grant nobody can use any more.
 #[test]
 fn the_grant_of_an_abandoned_cell_is_freed() {
