Go on with other waves when one of them fails

An error in one maintenance wave ended the round for the waves after it. As the report of a wave is written in each round until it succeeds, the others stood still for as long as the row of that report could not be written. The error is now logged with the number of the wave, and the next wave is carried out.

Waves are still carried out one after the other: they share the order rate and the machines, so that a slow call in one delays the next.

Before: the new test waits 10 s for the second wave in vain. After: it passes.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -222,12 +222,15 @@
         let orders_before = self.order_count.get();
         // Neither waits for the other's writes and orders. Each reserves its machines before it
         // waits for anything, so that no machine gets two duties.
-        let waves = async { (self.advance_waves().await, clock::now()) };
+        let waves = async {
+            self.advance_waves().await;
+            clock::now()
+        };
         let moves = async {
             self.move_machines().await;
             clock::now()
         };
-        let ((waves, waves_end), moves_end) = join(waves, moves).await;
+        let (waves_end, moves_end) = join(waves, moves).await;
         self.record_phases(&[
             ("list_ms", listed - requested_at),
             ("loads_ms", loads_read - listed),
@@ -236,7 +239,7 @@
             ("orders", (self.order_count.get() - orders_before) as u64),
             ("duties", self.ctx.duties.borrow().in_progress().count() as u64),
         ]);
-        waves
+        Ok(())
     }
 
     /// Records the durations of a round's phases in the metrics and, once a second, in the log.
@@ -258,14 +261,16 @@
         }
     }
 
-    async fn advance_waves(&self) -> Result<(), String> {
+    /// Carries out the next steps of all waves; one that fails does not hold up the others.
+    async fn advance_waves(&self) {
         let waves: Vec<Wave> = self.ctx.waves.borrow().values().cloned().collect();
         for wave in waves {
-            if self.reported.borrow().get(&wave.number) != Some(&true) {
-                self.advance_wave(&wave).await?;
+            if self.reported.borrow().get(&wave.number) != Some(&true)
+                && let Err(error) = self.advance_wave(&wave).await
+            {
+                self.log_delay(&format!("wave {}: {error}", wave.number));
             }
         }
-        Ok(())
     }
 
     /// Returns the last known row of a duty.
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -347,7 +347,9 @@
 
     fn parse_instruction(&self, row: &Row) -> Result<Option<Instruction>, String> {
         if row.place.key != "configuration" {
-            return Ok(self.0.waves.borrow().first().cloned().map(Instruction::Wave));
+            let waves = self.0.waves.borrow();
+            let wave = waves.iter().find(|wave| row.place.key == wave_key(wave.number));
+            return Ok(wave.cloned().map(Instruction::Wave));
         }
         let queue = Queue {
             name: "q".to_owned(),
@@ -379,11 +381,21 @@
         })
     }
 
-    fn wave_report(&self, _: u64, complete: bool) -> (Place, Vec<u8>) {
-        (Place::new("reports", "", "wave"), rows::encode(&complete))
+    fn wave_report(&self, wave: u64, complete: bool) -> (Place, Vec<u8>) {
+        (report_place(wave), rows::encode(&complete))
     }
 }
 
+/// Key of the instruction of a wave.
+fn wave_key(wave: u64) -> String {
+    format!("wave-{wave}")
+}
+
+/// Place of the report about a wave, in a part of its own.
+fn report_place(wave: u64) -> Place {
+    Place::new("reports", &wave_key(wave), "report")
+}
+
 async fn sleep(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
@@ -495,15 +507,36 @@
     world.put(&keys::maintenance(1, MACHINE), rows::encode(&duty));
 }
 
+/// Guards against a wave that waits for as long as the report about an earlier one can't be written.
+#[test]
+fn a_wave_whose_report_fails_does_not_hold_up_another() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        *world.failing_part.borrow_mut() = Some(wave_key(1));
+        put_wave_of(&world, 1, "m-unlisted");
+        put_wave_of(&world, 2, MACHINE);
+        let _node = start(&world);
+        wait_for("end of the second wave", || world.get(&report_place(2)) == Some(true)).await;
+        assert_eq!(world.get::<bool>(&report_place(1)), None);
+        *world.failing_part.borrow_mut() = None;
+        wait_for("report of the first wave", || world.get(&report_place(1)) == Some(true)).await;
+    });
+}
+
 /// Orders a wave of one machine.
 fn put_wave(world: &World) {
+    put_wave_of(world, 1, MACHINE);
+}
+
+/// Orders a wave of a machine.
+fn put_wave_of(world: &World, number: u64, machine: &str) {
     world.waves.borrow_mut().push(Wave {
-        number: 1,
-        machines: vec![MACHINE.to_owned()],
+        number,
+        machines: vec![machine.to_owned()],
         max_down: 1,
         time_limit: 26_000,
     });
-    world.put(&Place::new("instructions", "", "wave"), Vec::new());
+    world.put(&Place::new("instructions", "", &wave_key(number)), Vec::new());
 }
 
 /// Lets a process carry out a wave of one machine, and expects polls of the machine's executor after
@@ -511,8 +544,7 @@
 async fn expect_polls_after_wave(world: &Rc<World>) {
     put_wave(world);
     let _node = start(world);
-    let report = Place::new("reports", "", "wave");
-    wait_for("end of the wave", || world.get(&report) == Some(true)).await;
+    wait_for("end of the wave", || world.get(&report_place(1)) == Some(true)).await;
     sleep(500).await;
     let since = clock::now();
     sleep(4_000).await;
