Keep no machines for long-running tasks beyond a limit

All long-running tasks counted for the fewest machines of their pool and for its long-running CPU, so that a pool kept machines for tasks that their organisation's limit does not let start. Waiting tasks now count in the order of the jobs' arrival as far as the allowance admits them beside what may be in use; a gang counts whole or not at all. As for the backlog, the whole limit counts for the first 500 ms in which a grant is too small. Tasks that run always count, and so do all tasks of an inherited job until it is known which of them run.

Ruled out: the share of startable work in thousandths that the backlog uses. Rounded down it counts no task of three where one can start, and rounded up it counts one for each waiting job.

--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -1,5 +1,7 @@
 //! Read-only views of a cell: its executors, its load, and how far its pool can shrink.
 
+use std::borrow::Cow;
+
 use indexmap::IndexMap;
 
 use super::{Cell, JobEntry};
@@ -19,9 +21,9 @@
 /// Limits on shrinking a pool, and the executors that could be removed.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ShrinkLimits {
-    /// CPU that the long-running tasks need, in thousandths of a core.
+    /// CPU that the long-running tasks need that run or can start, in thousandths of a core.
     pub long_running_cpu: u64,
-    /// Fewest executors on which the long-running tasks fit.
+    /// Fewest executors on which these tasks fit.
     pub min_executors: usize,
     /// Executors without long-running tasks, those with the least CPU in use first.
     pub spares: Vec<String>,
@@ -223,13 +225,11 @@
         usage
     }
 
-    /// What the long-running tasks need, and the executors that could be removed at little cost.
+    /// What the long-running tasks need that run or can start, and the executors that could be removed at little cost.
     pub fn shrink_limits(&self) -> ShrinkLimits {
         let mut limits = ShrinkLimits::default();
-        let long_running =
-            self.jobs.values().filter(|e| e.candidate.long_running && !e.state.is_final());
-        let steps: Vec<&Step> =
-            long_running.flat_map(|e| &e.job.steps).filter(|step| step.long_running).collect();
+        let steps = self.long_running_steps();
+        let steps: Vec<&Step> = steps.iter().map(Cow::as_ref).collect();
         limits.long_running_cpu =
             steps.iter().map(|s| u64::from(s.count) * place::required_resources(s).cpu).sum();
         limits.min_executors = place::executors_needed(&steps, self.largest_executor());
--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -5,6 +5,7 @@
 //! organisation a large task must not wait for ever for smaller ones that take each piece of the
 //! allowance that becomes free.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 
 use indexmap::{IndexMap, IndexSet};
@@ -59,6 +60,8 @@
     allowance: Allowance,
     /// Time since which the grant has been too small, in milliseconds.
     short_since: Option<u64>,
+    /// Whether the other cells may still return what the grant lacks.
+    in_transfer: bool,
     /// Amount that its waiting tasks need, and their number.
     waiting: (Resources, u64),
     /// Amount that the first task, or gang, needs which the last pass did not start for the grant.
@@ -73,6 +76,15 @@
     by_organisation: IndexMap<String, Quota>,
 }
 
+impl Quota {
+    /// Allowance, with the whole limit as the grant while other cells may still return what it lacks.
+    fn possible_allowance(&self) -> Allowance {
+        let Allowance { limit, granted } = self.allowance;
+        let most = if self.in_transfer { combine(limit, granted, u64::max) } else { granted };
+        Allowance { limit, granted: most }
+    }
+}
+
 impl Quotas {
     /// Removes a task that starts from the waiting ones.
     pub(super) fn remove_waiting(&mut self, charge: &Charge) {
@@ -122,7 +134,7 @@
     pub fn set_limits<'a>(&mut self, limits: impl Iterator<Item = (&'a str, Resources)>) {
         let mut former = std::mem::take(&mut self.quotas.by_organisation);
         for (name, limit) in limits.filter(|(_, limit)| *limit != Resources::default()) {
-            let unknown = Quota { startable: 1_000, ..Quota::default() };
+            let unknown = Quota { startable: 1_000, in_transfer: true, ..Quota::default() };
             let mut quota = former.swap_remove(name).unwrap_or(unknown);
             quota.allowance.limit = limit;
             self.quotas.by_organisation.insert(name.to_owned(), quota);
@@ -228,6 +240,43 @@
         }
     }
 
+    /// Long-running steps of the jobs that have not ended, each with as many tasks as run or can
+    /// start.
+    ///
+    /// Waiting tasks can start as far as the allowance of their organisation admits them beside what
+    /// may be in use, in the order of the jobs' arrival. While it is not known which tasks of a job
+    /// run, all of them count.
+    pub(super) fn long_running_steps(&self) -> Vec<Cow<'_, Step>> {
+        let settled = self.inherited_settled();
+        let mut used: HashMap<String, Resources> =
+            self.quota_needs().into_iter().map(|(name, n)| (name, n.possible_use())).collect();
+        let mut found = Vec::new();
+        for entry in self.jobs.values().filter(|e| e.candidate.long_running && !e.state.is_final())
+        {
+            let quota = self.quota(entry).filter(|_| settled || !entry.inherited);
+            for (n, spec) in entry.job.steps.iter().enumerate().filter(|(_, s)| s.long_running) {
+                let Some((name, quota)) = quota else {
+                    found.push(Cow::Borrowed(spec));
+                    continue;
+                };
+                let begun = entry.occurrences.values().map(|steps| &steps[n]);
+                let begun: usize = begun.map(|state| state.tasks.len() - state.open_count).sum();
+                let begun = u32::try_from(begun).unwrap_or(u32::MAX).min(spec.count);
+                let need = charged_resources(spec);
+                let used = used.entry(name.to_owned()).or_default();
+                let waiting = spec.count - begun;
+                let startable = match quota.possible_allowance().startable_tasks(*used, need) {
+                    tasks if tasks >= u64::from(waiting) => waiting,
+                    _ if spec.gang => 0,
+                    tasks => u32::try_from(tasks).unwrap_or(waiting),
+                };
+                *used = combine(*used, need.times(startable.into()), u64::saturating_add);
+                found.push(Cow::Owned(Step { count: begun + startable, ..spec.clone() }));
+            }
+        }
+        found
+    }
+
     /// Amount that runs may use that are not known; the largest possible if executors are not known.
     fn unknown_use(&self) -> Resources {
         let unlimited = Resources { cpu: u64::MAX, memory: u64::MAX, gpus: u64::MAX };
@@ -265,8 +314,8 @@
                 1_000 => None,
                 _ => quota.short_since.or(Some(now)),
             };
-            let in_transfer = quota.short_since.is_none_or(|since| now < since + TRANSFER_MS);
-            quota.startable = if in_transfer {
+            quota.in_transfer = quota.short_since.is_none_or(|since| now < since + TRANSFER_MS);
+            quota.startable = if quota.in_transfer {
                 allowance.startable_share(allowance.limit, &need).max(granted_share)
             } else {
                 granted_share
--- a/crates/jobs/src/quota.rs
+++ b/crates/jobs/src/quota.rs
@@ -98,6 +98,18 @@
             && admits(self.limit.gpus, self.granted.gpus, used.gpus, need.gpus)
     }
 
+    /// Number of tasks, each with these needs, that may start beside what may be in use.
+    pub(crate) fn startable_tasks(&self, used: Resources, need: Resources) -> u64 {
+        let fit = |limit: u64, granted: u64, used: u64, need: u64| match need {
+            0 => u64::MAX,
+            _ if limit == 0 => u64::MAX,
+            _ => granted.saturating_sub(used) / need,
+        };
+        fit(self.limit.cpu, self.granted.cpu, used.cpu, need.cpu)
+            .min(fit(self.limit.memory, self.granted.memory, used.memory, need.memory))
+            .min(fit(self.limit.gpus, self.granted.gpus, used.gpus, need.gpus))
+    }
+
     /// Share of the waiting tasks that can start within an amount, in thousandths.
     pub(crate) fn startable_share(&self, amount: Resources, need: &Need) -> u64 {
         let used = need.possible_use();
--- a/crates/jobs/tests/quota.rs
+++ b/crates/jobs/tests/quota.rs
@@ -256,6 +256,47 @@
     assert_eq!(cell.late_cpu(70_000), 4_000);
 }
 
+/// Guards against a pool that keeps machines for long-running tasks that can't start.
+#[test]
+fn long_running_tasks_beyond_the_limit_need_no_machines() {
+    let mut cell = cell(4, 4_000, 4_000);
+    let long_running = |cpu| Step { long_running: true, ..step(6, cpu) };
+    let needed = |cell: &Cell| {
+        let limits = cell.shrink_limits();
+        (limits.long_running_cpu, limits.min_executors)
+    };
+    cell.admit(arrival("a", Some("o"), vec![long_running(2_000)]));
+    assert_eq!(starts(&mut cell, 2).len(), 2);
+    assert_eq!(needed(&cell), (4_000, 1));
+    // What other cells may still return is needed at first.
+    cell.set_limits(std::iter::once(("o", cpu(40_000))));
+    cell.tick(30, 0);
+    assert_eq!(needed(&cell), (12_000, 2));
+    cell.tick(700, 0);
+    assert_eq!(needed(&cell), (4_000, 1));
+    // Those that run count, whatever the grant is.
+    cell.set_grant("o", cpu(0));
+    cell.tick(730, 0);
+    assert_eq!(needed(&cell), (4_000, 1));
+    cell.admit(arrival("b", None, vec![long_running(4_000)]));
+    assert_eq!(needed(&cell), (28_000, 4));
+}
+
+/// Guards against a gang for which machines are kept although only a part of it is within the limit,
+/// and against a new holder that gives up machines before it knows what runs there.
+#[test]
+fn a_long_running_gang_needs_machines_as_a_whole_and_an_unknown_job_always() {
+    let mut cell = cell(4, 4_000, 4_000);
+    let gang = Step { long_running: true, gang: true, ..step(3, 2_000) };
+    cell.admit(arrival("a", Some("o"), vec![gang.clone()]));
+    cell.tick(2, 0);
+    assert_eq!(cell.shrink_limits().long_running_cpu, 0);
+    cell.inherit(registration("e9", EXECUTOR));
+    cell.admit(Arrival { inherited: true, ..arrival("b", Some("o"), vec![gang]) });
+    cell.tick(30, 0);
+    assert_eq!(cell.shrink_limits().long_running_cpu, 6_000);
+}
+
 fn situation(own: u64, others: &[Entry], need: Need) -> Situation<'_> {
     Situation {
         limit: cpu(16_000),
