Keep no executors for suspects beyond a limit

Executors were kept for suspects of a crash also if the job's organisation had no allowance for them, so that nobody used them. Now the suspects get executors, in the scheduling order, as far as the allowances admit all of them beside what is in use. An executor that is kept for a suspect that waits is given up if the allowance goes.

While an executor is kept for a suspect, later jobs do not get the allowance that it needs. A suspect that gets no executor for want of allowance keeps smaller tasks of its organisation from starting, as any other task does.

Ruled out: to check each suspect alone, as several would then get executors for the same part of the allowance; and to reserve allowance for suspects without an executor, as the loss of a rack would leave much of it unused.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -2,9 +2,9 @@
 
 use std::cmp::Reverse;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use super::quarantine::{CrashRecord, is_turn};
+use super::quarantine::{CrashRecord, is_turn, next_suspect, tasks_at_once};
 use super::quota::{self, QuotaPass};
 use super::reserve::ShortEnd;
 use super::{Cell, JobEntry, Order, StepState, new_steps};
@@ -40,6 +40,8 @@
     compared: usize,
     /// Whether only suspects of the job may start.
     suspects_only: bool,
+    /// Jobs whose suspects get no executor as their organisation has no allowance for them.
+    without_allowance: IndexSet<usize>,
     /// What organisations with a limit use.
     pub quota: QuotaPass,
     /// Time of the pass, in milliseconds.
@@ -106,14 +108,15 @@
         }
         if ready.is_empty() {
             self.reservations.clear();
-            self.quarantine_executors(&[], now);
+            self.quarantine_executors(&[], &IndexSet::new(), now);
             return;
         }
         let former = std::mem::take(&mut self.reservations);
         ready.sort_by_key(|r| r.rank);
         let waiting: Vec<usize> =
             ready.iter().map(|r| r.job).filter(|job| self.has_waiting_suspects(*job)).collect();
-        self.quarantine_executors(&waiting, now);
+        let (waiting, without_allowance) = self.partition_by_allowance(waiting, &quota);
+        self.quarantine_executors(&waiting, &without_allowance, now);
         let least_cpu = self.least_cpu_needed(&ready);
         let (mut accepting, mut excluded) = (Vec::new(), Vec::new());
         let workers = self.workers.iter().enumerate();
@@ -143,6 +146,7 @@
             unplaceable: Vec::new(),
             compared: 0,
             suspects_only: false,
+            without_allowance,
             quota,
             now,
         };
@@ -201,6 +205,7 @@
             if let Some((occurrence, step)) = step.filter(|_| self.needs_advice(&entry.queue)) {
                 self.request_advice(job, occurrence, step, &pass.accepting, pass.now);
             }
+            self.reserve_for_suspect(job, pass);
             return;
         }
         let accepting = std::mem::replace(&mut pass.accepting, kept);
@@ -212,6 +217,25 @@
         pass.unplaceable = unplaceable;
         pass.excluded = excluded;
         pass.accepting = accepting;
+        self.reserve_for_suspect(job, pass);
+    }
+
+    /// Keeps the allowance that a waiting suspect needs from jobs that come later in the order.
+    ///
+    /// Otherwise other tasks of its organisation would take each part that becomes free while the
+    /// suspect waits for the allowance, or for room on the executor that is kept for it.
+    fn reserve_for_suspect(&self, job: usize, pass: &mut Pass) {
+        let Some((id, entry)) = self.jobs.get_index(job) else { return };
+        let Some((task, spec)) = next_suspect(entry) else { return };
+        let (step, count) = (task.step, tasks_at_once(spec));
+        let is_kept = self.has_quarantined(id);
+        if !is_kept && !pass.without_allowance.contains(&job) {
+            return;
+        }
+        // Without allowance, smaller tasks of the organisation wait as for any other task.
+        if self.is_within_quota(job, step, count, pass) && is_kept {
+            self.charge_quota(job, step, count, pass);
+        }
     }
 
     /// Starts the open tasks of each step whose predecessors are done.
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -5,8 +5,11 @@
 //! meanwhile, and all runs that are already there must have outlived their probation. While many
 //! suspects wait, an executor is kept for several jobs at a time.
 
+use std::collections::HashMap;
+
 use indexmap::{IndexMap, IndexSet};
 
+use super::quota::QuotaPass;
 use super::{Cell, JobEntry, StepState};
 use crate::crash;
 use crate::job::{State, Step, TaskId};
@@ -202,9 +205,37 @@
         self.quarantined.contains_key(id)
     }
 
+    /// Whether an executor is kept for suspects of a job.
+    pub(super) fn has_quarantined(&self, job: &str) -> bool {
+        self.quarantined.values().any(|quarantine| quarantine.jobs.contains_key(job))
+    }
+
+    /// Divides jobs with waiting suspects, in the scheduling order, into those whose next suspects can
+    /// all start within the allowances of their organisations, and the others.
+    pub(super) fn partition_by_allowance(
+        &self,
+        waiting: Vec<usize>,
+        quota: &QuotaPass,
+    ) -> (Vec<usize>, IndexSet<usize>) {
+        let mut reserved = HashMap::new();
+        let (with, without): (Vec<usize>, Vec<usize>) = waiting.into_iter().partition(|job| {
+            let next = self.jobs.get_index(*job);
+            let next = next.and_then(|(_, entry)| Some((entry, next_suspect(entry)?.1)));
+            next.is_none_or(|(entry, spec)| {
+                self.reserve_quota(entry, spec, tasks_at_once(spec), quota, &mut reserved)
+            })
+        });
+        (with, without.into_iter().collect())
+    }
+
     /// Updates the executors that are kept for suspects of `waiting`, the positions of jobs in the
-    /// scheduling order.
-    pub(super) fn quarantine_executors(&mut self, waiting: &[usize], now: u64) {
+    /// scheduling order; none is kept for those of `without_allowance`, unless they run there.
+    pub(super) fn quarantine_executors(
+        &mut self,
+        waiting: &[usize],
+        without_allowance: &IndexSet<usize>,
+        now: u64,
+    ) {
         let mut quarantined = std::mem::take(&mut self.quarantined);
         let had_some = !quarantined.is_empty();
         quarantined.retain(|id, quarantine| {
@@ -212,12 +243,13 @@
             let shared = quarantine.jobs.len() > 1;
             let may_share = |entry| now >= self.no_sharing_until && may_share(entry);
             quarantine.jobs.retain(|job, since| {
-                let Some(entry) = self.jobs.get(job) else { return false };
+                let Some((position, _, entry)) = self.jobs.get_full(job) else { return false };
                 if worker.has_uncleared(job) {
                     *since = now;
                     return true;
                 }
                 !entry.suspects.is_empty()
+                    && !without_allowance.contains(&position)
                     && takes_suspects(worker, entry, now)
                     && now < *since + QUARANTINE_MS
                     && (!shared || may_share(entry))
@@ -371,11 +403,16 @@
 }
 
 /// First suspect of a job that may start, with its step.
-fn next_suspect(entry: &JobEntry) -> Option<(&TaskId, &Step)> {
+pub(super) fn next_suspect(entry: &JobEntry) -> Option<(&TaskId, &Step)> {
     let task = entry.suspects.iter().find(|task| is_turn(entry, task))?;
     Some((task, &entry.job.steps[task.step]))
 }
 
+/// Number of tasks of a step that have to start together.
+pub(super) fn tasks_at_once(spec: &Step) -> u64 {
+    if spec.gang { spec.count.into() } else { 1 }
+}
+
 /// Whether suspects of a job may share an executor with those of others.
 ///
 /// Long-running tasks and gangs keep an executor for longer, or several of them.
--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -373,6 +373,27 @@
         false
     }
 
+    /// Adds `count` tasks of a step to what is `reserved` of the allowances; whether they fit beside it
+    /// and what may be in use at the begin of a pass.
+    pub(super) fn reserve_quota<'a>(
+        &'a self,
+        entry: &'a JobEntry,
+        spec: &Step,
+        count: u64,
+        pass: &QuotaPass,
+        reserved: &mut HashMap<&'a str, Resources>,
+    ) -> bool {
+        let Some((name, quota)) = self.quota(entry) else { return true };
+        let reserved = reserved.entry(name).or_default();
+        let need = charged_resources(spec).times(count);
+        let used = pass.used.get(name).copied().unwrap_or_default();
+        let fits = quota.allowance.admits(combine(used, *reserved, u64::saturating_add), need);
+        if fits {
+            *reserved = combine(*reserved, need, u64::saturating_add);
+        }
+        fits
+    }
+
     /// Reserves the allowance for `count` tasks of a step that are started or get a reserved
     /// executor.
     pub(super) fn charge_quota(&self, job: usize, step: usize, count: u64, pass: &mut Pass) {
--- a/crates/jobs/tests/quarantine.rs
+++ b/crates/jobs/tests/quarantine.rs
@@ -94,6 +94,10 @@
     }
 
     fn submit(&mut self, id: &str, step: Step, duration: Option<u64>) {
+        self.submit_of(None, id, step, duration);
+    }
+
+    fn submit_of(&mut self, owner: Option<&str>, id: &str, step: Step, duration: Option<u64>) {
         self.durations.insert(id.to_owned(), duration);
         self.cell.admit(Arrival {
             id: id.to_owned(),
@@ -104,10 +108,22 @@
             requested_at: self.now,
             inherited: false,
             start_blocked: false,
-            organisation: None,
+            organisation: owner.map(str::to_owned),
         });
     }
 
+    /// Sets the only limit, that of organisation `o`, and grants all of it to the cell.
+    fn limit(&mut self, cpu: u64) {
+        let limit = Resources { cpu, ..Resources::default() };
+        self.cell.set_limits(std::iter::once(("o", limit)));
+        self.cell.set_grant("o", limit);
+    }
+
+    /// Number of executors that are kept for suspects.
+    fn kept(&self) -> usize {
+        self.executors.keys().filter(|id| self.cell.is_quarantined(id)).count()
+    }
+
     fn poll(&mut self, id: &str) {
         let now = self.now;
         self.cell.grant_lease(id, now);
@@ -555,3 +571,100 @@
     }
     assert!(latest.iter().all(|(.., wait)| *wait < 5_000), "{latest:?}");
 }
+
+/// A pool in which organisation `o` has a long-running task that fills `m0`, `suspects` jobs of one
+/// task of 2,000 each that have just begun on `victim`, and as much of its limit in use; `executors`
+/// more with the label `kind` are idle.
+fn limited_pool(suspects: u64, executors: usize) -> Pool {
+    let mut pool = Pool::new(1);
+    pool.limit(MACHINE_CPU + suspects * 2_000);
+    pool.submit_of(Some("o"), "long", Step { long_running: true, ..step(1, MACHINE_CPU) }, None);
+    pool.run(400);
+    pool.join("victim", &[]);
+    for n in 0..suspects {
+        pool.submit_of(Some("o"), &format!("suspect{n}"), step(1, 2_000), Some(300));
+    }
+    pool.run(20);
+    assert!((0..suspects).all(|n| pool.executor_of(&format!("suspect{n}")) == "victim"));
+    for n in 1..=executors {
+        pool.join(&format!("m{n}"), &["kind"]);
+    }
+    pool
+}
+
+/// Guards against executors that are kept for suspects that their organisation's limit keeps from
+/// starting, so that others can't use them.
+#[test]
+fn no_executor_is_kept_for_a_suspect_beyond_the_limit() {
+    let mut pool = limited_pool(1, 6);
+    pool.crash("victim");
+    pool.limit(MACHINE_CPU);
+    for _ in 0..300 {
+        pool.tick();
+        assert_eq!(pool.kept(), 0, "kept at {}", pool.now);
+    }
+    pool.limit(MACHINE_CPU + 2_000);
+    let raised_at = pool.now;
+    pool.run(1_000);
+    let wait = pool.wait("suspect0", raised_at);
+    assert!(wait.is_some_and(|wait| wait < 200), "waited {wait:?} once the limit allowed it");
+}
+
+/// Guards against an executor that stays kept after the allowance for the suspect has gone.
+#[test]
+fn an_executor_is_released_when_the_allowance_for_its_suspect_goes() {
+    let mut pool = limited_pool(1, 2);
+    pool.limit(MACHINE_CPU);
+    pool.crash("victim");
+    for n in 0..400 {
+        pool.submit(&format!("short{n:03}"), step(1, 4_000), Some(500));
+    }
+    pool.run(20);
+    // The suspect waits for room, as both executors are full.
+    pool.limit(MACHINE_CPU + 2_000);
+    pool.tick();
+    assert_eq!((pool.kept(), pool.starts["suspect0"].len()), (1, 1));
+    pool.limit(MACHINE_CPU);
+    pool.tick();
+    assert_eq!((pool.kept(), pool.starts["suspect0"].len()), (0, 1));
+}
+
+/// Guards against more kept executors than the limit lets suspects start at a time.
+#[test]
+fn executors_are_kept_for_as_many_suspects_as_the_limit_admits() {
+    let mut pool = limited_pool(4, 12);
+    pool.crash("victim");
+    pool.limit(MACHINE_CPU + 2_000);
+    let mut most = 0;
+    for _ in 0..300 {
+        pool.tick();
+        most = most.max(pool.kept());
+    }
+    assert_eq!(most, 1);
+    let waiting = (0..4).filter(|n| pool.starts[&format!("suspect{n}")].len() < 2).count();
+    assert_eq!(waiting, 0, "suspects wait 3 s after the crash");
+}
+
+/// Guards against a suspect that waits for ever as other tasks of its organisation take each part of
+/// the limit that becomes free, so that no executor is kept for it.
+#[test]
+fn a_suspect_is_not_kept_waiting_by_tasks_of_its_organisation() {
+    let mut pool = limited_pool(1, 3);
+    pool.limit(MACHINE_CPU + 6_000);
+    // They come after the suspect in the order, as they are more work.
+    let labelled =
+        |size| Step { required_label: Some("kind".to_owned()), estimate: 5_000, ..step(1, size) };
+    for n in 0..400 {
+        let duration = 200 + n * 61 % 190;
+        pool.submit_of(Some("o"), &format!("short{n:03}"), labelled(500), Some(duration));
+        pool.submit(&format!("other{n:03}"), labelled(4_000), Some(duration));
+    }
+    pool.run(50);
+    pool.limit(MACHINE_CPU + 4_000);
+    pool.crash("victim");
+    let crashed_at = pool.now;
+    pool.run(8_000);
+    let wait = pool.wait("suspect0", crashed_at);
+    println!("waited {wait:?}");
+    assert!(wait.is_some_and(|wait| wait < 1_500), "waited {wait:?}");
+}
