Drop the start permits of executors without starts

A holder kept a semaphore for each executor that it had ever sent a start to. Executors come and go with machines that move, go through maintenance or restart, and a restart makes a new id, so that the map grew for as long as the cell was held. An entry now lasts for as long as starts at the executor wait or are under way, so that their number bounds the map.

Ruled out: to remove entries when the executor's polls end. A start may wait for a permit then, and a new entry would permit more starts beside those under way.

Before: the new test finds an entry for each of the executors before. After: it passes, as do all tests of the crate.

--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod node;
 pub mod owner;
+pub mod permits;
 pub mod ports;
 pub mod registry;
 pub mod rows;
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -19,12 +19,13 @@
 use jobs::share::Inflow;
 use jobs::wave::Stage;
 use jobs::{CellConfig, Organisations, Progress, Resources};
-use tokio::sync::{Mutex, Notify, Semaphore};
+use tokio::sync::{Mutex, Notify};
 
 use crate::allowance::Exchange;
 use crate::clock;
 use crate::context::{Context, pause};
 use crate::keys;
+use crate::permits::StartPermits;
 use crate::ports::{Executor, Place, Row, Transaction, TransactionError};
 use crate::rows::{self, Lease, Load, PoolState};
 use crate::supervise;
@@ -87,7 +88,7 @@
     pub tenure: Tenure,
     pub cell: RefCell<jobs::Cell>,
     /// Limits the concurrent starts at each executor.
-    pub start_permits: RefCell<IndexMap<String, Rc<Semaphore>>>,
+    pub start_permits: StartPermits,
     /// Executors with a running poll loop.
     pub polled: RefCell<IndexSet<String>>,
     /// Work of recently arrived jobs.
@@ -165,7 +166,7 @@
         let inner = Rc::new(Inner {
             ctx,
             cell: RefCell::new(cell),
-            start_permits: RefCell::default(),
+            start_permits: StartPermits::default(),
             polled: RefCell::default(),
             inflow: RefCell::default(),
             machines_listed_at: Cell::new(0),
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -5,8 +5,6 @@
 
 use jobs::Worker;
 use jobs::cell::{Order, Refusal, StartOutcome};
-use jobs::worker::MAX_CONCURRENT_STARTS;
-use tokio::sync::Semaphore;
 
 use super::Inner;
 use crate::clock;
@@ -109,13 +107,8 @@
     /// Starts a run on an executor, once one of the executor's start permits is available.
     async fn start(&self, worker: &str, start: &StartOrder<'_>) -> StartOutcome {
         let Some(executor) = self.executor(worker) else { return StartOutcome::Gone };
-        let permits = Rc::clone(
-            self.start_permits
-                .borrow_mut()
-                .entry(worker.to_owned())
-                .or_insert_with(|| Rc::new(Semaphore::new(MAX_CONCURRENT_STARTS))),
-        );
-        let Ok(_permit) = permits.acquire().await else { return StartOutcome::Unsent };
+        let waiting = self.start_permits.begin(worker);
+        let Some(_permit) = waiting.permit().await else { return StartOutcome::Unsent };
         if !self.may_order() {
             return StartOutcome::Unsent;
         }
