--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -5,6 +5,9 @@
 //! organisation a large task must not wait for ever for smaller ones that take each piece of the
 //! allowance that becomes free.
 
+use std::borrow::Cow;
+use std::collections::HashMap;
+
 use indexmap::{IndexMap, IndexSet};
 
 use super::assign::Pass;
@@ -57,6 +60,8 @@
     allowance: Allowance,
     /// Time since which the grant has been too small, in milliseconds.
     short_since: Option<u64>,
+    /// Whether the other cells may still return what the grant lacks.
+    in_transfer: bool,
     /// Amount that its waiting tasks need, and their number.
     waiting: (Resources, u64),
     /// Amount that the first task, or gang, needs which the last pass did not start for the grant.
@@ -80,6 +85,15 @@
     limited: Vec<usize>,
 }
 
+impl Quota {
+    /// Allowance, with the whole limit as the grant while other cells may still return what it lacks.
+    fn possible_allowance(&self) -> Allowance {
+        let Allowance { limit, granted } = self.allowance;
+        let most = if self.in_transfer { combine(limit, granted, u64::max) } else { granted };
+        Allowance { limit, granted: most }
+    }
+}
+
 impl Quotas {
     /// Returns the number of an organisation, which stays the same for as long as the cell is held.
     pub(super) fn number(&mut self, organisation: &str) -> usize {
@@ -168,7 +182,7 @@
         quotas.limited.clear();
         for (name, limit) in limits.filter(|(_, limit)| *limit != Resources::default()) {
             let number = quotas.number(name);
-            let unknown = Quota { startable: 1_000, ..Quota::default() };
+            let unknown = Quota { startable: 1_000, in_transfer: true, ..Quota::default() };
             let mut quota = former.get(number).copied().flatten().unwrap_or(unknown);
             quota.allowance.limit = limit;
             quotas.by_number[number] = Some(quota);
@@ -287,6 +301,42 @@
         }
     }
 
+    /// Long-running steps of the jobs that have not ended, each with as many tasks as run or can
+    /// start.
+    ///
+    /// Waiting tasks can start as far as the allowance of their organisation admits them beside what
+    /// may be in use, in the order of the jobs' arrival. While it is not known which tasks of a job
+    /// run, all of them count.
+    pub(super) fn long_running_steps(&self) -> Vec<Cow<'_, Step>> {
+        let settled = self.inherited_settled();
+        let mut used: Vec<Resources> = self.needs().iter().map(Need::possible_use).collect();
+        let mut found = Vec::new();
+        for entry in self.jobs.values().filter(|e| e.candidate.long_running && !e.state.is_final())
+        {
+            let quota = self.quota(entry).filter(|_| settled || !entry.inherited);
+            for (n, spec) in entry.job.steps.iter().enumerate().filter(|(_, s)| s.long_running) {
+                let Some((number, quota)) = quota else {
+                    found.push(Cow::Borrowed(spec));
+                    continue;
+                };
+                let begun = entry.occurrences.values().map(|steps| &steps[n]);
+                let begun: usize = begun.map(|state| state.tasks.len() - state.open_count).sum();
+                let begun = u32::try_from(begun).unwrap_or(u32::MAX).min(spec.count);
+                let need = charged_resources(spec);
+                let used = &mut used[number];
+                let waiting = spec.count - begun;
+                let startable = match quota.possible_allowance().startable_tasks(*used, need) {
+                    tasks if tasks >= u64::from(waiting) => waiting,
+                    _ if spec.gang => 0,
+                    tasks => u32::try_from(tasks).unwrap_or(waiting),
+                };
+                *used = combine(*used, need.times(startable.into()), u64::saturating_add);
+                found.push(Cow::Owned(Step { count: begun + startable, ..spec.clone() }));
+            }
+        }
+        found
+    }
+
     /// Amount that runs may use that are not known; the largest possible if executors are not known.
     fn unknown_use(&self) -> Resources {
         let unlimited = Resources { cpu: u64::MAX, memory: u64::MAX, gpus: u64::MAX };
@@ -325,8 +375,8 @@
                 1_000 => None,
                 _ => quota.short_since.or(Some(now)),
             };
-            let in_transfer = quota.short_since.is_none_or(|since| now < since + TRANSFER_MS);
-            quota.startable = if in_transfer {
+            quota.in_transfer = quota.short_since.is_none_or(|since| now < since + TRANSFER_MS);
+            quota.startable = if quota.in_transfer {
                 allowance.startable_share(allowance.limit, need).max(granted_share)
             } else {
                 granted_share
@@ -357,8 +407,7 @@
         pass: &mut Pass,
     ) -> bool {
         let Some((_, entry)) = self.jobs.get_index(job) else { return false };
-        let Some(number) = entry.organisation else { return true };
-        let Some(quota) = self.quotas.get(number) else { return true };
+        let Some((number, quota)) = self.quota(entry) else { return true };
         let state = pass.quota.0.get(number).copied().unwrap_or_default();
         if state.closed {
             return false;
@@ -382,6 +431,33 @@
         false
     }
 
+    /// Number and quota of a job's organisation; `None` without a limit.
+    fn quota(&self, entry: &JobEntry) -> Option<(usize, &Quota)> {
+        let number = entry.organisation?;
+        Some((number, self.quotas.get(number)?))
+    }
+
+    /// Adds `count` tasks of a step to what is `reserved` of the allowances; whether they fit beside it
+    /// and what may be in use at the begin of a pass.
+    pub(super) fn reserve_quota(
+        &self,
+        entry: &JobEntry,
+        spec: &Step,
+        count: u64,
+        pass: &QuotaPass,
+        reserved: &mut HashMap<usize, Resources>,
+    ) -> bool {
+        let Some((number, quota)) = self.quota(entry) else { return true };
+        let reserved = reserved.entry(number).or_default();
+        let need = charged_resources(spec).times(count);
+        let used = pass.0.get(number).map_or_else(Resources::default, |state| state.used);
+        let fits = quota.allowance.admits(combine(used, *reserved, u64::saturating_add), need);
+        if fits {
+            *reserved = combine(*reserved, need, u64::saturating_add);
+        }
+        fits
+    }
+
     /// Reserves the allowance for `count` tasks of a step that are started or get a reserved
     /// executor.
     pub(super) fn charge_quota(&self, job: usize, step: usize, count: u64, pass: &mut Pass) {
