Count work behind unknown runs as demand for machines

As work that a limit keeps from starting is no demand, the pool's published need fell from 291 machines to 82, and 132 of 221 machines moved to pools without work. Ruled out: arrivals counted too late (all jobs were accepted without a wait), the time of the takeover (2.1 s).

The share of an organisation's work that is demand no longer depends on unknown runs. What may start still does.

--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -370,14 +370,17 @@
         for ((quota, need), state) in self.quotas.by_number.iter_mut().zip(&needs).zip(&mut pass) {
             let Some(quota) = quota else { continue };
             let allowance = quota.allowance;
-            let granted_share = allowance.startable_share(allowance.granted, need);
+            // Unknown runs keep tasks from starting until leases end at the latest; the machines that
+            // the tasks need then have to stay.
+            let known = Need { unknown: Resources::default(), ..*need };
+            let granted_share = allowance.startable_share(allowance.granted, &known);
             quota.short_since = match granted_share {
                 1_000 => None,
                 _ => quota.short_since.or(Some(now)),
             };
             quota.in_transfer = quota.short_since.is_none_or(|since| now < since + TRANSFER_MS);
             quota.startable = if quota.in_transfer {
-                allowance.startable_share(allowance.limit, need).max(granted_share)
+                allowance.startable_share(allowance.limit, &known).max(granted_share)
             } else {
                 granted_share
             };
--- a/crates/jobs/tests/quota.rs
+++ b/crates/jobs/tests/quota.rs
@@ -256,6 +256,22 @@
     assert_eq!(cell.late_cpu(70_000), 4_000);
 }
 
+/// Guards against a pool that loses its machines at a peak, as its new holder can't start the tasks of
+/// limited organisations before all executors of the former one have answered.
+#[test]
+fn work_that_waits_for_unknown_runs_is_demand_for_machines() {
+    let mut cell = cell(2, 40_000, 6_000);
+    cell.inherit(registration("unanswered", EXECUTOR));
+    cell.admit(arrival("a", Some("o"), vec![step(4, 1_000)]));
+    assert!(starts(&mut cell, 2).is_empty());
+    let work = 4 * 1_000 * 500;
+    for now in [3, 700] {
+        cell.tick(now, 0);
+        assert_eq!(cell.backlog(now), (work, work));
+        assert_eq!(cell.startable_work(Some("o"), 500), 500);
+    }
+}
+
 /// Guards against a pool that keeps machines for long-running tasks that can't start.
 #[test]
 fn long_running_tasks_beyond_the_limit_need_no_machines() {
