--- a/crates/jobs/src/admit.rs
+++ b/crates/jobs/src/admit.rs
@@ -5,12 +5,13 @@
 //! such as an outage leaves behind, does not delay new jobs. A job that can't meet its objective
 //! only has to end while its result is still useful. At the start of a peak most machines are still
 //! moving to the pool; their capacity counts from their arrival. A job that would end too late is
-//! refused at once with a retry delay, which differs between jobs. A job whose tasks no executor of the
-//! pool can run is refused, too.
+//! refused at once with a retry delay, which differs between jobs. A job whose tasks no executor of
+//! the pool can run is refused, too.
 //!
 //! Dozens of processes admit jobs by a load that is some hundred milliseconds old. With
-//! [`Policy::LatestStart`] the holder therefore publishes an [`Outlook`]: the waiting work by its place in the scheduling order, for CPU and memory,
-//! and the work that was accepted lately, which stands for what was accepted since. A retried job has less time left, because its objective
+//! [`Policy::LatestStart`] the holder therefore publishes an [`Outlook`]: the waiting work by its
+//! place in the scheduling order, for CPU and memory, and the work that was accepted lately, which
+//! stands for what was accepted since. A retried job has less time left, because its objective
 //! counts from the client's first request.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -86,8 +86,8 @@
         (timely, all)
     }
 
-    /// What a new job has to wait for, for admission at `now` and shortly after; `None` unless new jobs go
-    /// by their latest start.
+    /// What a new job has to wait for, for admission at `now` and shortly after; `None` unless new
+    /// jobs go by their latest start.
     pub fn outlook(&self, now: u64) -> Option<Outlook> {
         if self.policy != Policy::LatestStart {
             return None;
@@ -225,7 +225,8 @@
         usage
     }
 
-    /// What the long-running tasks need that run or can start, and the executors that could be removed at little cost.
+    /// What the long-running tasks need that run or can start, and the executors that could be removed
+    /// at little cost.
     pub fn shrink_limits(&self) -> ShrinkLimits {
         let mut limits = ShrinkLimits::default();
         let steps = self.long_running_steps();
