--- a/crates/jobs/tests/cost.rs
+++ b/crates/jobs/examples/cost.rs
@@ -1,8 +1,7 @@
-//! Measurement of the scheduler's processor time at a peak, with organisations and without.
+//! Measurement of the scheduler's processor time at a peak: `cost`, or `cost --organisations`.
 //!
-//! The tests are ignored, as they guard against nothing by themselves. They are run in a release
-//! build under a tool that counts instructions, and print a digest of all orders, which a change
-//! that only saves time must leave as it was.
+//! Run it in a release build under a tool that counts instructions. It prints a digest of all orders,
+//! which a change that only saves time must leave as it was.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -192,14 +191,6 @@
     println!("{starts} starts, {ended} jobs ended, digest {:016x}", digest.finish());
 }
 
-#[test]
-#[ignore = "a measurement"]
-fn without_organisations() {
-    run(false);
-}
-
-#[test]
-#[ignore = "a measurement"]
-fn with_organisations() {
-    run(true);
+fn main() {
+    run(std::env::args().any(|argument| argument == "--organisations"));
 }
