Query the adviser one step at a time, and use late answers

Cause: each step sent its own query at once, repeated it after 4 s and gave up its answer after 3.5 s. The adviser processes abandoned queries too, so that more than 4 s of queries at a time kept it busy for good.

Evidence: E2204 now has outcome, duration and queries under way.

Ruled out: expired tickets (196 of 196 starts run), no executor with room (207 queries were sent), rejections as the cause (13 of 207).

Change: jobs::window bounds the queries of a process. The next one is sent when the earlier ones have ended or are overdue; the time for that follows decisionMs, periodMs and the responses, and doubles with each overdue query. Late answers count. Queries go by turns to the first step in the order and to the one that has waited longest.

--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -9,6 +9,7 @@
 use jobs::Configuration;
 use jobs::order::Policy;
 use jobs::wave::Wave;
+use jobs::window::CallWindow;
 use tokio::sync::Notify;
 
 use crate::clock;
@@ -118,6 +119,8 @@
     pub stopping: Cell<bool>,
     /// Whether this process holds a lease, and therefore watches the registry and the duties.
     pub is_holder: Cell<bool>,
+    /// Queries to the adviser that are under way, of all cells of this process.
+    pub queries: RefCell<CallWindow>,
     /// Whether the table counts as unavailable.
     unavailable: Cell<bool>,
     /// Time of the last response of the table, in milliseconds.
@@ -151,6 +154,7 @@
             table_clock: Cell::new((0, 0)),
             stopping: Cell::new(false),
             is_holder: Cell::new(false),
+            queries: RefCell::default(),
             unavailable: Cell::new(false),
             last_response: Cell::new(0),
             recovered_at: Cell::new(0),
--- a/crates/cells/src/metrics.rs
+++ b/crates/cells/src/metrics.rs
@@ -22,6 +22,8 @@
     pub request_seconds: HistogramVec,
     /// Time from a start order to the executor's response, by outcome.
     pub start_seconds: HistogramVec,
+    /// Duration of queries to the adviser by outcome.
+    pub advice_seconds: HistogramVec,
     /// Duration of calls to the table by call and outcome.
     pub table_seconds: HistogramVec,
     /// Duration of the phases of a round of the fleet's duties.
@@ -104,6 +106,11 @@
                 &["kind", "outcome"],
             )?,
             start_seconds: histogram("jtally_start_seconds", "Starts on executors.", &["outcome"])?,
+            advice_seconds: histogram(
+                "jtally_advice_seconds",
+                "Queries to the adviser.",
+                &["outcome"],
+            )?,
             table_seconds: histogram(
                 "jtally_table_seconds",
                 "Calls to the table.",
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -359,6 +359,8 @@
             if self.may_order() {
                 self.cell.borrow_mut().hold_starts(!self.is_registry_current());
                 self.set_grants();
+                let may_query = self.ctx.queries.borrow().is_open(clock::now());
+                self.cell.borrow_mut().permit_query(may_query);
                 let orders = self.cell.borrow_mut().tick(clock::now(), clock::wall());
                 for order in orders {
                     self.send(order);
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -1,20 +1,30 @@
 //! Sends the scheduler's orders to executors and passes the responses back to it.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use jobs::Worker;
 use jobs::cell::{Order, Refusal, StartOutcome};
+use jobs::window::Outcome;
+use jobs::{TaskId, Worker};
 
 use super::Inner;
 use crate::clock;
 use crate::metrics::Metrics;
-use crate::ports::{OrderError, StartOrder};
+use crate::ports::{AdviceError, OrderError, Permissions, StartOrder};
+
+/// Shortest time for which the response to a query is awaited; overdue queries are awaited too,
+/// as their responses show how long a busy adviser takes.
+const MIN_ADVICE_TIMEOUT: Duration = Duration::from_secs(600);
 
 impl Inner {
     /// Sends an order in the background and passes the response to the scheduler.
     pub(super) fn send(self: &Rc<Self>, order: Order) {
         let inner = Rc::clone(self);
+        // The passes of other cells must not send a query before this one is counted.
+        let query = match &order {
+            Order::Advise { cost, .. } => inner.ctx.queries.borrow_mut().begin(*cost, clock::now()),
+            _ => 0,
+        };
         actix::spawn(async move {
             match order {
                 Order::Start { worker, task, run, payload, lease_end, checkpoint, ticket } => {
@@ -72,20 +82,8 @@
                         Err(OrderError::Restarted) => cell.mark_restarted(&worker, now),
                     }
                 }
-                Order::Advise { step, workers } => {
-                    let answer = inner.ctx.ports.adviser.advise(&step, &workers).await;
-                    inner.ctx.timeline.record(
-                        base::Event::AdviceTaken,
-                        &[
-                            ("step", &step),
-                            ("asked", &workers.len()),
-                            ("allowed", &answer.as_ref().map_or(0, |a| a.allowed.len())),
-                            ("answered", &answer.is_some()),
-                        ],
-                    );
-                    let answer = answer.map(|a| (a.allowed, a.valid_ms));
-                    inner.cell.borrow_mut().handle_advice(&step, &workers, answer, clock::now());
-                    inner.wake.notify_one();
+                Order::Advise { step, workers, cost } => {
+                    inner.advise(&step, &workers, cost, query).await;
                 }
                 Order::Pace { worker, task, run, percent } => {
                     let Some(executor) = inner.executor(&worker) else { return };
@@ -124,11 +122,62 @@
         self.ctx.ports.executors.start(&executor, self.tenure.epoch, start).await
     }
 
+    /// Queries the adviser about a step, and passes the response to the scheduler.
+    ///
+    /// `cost` is the expected time that the adviser needs, in milliseconds, and `query` the number of
+    /// the query in the process's window.
+    async fn advise(&self, step: &TaskId, workers: &[String], cost: u64, query: u64) {
+        let sent = Instant::now();
+        let timeout = Duration::from_millis(cost.saturating_mul(16)).max(MIN_ADVICE_TIMEOUT);
+        let answer = self.ctx.ports.adviser.advise(step, workers, timeout).await;
+        let now = clock::now();
+        let outcome = match &answer {
+            Ok(_) => Outcome::Answered,
+            Err(AdviceError::Unanswered) => Outcome::Unanswered,
+            Err(AdviceError::Full | AdviceError::Unsent | AdviceError::Unusable) => {
+                Outcome::Rejected
+            }
+        };
+        self.ctx.queries.borrow_mut().end(query, outcome, now);
+        self.record_advice(step, workers, &answer, sent);
+        if let Ok(Permissions { allowed, valid_ms }) = answer {
+            self.cell.borrow_mut().handle_advice(step, workers, allowed, valid_ms, now);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Records a query to the adviser and its outcome in the log and the metrics.
+    fn record_advice(
+        &self,
+        step: &TaskId,
+        workers: &[String],
+        answer: &Result<Permissions, AdviceError>,
+        sent: Instant,
+    ) {
+        let outcome: &str = match answer {
+            Ok(_) => "answered",
+            Err(error) => error.into(),
+        };
+        Metrics::observe(&self.ctx.metrics.advice_seconds, &[outcome], sent.elapsed());
+        self.ctx.timeline.record(
+            base::Event::AdviceTaken,
+            &[
+                ("step", &step),
+                ("asked", &workers.len()),
+                ("allowed", &answer.as_ref().map_or(0, |a| a.allowed.len())),
+                ("answered", &answer.is_ok()),
+                ("outcome", &outcome),
+                ("took_ms", &sent.elapsed().as_millis()),
+                ("under_way", &self.ctx.queries.borrow().open_calls()),
+            ],
+        );
+    }
+
     /// Records a start and its outcome in the log and the metrics.
     fn record_start(
         &self,
         worker: &str,
-        task: &jobs::TaskId,
+        task: &TaskId,
         run: u64,
         checkpoint: &str,
         outcome: StartOutcome,
--- a/crates/cells/src/ports.rs
+++ b/crates/cells/src/ports.rs
@@ -246,14 +246,34 @@
     pub valid_ms: u64,
 }
 
+/// Failure of a query to the adviser.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu, strum::IntoStaticStr)]
+#[snafu(module)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AdviceError {
+    /// Too many queries wait at the adviser; it does not process this one.
+    #[snafu(display("too many queries wait at the adviser"))]
+    Full,
+    /// The query was not sent.
+    #[snafu(display("the query was not sent"))]
+    Unsent,
+    /// No response; the adviser may still process the query.
+    #[snafu(display("the adviser did not answer"))]
+    Unanswered,
+    /// A response that can't be used.
+    #[snafu(display("the adviser's response can't be used"))]
+    Unusable,
+}
+
 /// Client of the service that decides which executors a queue's policy permits.
 pub trait Adviser {
-    /// Requests permission for executors to run a step; `None` without a usable response.
+    /// Requests permission for executors to run a step, and waits up to `timeout` for the response.
     fn advise<'a>(
         &'a self,
         step: &'a TaskId,
         executors: &'a [String],
-    ) -> LocalBoxFuture<'a, Option<Permissions>>;
+        timeout: Duration,
+    ) -> LocalBoxFuture<'a, Result<Permissions, AdviceError>>;
 }
 
 /// Machine of the fleet.
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -9,9 +9,9 @@
 
 use base::Timeline;
 use cells::ports::{
-    Adviser, Committed, Dialect, Executor, Executors, Instruction, Machine, MachineError, Machines,
-    OrderError, Page, Permissions, Place, PollRequest, ReadError, Row, StartOrder, Store,
-    Transaction, TransactionError,
+    AdviceError, Adviser, Committed, Dialect, Executor, Executors, Instruction, Machine,
+    MachineError, Machines, OrderError, Page, Permissions, Place, PollRequest, ReadError, Row,
+    StartOrder, Store, Transaction, TransactionError,
 };
 use cells::rows::{self, Duty, Lease};
 use cells::{Bounds, Metrics, Node, Ports, Settings, clock, keys};
@@ -331,8 +331,9 @@
         &'a self,
         _: &'a TaskId,
         _: &'a [String],
-    ) -> LocalBoxFuture<'a, Option<Permissions>> {
-        Box::pin(async { None })
+        _: Duration,
+    ) -> LocalBoxFuture<'a, Result<Permissions, AdviceError>> {
+        Box::pin(async { Err(AdviceError::Unsent) })
     }
 }
 
--- a/crates/jobs/src/cell/advice.rs
+++ b/crates/jobs/src/cell/advice.rs
@@ -4,7 +4,9 @@
 //! is valid for a limited time.
 //!
 //! Load pattern: the adviser needs time for each executor in a query and answers one query after
-//! the other. A step therefore sends one query, limited to the executors that it would choose.
+//! the other, while the loss of a rack leaves hundreds of steps that need tickets. A pass therefore
+//! sends one query at most, and none while [`crate::window::CallWindow`] lets no further one be
+//! sent. A query is limited to the executors that its step would choose.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -14,27 +16,60 @@
 
 /// Most executors in one query; a step usually needs this many to choose from.
 const MAX_ADVISED_EXECUTORS: usize = 30;
-/// Time without an answer after which a query may be sent again, in milliseconds.
-const ADVICE_TIMEOUT_MS: u64 = 4_000;
-/// Validity that a ticket must have left when it is put into an order, in milliseconds.
+/// Validity that a ticket must have left when it is put into an order, in milliseconds; at most a
+/// quarter of its whole validity.
 const TICKET_MARGIN_MS: u64 = 300;
 
 /// Tickets and denials for the executors of one step.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Advice {
-    /// Ticket and the end of its validity in milliseconds, by executor.
+    /// Ticket and the end of its use in milliseconds, by executor.
     tickets: IndexMap<String, (String, u64)>,
     /// Executors for which the adviser gave no ticket.
     denied: IndexSet<String>,
-    /// When the unanswered query was sent, in milliseconds; 0 for none.
-    requested: u64,
+    /// When the last query was sent, in milliseconds; 0 for none.
+    queried_at: u64,
+}
+
+/// A query that may be sent at the end of an assignment pass.
+#[derive(Debug)]
+struct Query {
+    /// Position of the job in the cell.
+    job: usize,
+    occurrence: u32,
+    step: usize,
+    workers: Vec<String>,
+    /// When the step's last query was sent, in milliseconds.
+    queried_at: u64,
+}
+
+/// Choice of the next query.
+///
+/// Queries go by turns to the first step in the scheduling order and to the step whose last query
+/// is the oldest: steps whose queries have no use, as tickets expire before there is room, hold up
+/// no others.
+#[derive(Debug, Default)]
+pub(super) struct Queries {
+    /// Whether a query may be sent in this pass.
+    permitted: bool,
+    /// Whether the next query is that of the step which has waited longest.
+    by_age: bool,
+    next: Option<Query>,
+}
+
+impl Queries {
+    /// Whether a step whose last query was sent at `queried_at` comes before those seen so far.
+    fn precedes(&self, queried_at: u64) -> bool {
+        let is_older = |next: &Query| self.by_age && queried_at < next.queried_at;
+        self.permitted && self.next.as_ref().is_none_or(is_older)
+    }
 }
 
 impl Advice {
     /// Returns the ticket for an executor if it is valid for long enough.
     pub fn ticket(&self, worker: &str, now: u64) -> Option<&str> {
         let (ticket, until) = self.tickets.get(worker)?;
-        (*until > now + TICKET_MARGIN_MS).then_some(ticket)
+        (now < *until).then_some(ticket)
     }
 
     /// Removes a ticket that the executor did not accept.
@@ -46,10 +81,15 @@
 impl Cell {
     /// Whether the steps of a queue's jobs need tickets.
     pub(super) fn needs_advice(&self, queue: &str) -> bool {
-        self.queues.get(queue).is_some_and(|queue| queue.advised)
+        self.queues.get(queue).is_some_and(|queue| queue.advice.is_some())
+    }
+
+    /// Permits the next assignment pass to send a query to the adviser, or not.
+    pub fn permit_query(&mut self, permitted: bool) {
+        self.queries.permitted = permitted;
     }
 
-    /// Queries the adviser if a step has fewer tickets than open tasks.
+    /// Offers a query to the adviser if a step has fewer tickets than open tasks.
     ///
     /// Only tickets of executors count that may run another task of the step.
     ///
@@ -62,9 +102,10 @@
         accepting: &[usize],
         now: u64,
     ) {
-        let Some((id, entry)) = self.jobs.get_index(job) else { return };
+        let Some((_, entry)) = self.jobs.get_index(job) else { return };
         let state = &entry.occurrences[&occurrence][step];
-        if state.advice.requested > 0 && now < state.advice.requested + ADVICE_TIMEOUT_MS {
+        let queried_at = state.advice.queried_at;
+        if !self.queries.precedes(queried_at) {
             return;
         }
         let spec = &entry.job.steps[step];
@@ -87,23 +128,35 @@
         candidates.sort_by(|a, b| b.cmp(a));
         let workers: Vec<String> =
             candidates.into_iter().take(MAX_ADVISED_EXECUTORS).map(|(_, id)| id.clone()).collect();
-        if workers.is_empty() {
-            return;
+        if !workers.is_empty() {
+            self.queries.next = Some(Query { job, occurrence, step, workers, queried_at });
         }
-        let task = TaskId { job: id.clone(), occurrence, step, index: 0 };
-        self.jobs[job].occurrences[&occurrence][step].advice.requested = now;
-        self.orders.push(Order::Advise { step: task, workers });
+    }
+
+    /// Orders the query that the pass has chosen, if there is one.
+    pub(super) fn send_query(&mut self, now: u64) {
+        let Some(query) = self.queries.next.take() else { return };
+        let Some((id, entry)) = self.jobs.get_index_mut(query.job) else { return };
+        let cost = self.queues.get(&entry.queue).and_then(|queue| queue.advice).unwrap_or_default();
+        entry.occurrences[&query.occurrence][query.step].advice.queried_at = now;
+        let step =
+            TaskId { job: id.clone(), occurrence: query.occurrence, step: query.step, index: 0 };
+        let cost = cost.query(query.workers.len());
+        self.orders.push(Order::Advise { step, workers: query.workers, cost });
+        self.queries.permitted = false;
+        self.queries.by_age = !self.queries.by_age;
     }
 
     /// Handles the adviser's answer to a query about the executors `queried`.
     ///
-    /// `answer` holds the tickets by executor and their validity in milliseconds. `None` stands for
-    /// a failed query, which is sent again once it has timed out.
+    /// `tickets` holds the tickets by executor, and `validity` is their validity in milliseconds. An
+    /// answer may come late, after another query about the same step.
     pub fn handle_advice(
         &mut self,
         step: &TaskId,
         queried: &[String],
-        answer: Option<(Vec<(String, String)>, u64)>,
+        tickets: Vec<(String, String)>,
+        validity: u64,
         now: u64,
     ) {
         let Some(entry) = self.jobs.get_mut(&step.job) else { return };
@@ -112,12 +165,11 @@
         else {
             return;
         };
-        let Some((tickets, validity)) = answer else { return };
-        state.advice.requested = 0;
+        let until = now + validity.saturating_sub(TICKET_MARGIN_MS.min(validity / 4));
         state.advice.denied.extend(queried.iter().cloned());
         for (worker, ticket) in tickets {
             state.advice.denied.swap_remove(&worker);
-            state.advice.tickets.insert(worker, (ticket, now + validity));
+            state.advice.tickets.insert(worker, (ticket, until));
         }
     }
 }
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -167,6 +167,7 @@
                 self.assign_suspects(item.job, &mut pass);
             }
         }
+        self.send_query(now);
         self.end_quota_pass(&pass.quota);
         self.compared = pass.compared;
         self.reservations = pass.reservations;
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -26,7 +26,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use advice::Advice;
+use advice::{Advice, Queries};
 pub use load::{ShrinkLimits, Usage};
 pub use outcome::{Refusal, StartOutcome};
 pub use quarantine::Crash;
@@ -101,6 +101,8 @@
         step: TaskId,
         /// Incarnations of the executors to ask about.
         workers: Vec<String>,
+        /// Expected time that the adviser needs, in milliseconds.
+        cost: u64,
     },
     /// Throttle a run to a share of its full speed.
     Pace {
@@ -231,6 +233,8 @@
     workers: IndexMap<String, Worker>,
     /// Orders that the next tick returns.
     orders: Vec<Order>,
+    /// Queries to the adviser.
+    queries: Queries,
     /// Ids of jobs whose changes have to be written.
     dirty: IndexSet<String>,
     /// Executors that former holders used.
@@ -300,6 +304,7 @@
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
             orders: Vec::new(),
+            queries: Queries::default(),
             dirty: IndexSet::new(),
             inherited_workers: IndexSet::new(),
             unknown_inherited: false,
--- a/crates/jobs/src/difference.rs
+++ b/crates/jobs/src/difference.rs
@@ -148,7 +148,10 @@
     detail(all, "stretch in thousandths", &old.stretch, &new.stretch);
     detail(all, "fixed objective in ms", &old.objective_base, &new.objective_base);
     detail(all, "timeout in ms", &old.timeout, &new.timeout);
-    detail(all, "advised", &old.advised, &new.advised);
+    detail(all, "advised", &old.advice.is_some(), &new.advice.is_some());
+    let (old_cost, new_cost) = (old.advice.unwrap_or_default(), new.advice.unwrap_or_default());
+    detail(all, "advice in ms", &old_cost.decision, &new_cost.decision);
+    detail(all, "advice on each executor in ms", &old_cost.period, &new_cost.period);
     detail(all, "public", &old.public, &new.public);
     details
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,11 +26,12 @@
 pub mod share;
 pub mod watch;
 pub mod wave;
+pub mod window;
 pub mod worker;
 
 pub use cell::{Cell, CellConfig, Order};
 pub use job::{Job, Schedule, State, Step, TaskId};
 pub use organisation::{Organisation, Organisations};
 pub use progress::Progress;
-pub use queue::{Configuration, Pool, Queue};
+pub use queue::{AdviceCost, Configuration, Pool, Queue};
 pub use worker::{ExecutorReport, Registration, Resources, RunOutcome, Worker};
--- a/crates/jobs/src/queue.rs
+++ b/crates/jobs/src/queue.rs
@@ -41,12 +41,36 @@
     pub objective_base: u64,
     /// Timeout of requests, in milliseconds.
     pub timeout: u64,
-    /// Whether the adviser service decides which executors may run a step.
-    pub advised: bool,
+    /// Time that the adviser needs for a query, if it decides which executors may run a step.
+    pub advice: Option<AdviceCost>,
     /// Whether requests need no key even if the configuration has organisations.
     pub public: bool,
 }
 
+/// Time that the adviser service needs for a query, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AdviceCost {
+    /// Time for each query.
+    pub decision: u64,
+    /// Additional time for each executor in it.
+    pub period: u64,
+}
+
+impl AdviceCost {
+    /// Returns the time for a query about a number of executors, in milliseconds.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let cost = jobs::AdviceCost { decision: 200, period: 10 };
+    /// assert_eq!(cost.query(8), 280);
+    /// ```
+    pub fn query(self, executors: usize) -> u64 {
+        let executors = u64::try_from(executors).unwrap_or(u64::MAX);
+        self.decision.saturating_add(self.period.saturating_mul(executors))
+    }
+}
+
 /// A pool of machines, which run the tasks of its queues.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Pool {
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -11,8 +11,8 @@
 use jobs::flush::Selection;
 use jobs::worker::{EndedRun, PresentRun};
 use jobs::{
-    Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources, RunOutcome,
-    Step, TaskId,
+    AdviceCost, Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources,
+    RunOutcome, Step, TaskId,
 };
 
 /// Duration of executors' leases, in milliseconds.
@@ -580,18 +580,24 @@
 #[test]
 fn a_step_under_advice_runs_only_where_the_adviser_allows_it() {
     let mut cell = cell(1, &["a", "bb"]);
-    let queue = Queue { name: "q".to_owned(), max_attempts: 2, advised: true, ..Queue::default() };
+    let queue = Queue {
+        name: "q".to_owned(),
+        max_attempts: 2,
+        advice: Some(AdviceCost::default()),
+        ..Queue::default()
+    };
     cell.configure(std::iter::once(&queue));
     cell.admit(arrival(vec![step(1, 100)], false));
     for id in ["a", "bb"] {
         cell.handle_poll(id, &poll_answer(100), 0, 1);
     }
+    cell.permit_query(true);
     let orders = cell.tick(2, 0);
-    let [Order::Advise { step, workers }] = &orders[..] else { panic!("{orders:?}") };
+    let [Order::Advise { step, workers, .. }] = &orders[..] else { panic!("{orders:?}") };
     assert_eq!(workers.len(), 2);
     assert!(cell.tick(30, 0).is_empty(), "one query at a time");
-    let answer = (vec![("bb".to_owned(), "t-1".to_owned())], 3_000);
-    cell.handle_advice(step, workers, Some(answer), 40);
+    let tickets = vec![("bb".to_owned(), "t-1".to_owned())];
+    cell.handle_advice(step, workers, tickets, 3_000, 40);
     let orders = cell.tick(41, 0);
     let [Order::Start { worker, ticket, .. }] = &orders[..] else { panic!("{orders:?}") };
     assert_eq!((worker.as_str(), ticket.as_str()), ("bb", "t-1"));
@@ -1282,17 +1288,23 @@
 #[test]
 fn tickets_of_executors_that_may_run_no_more_tasks_of_a_step_do_not_keep_it_from_asking() {
     let mut cell = cell(1, &[]);
-    let queue = Queue { name: "q".to_owned(), max_attempts: 2, advised: true, ..Queue::default() };
+    let queue = Queue {
+        name: "q".to_owned(),
+        max_attempts: 2,
+        advice: Some(AdviceCost::default()),
+        ..Queue::default()
+    };
     cell.configure(std::iter::once(&queue));
     join(&mut cell, "a", 4_000, 1);
     join(&mut cell, "b", 4_000, 1);
     admit(&mut cell, "apart", Step { max_per_executor: 1, ..long_running(2, 1_000) });
+    cell.permit_query(true);
     let orders = cell.tick(2, 0);
-    let Some(Order::Advise { step, workers }) = orders.into_iter().next() else {
+    let Some(Order::Advise { step, workers, .. }) = orders.into_iter().next() else {
         panic!("the adviser is asked first")
     };
     let tickets = workers.iter().map(|id| (id.clone(), "ticket".to_owned())).collect();
-    cell.handle_advice(&step, &workers, Some((tickets, 60_000)), 3);
+    cell.handle_advice(&step, &workers, tickets, 60_000, 3);
     assert_eq!(start_all(&mut cell, 4).len(), 2);
     cell.mark_ended("b", 5);
     cell.unlist("b");
@@ -1300,6 +1312,7 @@
     for now in (100..12_000).step_by(100) {
         poll(&mut cell, "a", now);
         poll(&mut cell, "c", now);
+        cell.permit_query(true);
         let orders = cell.tick(now, 0);
         if orders.iter().any(|order| matches!(order, Order::Advise { .. })) {
             return;
@@ -1307,3 +1320,33 @@
     }
     panic!("the adviser was not asked about the new executor in 12 s");
 }
+
+/// Guards against steps that are never asked about: those that come first in the order have tickets
+/// that expire before there is room, and would use each query again.
+#[test]
+fn steps_whose_tickets_expire_unused_hold_up_no_others() {
+    let mut cell = cell(1, &[]);
+    let cost = AdviceCost { decision: 200, period: 10 };
+    let queue =
+        Queue { name: "q".to_owned(), max_attempts: 2, advice: Some(cost), ..Queue::default() };
+    cell.configure(std::iter::once(&queue));
+    join(&mut cell, "a", 4_000, 1);
+    for n in 0..20 {
+        admit(&mut cell, &format!("job-{n:02}"), step(1, 3_000));
+    }
+    let mut queried = IndexSet::new();
+    for now in (300..20_000).step_by(300) {
+        poll(&mut cell, "a", now);
+        cell.permit_query(true);
+        for order in cell.tick(now, 0) {
+            if let Order::Advise { step, workers, cost } = order {
+                assert_eq!(cost, 210);
+                // The ticket has expired when it arrives.
+                let tickets = workers.iter().map(|id| (id.clone(), "ticket".to_owned())).collect();
+                cell.handle_advice(&step, &workers, tickets, 0, now);
+                queried.insert(step.job);
+            }
+        }
+    }
+    assert_eq!(queried.len(), 20, "{queried:?}");
+}
