Store the progress of large jobs in rows that the table accepts

Cause: the failed runs of a job are listed in one row without a bound, and a refusal for good was taken for a passing one: the transaction was repeated under the lock of its part, where no job could start any more. Ends that are not acknowledged hid those of jobs in other parts.

Ruled out: a slow table (status 400 at once, other parts are written), the number of rows of the transaction (two).

Change: TransactionError::Rejected; rows of blocks of tasks beyond one row of maxRowBytes, written so that an interrupted write loses nothing; transactions filled by entries and bytes; a rejected change is written alone, then in smaller rows, then held apart from the others. A job whose row is too large is answered with 400. Roster and spares are bounded.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -81,6 +81,8 @@
     StateUnread = 2105,
     /// A request was denied, as it had no valid key.
     AccessDenied = 2106,
+    /// The table does not accept a row as it is; the fields hold what happens next.
+    WriteRejected = 2107,
     /// A start was sent to an executor; the fields hold the outcome.
     StartSent = 2201,
     /// A stop was sent to an executor; the fields hold the outcome.
@@ -115,6 +117,8 @@
     CellLoad = 2405,
     /// This process became a candidate for holding cells, or resigned.
     StandbyChanged = 2406,
+    /// Executors could not be added to a cell's roster and get no tasks yet.
+    RosterIncomplete = 2407,
     /// The operator ordered a maintenance wave.
     WaveSeen = 2501,
     /// A machine was ordered down for its maintenance.
--- a/crates/cells/src/allowance.rs
+++ b/crates/cells/src/allowance.rs
@@ -436,7 +436,7 @@
                 self.next_write_at = at;
                 rows.iter().map(|row| self.observe(row)).collect()
             }
-            Err(TransactionError::Refused { .. }) => {
+            Err(TransactionError::Rejected { .. } | TransactionError::Refused { .. }) => {
                 self.open.remove(position);
                 self.next_write_at = at + RETRY_PAUSE_MS;
                 Vec::new()
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -56,6 +56,8 @@
     pub forecast_peaks: bool,
     /// Order of new jobs; `None` to let the configuration decide.
     pub order: Option<Policy>,
+    /// Largest row that the table accepts, in bytes.
+    pub max_row_bytes: usize,
     /// Time limits of the platform.
     pub bounds: Bounds,
 }
--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -206,12 +206,15 @@
         let waited = self.time_since_first_request(id);
         let now = self.ctx.table_now();
         let refusal = self.refusal(access, id, job, waited);
+        let row = JobRow::new(&queue.name, now, job).on_behalf_of(access.organisation.as_deref());
+        let (bytes, limit) = (rows::encode(&row).len(), self.ctx.settings.max_row_bytes);
+        if bytes > limit {
+            return Reply::Invalid(format!("the job takes {bytes} bytes; {limit} can be stored"));
+        }
         let submission = Submission {
             id: id.to_owned(),
             cell: cell.clone(),
-            job: refusal.is_none().then(|| {
-                JobRow::new(&queue.name, now, job).on_behalf_of(access.organisation.as_deref())
-            }),
+            job: refusal.is_none().then_some(row),
             requested_at: now.saturating_sub(waited),
             deadline: clock::now() + STORE_TIMEOUT_MS.min(remaining * RETRY_SHARE_PERCENT / 100),
         };
@@ -237,6 +240,9 @@
                 self.log_refusal(id, access, job, &refusal, waited);
                 Reply::Refused { overloaded: true, retry_after: refusal.retry_after }
             }
+            (StoreOutcome::Rejected, _) => {
+                Reply::Invalid("the table does not accept the job as it is".to_owned())
+            }
             (StoreOutcome::Refused, None) | (StoreOutcome::Unknown, _) => self.outcome_unknown(id),
         }
     }
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -7,6 +7,8 @@
 //! survive a process is stored in the table.
 
 pub mod allowance;
+pub mod batch;
+pub mod blocks;
 pub mod claim;
 pub mod clock;
 pub mod context;
--- a/crates/cells/src/metrics.rs
+++ b/crates/cells/src/metrics.rs
@@ -200,6 +200,7 @@
             let outcome = match &result {
                 Ok(_) => "committed",
                 Err(TransactionError::Conflict { .. }) => "conflict",
+                Err(TransactionError::Rejected { .. }) => "rejected",
                 Err(TransactionError::Refused { .. }) => "refused",
                 Err(TransactionError::Unknown { .. }) => "unknown",
             };
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -53,9 +53,12 @@
 /// Time from the order that moves a machine into a pool until the pool's published capacity
 /// includes it, in milliseconds: the move, the registration, the first poll and the publication.
 const MACHINE_MOVE_MS: u64 = 2_000;
-/// Maximum number of executors published as ready to leave the pool; keeps their row at a sixth of
-/// the largest that the table accepts.
+/// Maximum number of executors published as ready to leave the pool.
 const MAX_PUBLISHED_SPARES: usize = 500;
+/// Share of the largest row that their names may take, which leaves space for the pool's load.
+const SPARES_ROW_SHARE_PERCENT: usize = 50;
+/// Size of an executor in that row apart from its name, in bytes.
+const SPARE_ENTRY_BYTES: usize = 3;
 /// Maximum number of organisations published as beyond their weight; every process reads them.
 const MAX_PUBLISHED_ORGANISATIONS: usize = 50;
 /// Number of copies of the pool's state, each in a part of its own.
@@ -113,6 +116,8 @@
     pub part_writes: RefCell<Writes>,
     /// Serialises the writes to each part.
     pub write_locks: RefCell<IndexMap<String, Rc<Mutex<()>>>>,
+    /// Rows of the progress of jobs for which one row is not enough, by job.
+    pub stored_progress: RefCell<IndexMap<String, write::StoredProgress>>,
     /// Executors to which the cell's holders may have sent orders.
     pub roster: RefCell<Vec<write::RosterList>>,
     /// Whether the roster is being written.
@@ -179,6 +184,7 @@
             unfenced: RefCell::default(),
             part_writes: RefCell::default(),
             write_locks: RefCell::default(),
+            stored_progress: RefCell::default(),
             roster: RefCell::default(),
             writes_roster: Cell::new(false),
             early_cancels: RefCell::default(),
@@ -513,11 +519,15 @@
     /// Computes the state of the cell's pool.
     fn current_pool_state(&self) -> PoolState {
         let limits = self.cell.borrow().shrink_limits();
-        PoolState {
-            load: self.load(&limits),
-            spares: limits.spares.into_iter().take(MAX_PUBLISHED_SPARES).collect(),
-            idle: limits.idle,
-        }
+        let load = self.load(&limits);
+        let mut bytes_left = self.ctx.settings.max_row_bytes * SPARES_ROW_SHARE_PERCENT / 100;
+        let fits = |id: &String| {
+            let left = bytes_left.checked_sub(id.len() + SPARE_ENTRY_BYTES);
+            bytes_left = left.unwrap_or(0);
+            left.is_some()
+        };
+        let spares = limits.spares.into_iter().take(MAX_PUBLISHED_SPARES).take_while(fits);
+        PoolState { load, spares: spares.collect(), idle: limits.idle }
     }
 
     /// Writes a row without a condition; false if the write is not confirmed.
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -7,10 +7,12 @@
 
 use futures_util::future::try_join_all;
 use indexmap::{IndexMap, IndexSet};
-use jobs::row::ProgressRow;
+use jobs::progress::StepProgress;
+use jobs::row::{BlockRow, ProgressRow};
 use jobs::{Progress, Registration};
 
 use super::{Inner, write::WriteError};
+use crate::blocks::{self, Block};
 use crate::clock;
 use crate::context::pause;
 use crate::follow::read_all;
@@ -80,18 +82,23 @@
         let table = keys::progress_table(&self.tenure.cell);
         let (rows, _) = read_all(&self.ctx, Place::new(&table, part, "")).await?;
         let mut progress: IndexMap<String, Progress> = IndexMap::new();
-        for row in rows {
+        let mut blocks: IndexMap<String, Vec<Block>> = IndexMap::new();
+        // The first row of a job sorts before those of its blocks.
+        for row in &rows {
             let Some(value) = &row.value else { continue };
-            let decoded = rows::decode::<ProgressRow>(value)
-                .and_then(|row| Progress::try_from(row).map_err(|error| error.to_string()));
-            match decoded {
-                Ok(p) => {
-                    progress.insert(row.place.key, p);
+            let key = &row.place.key;
+            let added = match blocks::parse_key(key) {
+                None => read_progress(value).map(|p| drop(progress.insert(key.clone(), p))),
+                Some((id, block)) => {
+                    blocks.entry(id.to_owned()).or_default().push(block);
+                    let own = progress.entry(id.to_owned()).or_default();
+                    read_block(value).map(|steps| own.merge(block.occurrence, steps))
                 }
-                Err(error) => self.ctx.timeline.record(
-                    base::Event::RowUnreadable,
-                    &[("row", &row.place.key), ("error", &error)],
-                ),
+            };
+            if let Err(error) = added {
+                self.ctx
+                    .timeline
+                    .record(base::Event::RowUnreadable, &[("row", key), ("error", &error)]);
             }
         }
         let table = keys::jobs_table(&self.tenure.cell);
@@ -99,8 +106,23 @@
         self.read_versions.borrow_mut().insert(part.to_owned(), version);
         for row in rows {
             let progress = progress.swap_remove(&row.place.key).unwrap_or_default();
+            if let Some(blocks) = blocks.swap_remove(&row.place.key) {
+                let mut stored = self.stored_progress.borrow_mut();
+                let layout = &mut stored.entry(row.place.key.clone()).or_default().layout;
+                blocks.into_iter().for_each(|block| layout.add(block));
+            }
             self.apply_job_row(&row, progress, row.version <= startable_through);
         }
+        let progress_place =
+            |key: &str| Self::job_place(keys::progress_table(&self.tenure.cell), part, key);
+        let left: Vec<Place> = blocks
+            .iter()
+            .flat_map(|(id, blocks)| blocks.iter().map(|block| blocks::key(id, *block)))
+            .map(|key| progress_place(&key))
+            .collect();
+        if !left.is_empty() {
+            actix::spawn(Rc::clone(self).remove_rows(part.to_owned(), left));
+        }
         Ok(())
     }
 
@@ -213,10 +235,14 @@
 
     /// Adds executors to the roster and then to the scheduler.
     async fn add_workers(self: Rc<Self>, added: Vec<Registration>) {
-        if self.add_to_roster(&added).await {
+        let count = added.len();
+        let stored = self.add_to_roster(added).await;
+        let is_complete = stored.len() == count;
+        {
             let mut cell = self.cell.borrow_mut();
-            added.into_iter().for_each(|registration| cell.register(registration));
-        } else {
+            stored.into_iter().for_each(|registration| cell.register(registration));
+        }
+        if !is_complete {
             pause(RETRY_PAUSE_MS).await;
         }
         self.writes_roster.set(false);
@@ -224,6 +250,18 @@
     }
 }
 
+/// Decodes the first row of a job's progress.
+fn read_progress(value: &[u8]) -> Result<Progress, String> {
+    let row: ProgressRow = rows::decode(value)?;
+    Progress::try_from(row).map_err(|error| error.to_string())
+}
+
+/// Decodes the row of a block of a job's tasks.
+fn read_block(value: &[u8]) -> Result<IndexMap<usize, StepProgress>, String> {
+    let row: BlockRow = rows::decode(value)?;
+    row.try_into().map_err(|error: std::num::ParseIntError| error.to_string())
+}
+
 impl From<ReadError> for WriteError {
     fn from(error: ReadError) -> Self {
         Self::Unavailable(error.to_string())
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -14,24 +14,30 @@
 use std::time::Duration;
 
 use futures_util::future::try_join_all;
+use indexmap::IndexSet;
 use jobs::Registration;
 use jobs::State;
 use jobs::cell::{Flush, JobChange};
-use jobs::row::ProgressRow;
 use tokio::sync::Mutex;
 
 use super::Inner;
+use crate::batch::{self, Unit};
+use crate::blocks::{self, Block, Layout, Plan};
 use crate::clock;
 use crate::context::pause;
 use crate::guard::{self, ClaimError};
 use crate::keys;
 use crate::metrics::Metrics;
-use crate::ports::{Row, Transaction, TransactionError};
+use crate::ports::{Place, Row, Transaction, TransactionError};
 use crate::rows::{self, Fence, Roster, StateRow};
 
-/// Maximum number of job changes per transaction; each takes up to four of the hundred entries that
-/// the table allows.
-const MAX_BATCH_CHANGES: usize = 22;
+/// Entries of a transaction for the fence row: its condition and its write.
+const FENCE_ENTRIES: usize = 2;
+/// Rows of a job's blocks that are removed together.
+const REMOVED_ROWS: usize = 50;
+/// Shortest and longest time for which a job is held whose changes the table has rejected, in
+/// milliseconds.
+const HOLD_RANGE_MS: (u64, u64) = (1_000, 30_000);
 /// Pause between two rounds of writes, in milliseconds. A part accepts 150 transactions per second,
 /// and submitted jobs need some of them.
 const WRITE_INTERVAL_MS: u64 = 40;
@@ -67,6 +73,33 @@
     guard: u64,
 }
 
+/// Rows of a job's progress, and whether the table accepts them.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StoredProgress {
+    pub layout: Layout,
+    /// Time for which the job was last held, in milliseconds; 0 if it was not.
+    held_ms: u64,
+}
+
+/// A job change and the rows that it consists of.
+struct PlannedChange<'a> {
+    change: &'a JobChange,
+    /// Rows of the progress; none if the job has ended.
+    progress: Option<Plan>,
+    units: Vec<Unit>,
+}
+
+/// Result of writing to a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    /// The table has all changes.
+    Complete,
+    /// The table does not accept a change as it is.
+    Rejected,
+    /// The cell was lost.
+    Lost,
+}
+
 /// Reason why a write, or a read that it depends on, failed.
 #[derive(Debug)]
 pub(crate) enum WriteError {
@@ -156,14 +189,15 @@
     /// Writes changes of one part, and passes the result to the scheduler.
     async fn write_changes(self: Rc<Self>, part: String, changes: Vec<JobChange>, flush: Flush) {
         let start = clock::now();
-        let written = self.write_part(&part, &changes).await;
+        let rejected = self.write_part(&part, &changes).await;
         self.slowest_write.set(self.slowest_write.get().max(clock::now().saturating_sub(start)));
         self.part_writes.borrow_mut().end(&part);
-        if !written {
+        let Some(rejected) = rejected else {
             self.cell.borrow_mut().flush_failed(&flush);
             return;
-        }
-        for change in changes.iter().filter(|c| c.state.is_final()) {
+        };
+        let is_written = |change: &&JobChange| !rejected.contains(&change.id);
+        for change in changes.iter().filter(is_written).filter(|c| c.state.is_final()) {
             let state = change.state.to_string();
             self.ctx.metrics.jobs_ended.with_label_values(&[&change.queue, &state]).inc();
             Metrics::observe(
@@ -173,10 +207,27 @@
             );
             self.log_job_end(change);
         }
-        self.cell.borrow_mut().flush_done(&flush);
+        self.cell.borrow_mut().flush_partly(&flush, &rejected);
+        rejected.into_iter().for_each(|id| self.hold_rejected(id));
         self.wake.notify_one();
     }
 
+    /// Ends the hold of a rejected job after a time, which doubles with each hold.
+    fn hold_rejected(self: &Rc<Self>, id: String) {
+        let (shortest, longest) = HOLD_RANGE_MS;
+        let hold_ms = {
+            let mut stored = self.stored_progress.borrow_mut();
+            let stored = stored.entry(id.clone()).or_default();
+            stored.held_ms = (2 * stored.held_ms).clamp(shortest, longest);
+            stored.held_ms
+        };
+        let inner = Rc::clone(self);
+        actix::spawn(async move {
+            pause(hold_ms).await;
+            inner.cell.borrow_mut().release_job(&id);
+        });
+    }
+
     /// Logs a job's end with the times that show where the job waited, and adds its processor time
     /// to the metrics.
     fn log_job_end(&self, change: &JobChange) {
@@ -210,14 +261,145 @@
         );
     }
 
-    /// Writes the changes of a part; false if the cell was lost.
-    async fn write_part(&self, part: &str, changes: &[JobChange]) -> bool {
-        for batch in changes.chunks(MAX_BATCH_CHANGES) {
-            if !self.write_batch(part, batch).await {
-                return false;
+    /// Writes the changes of a part; returns the jobs whose changes the table does not accept, or
+    /// `None` if the cell was lost.
+    async fn write_part(&self, part: &str, changes: &[JobChange]) -> Option<IndexSet<String>> {
+        let planned: Vec<PlannedChange<'_>> = changes.iter().map(|c| self.plan(c)).collect();
+        let units = planned.iter().flat_map(|planned| planned.units.iter().cloned()).collect();
+        let mut rejected = IndexSet::new();
+        match self.write_units(part, units).await {
+            Written::Lost => return None,
+            Written::Complete => planned.iter().for_each(|planned| self.record_written(planned)),
+            // One change that the table does not accept must not hold up the others.
+            Written::Rejected => {
+                for change in changes {
+                    match self.write_alone(part, change).await {
+                        Written::Lost => return None,
+                        Written::Complete => {}
+                        Written::Rejected => {
+                            rejected.insert(change.id.clone());
+                        }
+                    }
+                }
+            }
+        }
+        Some(rejected)
+    }
+
+    /// Writes one change, in smaller rows if the table does not accept the usual ones.
+    async fn write_alone(&self, part: &str, change: &JobChange) -> Written {
+        loop {
+            let planned = self.plan(change);
+            match self.write_units(part, planned.units.clone()).await {
+                Written::Complete => {
+                    self.record_written(&planned);
+                    return Written::Complete;
+                }
+                Written::Lost => return Written::Lost,
+                Written::Rejected => {}
+            }
+            let (shrunk, held_ms) = {
+                let mut stored = self.stored_progress.borrow_mut();
+                let stored = stored.entry(change.id.clone()).or_default();
+                let shrunk = planned.progress.as_ref().is_some_and(|p| stored.layout.shrink(p));
+                (shrunk, stored.held_ms)
+            };
+            let (shortest, longest) = HOLD_RANGE_MS;
+            let sizes = planned.units.iter().flat_map(|unit| &unit.writes).map(|w| w.1.len());
+            self.ctx.timeline.record(
+                base::Event::WriteRejected,
+                &[
+                    ("job", &change.id),
+                    ("part", &part),
+                    ("bytes", &sizes.max().unwrap_or(0)),
+                    ("next", if shrunk { &"smaller-rows" } else { &"held" }),
+                    ("after_ms", &if shrunk { 0 } else { (2 * held_ms).clamp(shortest, longest) }),
+                ],
+            );
+            if !shrunk {
+                return Written::Rejected;
+            }
+        }
+    }
+
+    /// Writes row changes of a part in their order, in as many transactions as they need.
+    async fn write_units(&self, part: &str, units: Vec<Unit>) -> Written {
+        for unit in batch::pack(units, FENCE_ENTRIES) {
+            let written = self.write_batch(part, &unit).await;
+            if written != Written::Complete {
+                return written;
             }
         }
-        true
+        Written::Complete
+    }
+
+    /// Plans the rows of a job's change.
+    fn plan<'a>(&self, change: &'a JobChange) -> PlannedChange<'a> {
+        let mut stored = self.stored_progress.borrow_mut();
+        let cell = &self.tenure.cell;
+        let place = |key: &str| Self::job_place(keys::progress_table(cell), &change.part, key);
+        let block_place = |block: Block| place(&blocks::key(&change.id, block));
+        let remove_blocks = |blocks: Vec<Block>| -> Vec<Unit> {
+            let removes = |blocks: &[Block]| blocks.iter().copied().map(block_place).collect();
+            let unit = |blocks| Unit { writes: Vec::new(), removes: removes(blocks) };
+            blocks.chunks(REMOVED_ROWS).map(unit).collect()
+        };
+        let mut main = Unit::default();
+        if change.state_changed {
+            let state = rows::encode(&StateRow::new(cell, change.state));
+            main.writes.push((keys::state(&change.part, &change.id), state));
+        }
+        if change.state.is_final() {
+            let job = |key: &str| Self::job_place(keys::jobs_table(cell), &change.part, key);
+            main.removes.extend([place(&change.id), job(&change.id)]);
+            if change.state == State::Cancelled {
+                main.removes.push(job(&keys::cancel_key(&change.id)));
+            }
+            let blocks = stored.get(&change.id).map(|s| s.layout.blocks().collect());
+            let mut units = vec![main];
+            units.extend(remove_blocks(blocks.unwrap_or_default()));
+            return PlannedChange { change, progress: None, units };
+        }
+        let mut single = StoredProgress::default();
+        let limit = self.ctx.settings.max_row_bytes;
+        let layout = &mut stored.get_mut(&change.id).unwrap_or(&mut single).layout;
+        let plan = layout.plan(&change.progress, &change.counts, limit);
+        if !single.layout.is_single() {
+            stored.insert(change.id.clone(), single);
+        }
+        main.writes.push((place(&change.id), plan.first.clone()));
+        let block_units = plan.blocks.iter().map(|(block, row)| Unit {
+            writes: vec![(block_place(*block), row.clone())],
+            removes: Vec::new(),
+        });
+        let mut units: Vec<Unit> = block_units.collect();
+        units.push(main);
+        units.extend(remove_blocks(plan.removes.clone()));
+        PlannedChange { change, progress: Some(plan), units }
+    }
+
+    /// Records that all rows of a change have been written.
+    fn record_written(&self, planned: &PlannedChange<'_>) {
+        let mut stored = self.stored_progress.borrow_mut();
+        let id = &planned.change.id;
+        match &planned.progress {
+            None => {
+                stored.swap_remove(id);
+            }
+            Some(plan) => {
+                if let Some(stored) = stored.get_mut(id) {
+                    stored.layout.record(plan);
+                    stored.held_ms = 0;
+                }
+            }
+        }
+    }
+
+    /// Removes rows of jobs that have ended, which their holder did not remove any more.
+    pub(super) async fn remove_rows(self: Rc<Self>, part: String, places: Vec<Place>) {
+        let unit = |places: &[Place]| Unit { writes: Vec::new(), removes: places.to_vec() };
+        let units = places.chunks(REMOVED_ROWS).map(unit).collect();
+        self.write_units(&part, units).await;
     }
 
     /// Lock that serialises the writes to a part.
@@ -238,19 +420,22 @@
         };
         if first {
             let (inner, part) = (Rc::clone(self), part.to_owned());
-            actix::spawn(async move { inner.write_batch(&part, &[]).await });
+            actix::spawn(async move { inner.write_batch(&part, &Unit::default()).await });
         }
     }
 
-    /// Writes changes of jobs with a fence row that covers the part's new jobs; false if the cell
-    /// was lost.
-    async fn write_batch(&self, part: &str, batch: &[JobChange]) -> bool {
+    /// Writes row changes with a fence row that covers the part's new jobs.
+    ///
+    /// If the table does not accept the changes, the fence row is written without them, so that they
+    /// hold up no new jobs.
+    async fn write_batch(&self, part: &str, changes: &Unit) -> Written {
         let lock = self.write_lock(part);
         let _guard = lock.lock().await;
         let unfenced = self.unfenced.borrow_mut().swap_remove(part).unwrap_or_default();
-        if batch.is_empty() && unfenced.ids.is_empty() {
-            return true;
+        if *changes == Unit::default() && unfenced.ids.is_empty() {
+            return Written::Complete;
         }
+        let mut outcome = Written::Complete;
         let place = keys::fence(part, &self.tenure.cell);
         while self.is_active() {
             let current = self.fences.borrow().get(part).copied();
@@ -275,13 +460,15 @@
                 writes: vec![(place.clone(), rows::encode(&next))],
                 removes: Vec::new(),
             };
-            batch.iter().for_each(|job| self.add_job_change(&mut transaction, job));
+            if outcome == Written::Complete {
+                changes.add_to(&mut transaction);
+            }
             match self.ctx.ports.store.apply(&transaction).await {
                 Ok(done) => {
                     self.ctx.record_table_clock(done.clock);
                     self.set_fence(part, done.version, next);
                     self.allow_starts(&unfenced);
-                    return true;
+                    return outcome;
                 }
                 Err(TransactionError::Conflict { rows }) => {
                     let row = rows.iter().find(|row| row.place == place);
@@ -290,18 +477,24 @@
                             let version = row.map_or(0, |row| row.version);
                             self.set_fence(part, version, next);
                             self.allow_starts(&unfenced);
-                            return true;
+                            return outcome;
                         }
                         _ => self.mark_lost("a later holder has written to a part"),
                     }
                 }
+                Err(TransactionError::Rejected { .. }) if outcome == Written::Complete => {
+                    outcome = Written::Rejected;
+                    if unfenced.ids.is_empty() {
+                        return outcome;
+                    }
+                }
                 Err(error) => {
                     self.ctx.record_table_call(true, &error.to_string());
                     pause(RETRY_PAUSE_MS).await;
                 }
             }
         }
-        false
+        Written::Lost
     }
 
     /// Records the newest fence row of a part.
@@ -317,30 +510,6 @@
         self.wake.notify_one();
     }
 
-    /// Adds the row changes of a job to a transaction.
-    fn add_job_change(&self, transaction: &mut Transaction, job: &JobChange) {
-        let cell = &self.tenure.cell;
-        let state = keys::state(&job.part, &job.id);
-        if job.state_changed {
-            transaction.writes.push((state, rows::encode(&StateRow::new(cell, job.state))));
-        }
-        let progress = Self::job_place(keys::progress_table(cell), &job.part, &job.id);
-        if job.state.is_final() {
-            transaction.removes.push(progress);
-            transaction.removes.push(Self::job_place(keys::jobs_table(cell), &job.part, &job.id));
-            if job.state == State::Cancelled {
-                let marker = keys::cancel_key(&job.id);
-                transaction.removes.push(Self::job_place(
-                    keys::jobs_table(cell),
-                    &job.part,
-                    &marker,
-                ));
-            }
-        } else {
-            transaction.writes.push((progress, rows::encode(&ProgressRow::from(&job.progress))));
-        }
-    }
-
     /// Claims the guard rows, reads the roster beside them and adds the executors of former holders
     /// to the scheduler.
     pub(super) async fn load_roster(&self) -> Result<(), WriteError> {
@@ -379,30 +548,32 @@
         Ok(RosterList { roster, version: row.version, guard })
     }
 
-    /// Adds executors to one of the roster's lists; false if no write is confirmed.
-    pub(super) async fn add_to_roster(&self, added: &[Registration]) -> bool {
+    /// Adds executors to the roster's lists, and returns those that a list has; the others have to be
+    /// added again.
+    ///
+    /// A list takes as many as fit in its row, and the next one the others. The part of a list may be
+    /// out of service while those of the others are not.
+    pub(super) async fn add_to_roster(&self, added: Vec<Registration>) -> Vec<Registration> {
         let lists = self.roster.borrow().clone();
-        let is_missing = |e: &&Registration| {
-            !lists.iter().any(|list| list.roster.workers.get(&e.id) == Some(&e.address))
+        let is_listed = |e: &Registration| {
+            lists.iter().any(|list| list.roster.workers.get(&e.id) == Some(&e.address))
         };
-        let missing: Vec<&Registration> = added.iter().filter(is_missing).collect();
-        if missing.is_empty() {
-            return true;
-        }
-        // The part of a list may be out of service while those of the others are not.
-        for (number, list) in lists.into_iter().enumerate() {
-            let mut roster = list.roster;
-            for registration in &missing {
-                roster.workers.insert(registration.id.clone(), registration.address.clone());
-            }
-            if self.write_roster(number, roster).await {
-                return true;
+        let (mut stored, mut missing): (Vec<_>, Vec<_>) = added.into_iter().partition(is_listed);
+        let limit = self.ctx.settings.max_row_bytes;
+        for (number, mut list) in lists.iter().cloned().enumerate() {
+            let fitting = list.roster.add_up_to(limit, &missing);
+            if fitting > 0 && self.write_roster(number, list.roster).await {
+                stored.extend(missing.drain(..fitting));
             }
-            if !self.is_active() {
-                return false;
+            if missing.is_empty() || !self.is_active() {
+                return stored;
             }
         }
-        false
+        self.ctx.timeline.record(
+            base::Event::RosterIncomplete,
+            &[("cell", &self.tenure.cell), ("missing", &missing.len())],
+        );
+        stored
     }
 
     /// Removes executors that have ended and run nothing any more from the roster, so that a
--- a/crates/cells/src/ports.rs
+++ b/crates/cells/src/ports.rs
@@ -80,7 +80,13 @@
         /// Current rows for which a version was required.
         rows: Vec<Row>,
     },
-    /// The transaction was rejected or not sent; it will not be applied.
+    /// The table does not accept the transaction as it is; neither would it accept a repeat.
+    #[snafu(display("the table does not accept the transaction: {detail}"))]
+    Rejected {
+        /// Description of the failure.
+        detail: String,
+    },
+    /// The transaction was not applied, nor will it be; a repeat may be.
     #[snafu(display("the transaction was not applied: {detail}"))]
     Refused {
         /// Description of the failure.
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -4,7 +4,7 @@
 use jobs::admit::Outlook;
 use jobs::quota::Entry;
 use jobs::wave::Stage;
-use jobs::{Resources, State};
+use jobs::{Registration, Resources, State};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -214,6 +214,26 @@
     pub workers: IndexMap<String, String>,
 }
 
+/// Size of an entry of the roster apart from its id and address, in bytes; ids and addresses have no
+/// characters that JSON escapes.
+const ROSTER_ENTRY_BYTES: usize = 6;
+
+impl Roster {
+    /// Adds executors in their order as long as the row has at most `limit` bytes, and returns their
+    /// number.
+    pub fn add_up_to(&mut self, limit: usize, executors: &[Registration]) -> usize {
+        let mut bytes = encode(self).len();
+        let fits = executors.iter().take_while(|executor| {
+            bytes += executor.id.len() + executor.address.len() + ROSTER_ENTRY_BYTES;
+            bytes <= limit
+        });
+        let entries: Vec<_> = fits.map(|e| (e.id.clone(), e.address.clone())).collect();
+        let count = entries.len();
+        self.workers.extend(entries);
+        count
+    }
+}
+
 /// Amounts of processor time, memory and accelerators, in the units of [`jobs::Resources`].
 type Amounts = [u64; 3];
 
--- a/crates/cells/src/submission.rs
+++ b/crates/cells/src/submission.rs
@@ -39,6 +39,8 @@
     Stored,
     /// The refusal is stored, and no earlier attempt can store the job any more.
     Refused,
+    /// The table does not accept the row as it is, so that no attempt has stored it.
+    Rejected,
     /// The table did not confirm the outcome in time.
     Unknown,
 }
@@ -62,6 +64,8 @@
     size: usize,
     /// Version of the tombstone to replace; 0 for none.
     tombstone: u64,
+    /// Whether it goes alone into its transaction, as the table has rejected one with others.
+    alone: bool,
     outcome_tx: oneshot::Sender<StoreOutcome>,
 }
 
@@ -82,7 +86,7 @@
     ) -> StoreOutcome {
         let (outcome_tx, outcome_rx) = oneshot::channel();
         let size = submission.job.as_ref().map_or(0, |job| rows::encode(job).len());
-        let item = PendingSubmission { submission, size, tombstone: 0, outcome_tx };
+        let item = PendingSubmission { submission, size, tombstone: 0, alone: false, outcome_tx };
         let first = {
             let mut waiting = self.waiting.borrow_mut();
             let first = !waiting.contains_key(part);
@@ -106,7 +110,8 @@
                     return;
                 }
                 let mut bytes = 0;
-                let fits = items.iter().take(MAX_BATCH_JOBS).take_while(|item| {
+                let most = if items[0].alone { 1 } else { MAX_BATCH_JOBS };
+                let fits = items.iter().take(most).take_while(|item| {
                     bytes += item.size;
                     bytes <= MAX_BATCH_BYTES || bytes == item.size
                 });
@@ -191,6 +196,13 @@
                 }
             }
         }
+        // One row that the table does not accept must not hold up the others.
+        Err(TransactionError::Rejected { .. }) if sent.len() > 1 => {
+            retries.extend(sent.into_iter().map(|item| PendingSubmission { alone: true, ..item }));
+        }
+        Err(TransactionError::Rejected { .. }) => {
+            sent.into_iter().for_each(|item| notify(item, StoreOutcome::Rejected));
+        }
         Err(error) => {
             ctx.record_table_call(true, &error.to_string());
             for item in sent {
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -432,6 +432,7 @@
         revoke_when_cut: false,
     };
     let settings = Settings {
+        max_row_bytes: 65_536,
         name: "a".to_owned(),
         centre: "c".to_owned(),
         cpu: 1_000,
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -91,6 +91,7 @@
             entry.seen_at.get_or_insert(now);
             if entry.state.is_final()
                 || entry.start_blocked
+                || entry.held
                 || (entry.inherited && !inherited_settled)
             {
                 continue;
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -171,6 +171,8 @@
     inherited: bool,
     /// Whether the table does not record yet that the job may have started.
     start_blocked: bool,
+    /// Whether the table has rejected the job's changes, so that no tasks start for now.
+    held: bool,
     /// Number of the first occurrence that is not done.
     first_open: u32,
     /// Number of the next occurrence to begin.
@@ -388,6 +390,7 @@
             durable_state: if begun { State::Running } else { State::Queued },
             inherited: arrival.inherited,
             start_blocked: arrival.start_blocked,
+            held: false,
             first_open: arrival.progress.completed_below,
             next_occurrence: arrival.progress.completed_below,
             occurrences: IndexMap::new(),
@@ -650,6 +653,8 @@
             return;
         }
         entry.state = state;
+        // The end is written without the progress that the table may have rejected.
+        entry.held = false;
         self.dirty.insert(id.to_owned());
         for (name, worker) in &mut self.workers {
             for (task, slot) in worker.runs.iter_mut().filter(|(task, _)| task.job == id) {
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -36,6 +36,8 @@
     pub state_changed: bool,
     /// Progress to write; not needed if the state is final.
     pub progress: Progress,
+    /// Numbers of tasks of the job's steps.
+    pub counts: Vec<u32>,
 }
 
 /// What becomes durable once a set of changes is written.
@@ -73,7 +75,9 @@
         for id in std::mem::take(&mut self.dirty) {
             let Some(entry) = self.jobs.get_mut(&id) else { continue };
             let selection = select(&entry.part);
-            let selected = if entry.state.is_final() {
+            let selected = if entry.held {
+                false
+            } else if entry.state.is_final() {
                 selection != Selection::None
             } else {
                 let count = progress_counts.entry(entry.part.clone()).or_default();
@@ -104,6 +108,7 @@
                 state: entry.state,
                 state_changed: entry.state != entry.durable_state,
                 progress: progress(entry),
+                counts: entry.job.steps.iter().map(|step| step.count).collect(),
                 id,
             });
         }
@@ -155,6 +160,34 @@
         self.ended_jobs.drain(..surplus);
     }
 
+    /// Records that the changes of some jobs were rejected, while the others have been written.
+    ///
+    /// The rejected jobs are held: their changes are not taken and their tasks do not start before
+    /// [`Cell::release_job`].
+    pub fn flush_partly(&mut self, flush: &Flush, rejected: &IndexSet<String>) {
+        let is_rejected = |id: &String| rejected.contains(id);
+        let (failed, done) = flush.jobs.iter().cloned().partition(|(id, _)| is_rejected(id));
+        let is_written = |(id, sequence): &&(String, u64)| {
+            let job = self.workers.get(id).and_then(|worker| worker.pending_ends.get(sequence));
+            !job.is_some_and(is_rejected)
+        };
+        let ends = flush.ends.iter().filter(is_written).cloned().collect();
+        self.flush_done(&Flush { jobs: done, ends });
+        self.flush_failed(&Flush { jobs: failed, ends: Vec::new() });
+        for id in rejected {
+            if let Some(entry) = self.jobs.get_mut(id) {
+                entry.held = true;
+            }
+        }
+    }
+
+    /// Ends the hold of a job whose changes were rejected.
+    pub fn release_job(&mut self, id: &str) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.held = false;
+        }
+    }
+
     /// Records that changes could not be written; [`Cell::take_changes`] returns them again.
     pub fn flush_failed(&mut self, flush: &Flush) {
         for (id, _) in &flush.jobs {
@@ -208,7 +241,9 @@
     }
     for (index, run) in &durable.failed {
         if let Some(task) = step.tasks.get_mut(*index as usize) {
-            task.failed_runs.push(*run);
+            if !task.failed_runs.contains(run) {
+                task.failed_runs.push(*run);
+            }
             task.last_run = task.last_run.max(*run);
         }
     }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -12,7 +12,7 @@
 pub const MAX_STEPS: usize = 1_000;
 /// Most tasks of a step. The scheduler holds one record per task in memory.
 pub const MAX_TASKS: u32 = 10_000;
-/// Most tasks of a job over all steps, so that its progress fits one row of the table.
+/// Most tasks of a job over all steps.
 pub const MAX_JOB_TASKS: u64 = 20_000;
 /// Most occurrences of a scheduled job.
 pub const MAX_OCCURRENCES: u32 = 100_000;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -15,6 +15,36 @@
     pub occurrences: IndexMap<u32, Vec<StepProgress>>,
 }
 
+impl Progress {
+    /// Adds the progress of some tasks of an occurrence, by step, which other rows may repeat.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use indexmap::IndexMap;
+    /// use jobs::Progress;
+    /// use jobs::progress::StepProgress;
+    /// let step = StepProgress { done: vec![1], failed: vec![(0, 7)], ..StepProgress::default() };
+    /// let mut progress = Progress::default();
+    /// progress.merge(0, IndexMap::from([(1, step.clone())]));
+    /// progress.merge(0, IndexMap::from([(1, step)]));
+    /// let steps = &progress.occurrences[&0];
+    /// assert_eq!((steps.len(), &steps[1].failed), (2, &vec![(0, 7)]));
+    /// ```
+    pub fn merge(&mut self, occurrence: u32, steps: IndexMap<usize, StepProgress>) {
+        if occurrence < self.completed_below {
+            return;
+        }
+        let all = self.occurrences.entry(occurrence).or_default();
+        for (step, other) in steps {
+            if all.len() <= step {
+                all.resize(step + 1, StepProgress::default());
+            }
+            all[step].merge(other);
+        }
+    }
+}
+
 /// Progress of one step of an occurrence.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StepProgress {
@@ -25,3 +55,24 @@
     /// Crashes that tasks are suspected of, by position of the task.
     pub crashes: Vec<(u32, Crashes)>,
 }
+
+impl StepProgress {
+    /// Adds the progress of other tasks, or later progress of the same ones.
+    fn merge(&mut self, other: Self) {
+        self.done.extend(other.done);
+        self.done.sort_unstable();
+        self.done.dedup();
+        self.failed.extend(other.failed);
+        self.failed.sort_unstable();
+        self.failed.dedup();
+        for (index, crashes) in other.crashes {
+            match self.crashes.iter_mut().find(|(n, _)| *n == index) {
+                Some((_, own)) => {
+                    own.suspected = own.suspected.max(crashes.suspected);
+                    own.blamed = own.blamed.max(crashes.blamed);
+                }
+                None => self.crashes.push((index, crashes)),
+            }
+        }
+    }
+}
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -191,20 +191,58 @@
     crashes: Vec<(u32, u32, u32)>,
 }
 
+impl From<&StepProgress> for StepProgressRow {
+    fn from(step: &StepProgress) -> Self {
+        Self {
+            done: format_ranges(&step.done),
+            failed: step.failed.clone(),
+            crashes: step.crashes.iter().map(|(n, c)| (*n, c.suspected, c.blamed)).collect(),
+        }
+    }
+}
+
+impl TryFrom<StepProgressRow> for StepProgress {
+    type Error = ParseIntError;
+
+    fn try_from(row: StepProgressRow) -> Result<Self, Self::Error> {
+        let crashes = row.crashes.into_iter();
+        let crashes = crashes.map(|(n, suspected, blamed)| (n, Crashes { suspected, blamed }));
+        Ok(Self { done: parse_ranges(&row.done)?, failed: row.failed, crashes: crashes.collect() })
+    }
+}
+
+/// Row of the progress of some tasks of an occurrence, for a job whose progress is too large for one
+/// row.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct BlockRow {
+    /// Positions of the steps, and the progress of their tasks.
+    #[serde(rename = "s", default)]
+    steps: Vec<(usize, StepProgressRow)>,
+}
+
+impl From<IndexMap<usize, StepProgress>> for BlockRow {
+    fn from(steps: IndexMap<usize, StepProgress>) -> Self {
+        Self { steps: steps.iter().map(|(n, step)| (*n, step.into())).collect() }
+    }
+}
+
+impl TryFrom<BlockRow> for IndexMap<usize, StepProgress> {
+    type Error = ParseIntError;
+
+    fn try_from(row: BlockRow) -> Result<Self, Self::Error> {
+        row.steps.into_iter().map(|(n, step)| Ok((n, step.try_into()?))).collect()
+    }
+}
+
 impl From<&Progress> for ProgressRow {
     fn from(progress: &Progress) -> Self {
-        let step = |s: &StepProgress| StepProgressRow {
-            done: format_ranges(&s.done),
-            failed: s.failed.clone(),
-            crashes: s.crashes.iter().map(|(n, c)| (*n, c.suspected, c.blamed)).collect(),
-        };
         Self {
             started: progress.started,
             completed_below: progress.completed_below,
             occurrences: progress
                 .occurrences
                 .iter()
-                .map(|(number, steps)| (*number, steps.iter().map(step).collect()))
+                .map(|(number, steps)| (*number, steps.iter().map(Into::into).collect()))
                 .collect(),
         }
     }
@@ -216,18 +254,9 @@
     fn try_from(row: ProgressRow) -> Result<Self, Self::Error> {
         let mut occurrences = IndexMap::new();
         for (number, steps) in row.occurrences {
-            let mut all = Vec::with_capacity(steps.len());
-            for s in steps {
-                let crashes = s.crashes.into_iter();
-                let crashes =
-                    crashes.map(|(n, suspected, blamed)| (n, Crashes { suspected, blamed }));
-                all.push(StepProgress {
-                    done: parse_ranges(&s.done)?,
-                    failed: s.failed,
-                    crashes: crashes.collect(),
-                });
-            }
-            occurrences.insert(number, all);
+            let steps: Result<Vec<StepProgress>, _> =
+                steps.into_iter().map(StepProgress::try_from).collect();
+            occurrences.insert(number, steps?);
         }
         Ok(Self { started: row.started, completed_below: row.completed_below, occurrences })
     }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1350,3 +1350,36 @@
     }
     assert_eq!(queried.len(), 20, "{queried:?}");
 }
+
+/// Guards against a job whose write is rejected for good and that holds up the ends, the writes and
+/// the starts of others, or loses its own.
+#[test]
+fn a_job_whose_write_is_rejected_holds_up_no_others() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "a", 4_000, 1);
+    admit(&mut cell, "bad", step(2, 1_000));
+    admit(&mut cell, "good", step(1, 1_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 3);
+    let first = |job: &str| TaskId { job: job.to_owned(), occurrence: 0, step: 0, index: 0 };
+    let mut answer = poll_answer(100);
+    answer.present = vec![present(TaskId { index: 1, ..first("bad") }, 1)];
+    answer.ended = vec![
+        end(1, first("good"), 1, RunOutcome::Done),
+        end(2, first("bad"), 1, RunOutcome::Failed),
+    ];
+    cell.handle_poll("a", &answer, 90, 100);
+    let (_, flush) = cell.take_changes();
+    cell.flush_partly(&flush, &IndexSet::from(["bad".to_owned()]));
+    assert!(!cell.contains_job("good"), "its end is durable");
+    assert_eq!(cell.workers()["a"].end_to_acknowledge(), 1, "the other end is not");
+    admit(&mut cell, "next", step(1, 1_000));
+    let started = starts(&cell.tick(1_000, 0));
+    assert_eq!(started.iter().map(|s| s.1.job.as_str()).collect::<Vec<_>>(), ["next"]);
+    let ids = |cell: &mut Cell| -> Vec<String> {
+        cell.take_changes().0.into_iter().map(|change| change.id).collect()
+    };
+    assert_eq!(ids(&mut cell), ["next"]);
+    cell.release_job("bad");
+    assert_eq!(ids(&mut cell), ["bad"], "nothing of it is forgotten");
+    assert_eq!(starts(&cell.tick(1_100, 0)).len(), 1);
+}
