Store the terms of its acceptance with a job

Cause: a job's row named its queue only. A holder that had not read a configuration with that queue used a queue of defaults: one attempt, no advice, the highest priority, an objective of 0. In the same way an organisation that the configuration lacked had no limit.

Evidence: the log of the case has one E2205 (run 1001), and E2103 with state failed and objective_ms 0 from a holder of term 2 that had read version 9 only. E2205 tells the attempts now: 4 in the case.

Ruled out: failures counted twice (one E2205), a job that crashes executors (no E2208), the removal itself (the job ran for 28 s more).

Change: the row has the terms, their version and the organisation's limit. The configuration in force decides unless it lacks the queue or is older than the job. Where nothing is known, a task waits after a failure (E2108), and a refused ticket leads to a query. Rows are readable by the version before and after.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -83,6 +83,8 @@
     AccessDenied = 2106,
     /// The table does not accept a row as it is; the fields hold what happens next.
     WriteRejected = 2107,
+    /// The terms of a job's queue are not known.
+    TermsUnknown = 2108,
     /// A start was sent to an executor; the fields hold the outcome.
     StartSent = 2201,
     /// A stop was sent to an executor; the fields hold the outcome.
--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -9,7 +9,7 @@
 use jobs::admit::{self, Incoming, Request, Verdict};
 use jobs::organisation::{Credential, Denial};
 use jobs::row::JobRow;
-use jobs::{Job, Queue, State};
+use jobs::{Job, Organisation, Queue, State, Terms};
 
 use crate::clock;
 use crate::context::{Context, pause};
@@ -87,6 +87,8 @@
 pub struct Access {
     /// The queue.
     pub queue: Queue,
+    /// Version of the configuration that the queue is from.
+    pub version: u64,
     /// Organisation on whose behalf the request is made; `None` if the queue needs no key.
     pub organisation: Option<String>,
 }
@@ -151,7 +153,8 @@
         }
         match config.authorise(queue, credential) {
             Ok(organisation) => {
-                Ok(Access { queue: queue.clone(), organisation: organisation.map(str::to_owned) })
+                let organisation = organisation.map(str::to_owned);
+                Ok(Access { queue: queue.clone(), version: config.version, organisation })
             }
             Err(denial) => {
                 self.log_denial(queue, credential, denial);
@@ -206,7 +209,14 @@
         let waited = self.time_since_first_request(id);
         let now = self.ctx.table_now();
         let refusal = self.refusal(access, id, job, waited);
-        let row = JobRow::new(&queue.name, now, job).on_behalf_of(access.organisation.as_deref());
+        let config = self.ctx.config();
+        let organisations = config.as_ref().and_then(|config| config.organisations.as_ref());
+        let organisation = access.organisation.as_ref().map(|name| {
+            let known = organisations.and_then(|all| all.get(name)).cloned();
+            known.unwrap_or_else(|| Organisation { name: name.clone(), ..Organisation::default() })
+        });
+        let terms = Terms::of(queue, access.version);
+        let row = JobRow::new(&queue.name, terms, now, job).on_behalf_of(organisation.as_ref());
         let (bytes, limit) = (rows::encode(&row).len(), self.ctx.settings.max_row_bytes);
         if bytes > limit {
             return Reply::Invalid(format!("the job takes {bytes} bytes; {limit} can be stored"));
--- a/crates/cells/src/owner/allowance.rs
+++ b/crates/cells/src/owner/allowance.rs
@@ -47,15 +47,29 @@
 const OTHER_ORGANISATIONS: &str = "(other)";
 
 impl Inner {
+    /// Keeps the limit of an organisation under which a job was accepted.
+    ///
+    /// It applies while the configuration lacks the organisation: it is older than the job, or the
+    /// organisation has been removed.
+    pub(super) fn keep_limit(&self, organisation: &str, limit: Resources) {
+        let former = self.former_limits.borrow().get(organisation).copied();
+        if former != Some(limit) {
+            self.former_limits.borrow_mut().insert(organisation.to_owned(), limit);
+            self.set_limits();
+        }
+    }
+
     /// Reads the limits of the current configuration and passes them to the scheduler.
     pub(super) fn set_limits(&self) {
         let config = self.ctx.config();
         let organisations = config.iter().filter_map(|config| config.organisations.as_ref());
-        let limits: IndexMap<String, Resources> = organisations
+        let configured = organisations
             .flat_map(jobs::Organisations::iter)
-            .filter(|organisation| organisation.limit != Resources::default())
-            .map(|organisation| (organisation.name.clone(), organisation.limit))
-            .collect();
+            .map(|organisation| (organisation.name.clone(), organisation.limit));
+        // The configuration goes before what was in force when jobs were accepted.
+        let mut limits = self.former_limits.borrow().clone();
+        limits.extend(configured);
+        limits.retain(|_, limit| *limit != Resources::default());
         let named = limits.iter().map(|(name, limit)| (name.as_str(), *limit));
         self.cell.borrow_mut().set_limits(named);
         *self.limits.borrow_mut() = Rc::new(limits);
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -134,6 +134,8 @@
     pool_state_delayed_since: Cell<Option<u64>>,
     /// Limits of the organisations that have one, by the current configuration.
     limits: RefCell<Rc<IndexMap<String, Resources>>>,
+    /// Limits under which jobs were accepted, of organisations that the configuration lacks.
+    former_limits: RefCell<IndexMap<String, Resources>>,
     /// Grants of the cell, and their exchange with other holders.
     exchange: RefCell<Exchange>,
     /// Time at which this process took the cell, in milliseconds.
@@ -193,6 +195,7 @@
             pool_state: RefCell::default(),
             pool_state_delayed_since: Cell::new(None),
             limits: RefCell::default(),
+            former_limits: RefCell::default(),
             exchange: RefCell::new(Exchange::new(&tenure.cell, tenure.epoch)),
             taken_at: now,
             confirmed_at: Cell::new(now),
@@ -391,7 +394,7 @@
     fn configure(&self) {
         if let Some(config) = self.ctx.config() {
             let mut cell = self.cell.borrow_mut();
-            cell.configure(config.queues.values());
+            cell.replace_configuration(config.version, config.queues.values(), clock::now());
             cell.set_policy(self.ctx.settings.policy(&config));
             let organisations = config.organisations.iter().flat_map(Organisations::iter);
             cell.configure_shares(organisations.map(|o| (o.name.as_str(), o.weight)));
@@ -430,6 +433,10 @@
         let local_time =
             |at: u64| if at == 0 { now } else { now.saturating_sub(table_now.saturating_sub(at)) };
         let accepted = local_time(job.accepted_at);
+        let (accepted_under, queue) = (job.terms(), job.queue.clone());
+        if let (Some(organisation), Some(limit)) = (&job.organisation, job.limit()) {
+            self.keep_limit(organisation, limit);
+        }
         let arrival = Arrival {
             id: key.to_owned(),
             part: row.place.part.clone(),
@@ -445,7 +452,12 @@
         let startable = cell.startable_work(arrival.organisation.as_deref(), arrival.job.work());
         let new_work = (!arrival.job.is_long_running()).then_some((accepted, startable));
         // All rows are read again after a loss of the table's history, so the job may not be new.
-        if cell.admit(arrival) {
+        if cell.admit_under(accepted_under, arrival) {
+            if cell.max_attempts(key).is_none() {
+                self.ctx
+                    .timeline
+                    .record(base::Event::TermsUnknown, &[("job", &key), ("queue", &queue)]);
+            }
             if let Some((at, work)) = new_work {
                 self.inflow.borrow_mut().add(at, work);
             }
--- a/crates/cells/src/owner/poll.rs
+++ b/crates/cells/src/owner/poll.rs
@@ -189,6 +189,8 @@
         for end in
             report.ended.iter().filter(|e| e.sequence > seen && e.outcome != RunOutcome::Done)
         {
+            let attempts = self.cell.borrow().max_attempts(&end.task.job);
+            let attempts = attempts.map_or_else(|| "unknown".to_owned(), |n| n.to_string());
             self.ctx.timeline.record(
                 base::Event::RunEnded,
                 &[
@@ -197,6 +199,7 @@
                     ("executor", &id),
                     ("how", &end.outcome),
                     ("saved", &!end.checkpoint.is_empty()),
+                    ("attempts", &attempts),
                 ],
             );
         }
--- a/crates/cells/tests/progress.rs
+++ b/crates/cells/tests/progress.rs
@@ -1,10 +1,10 @@
-//! Tests of the rows that hold the progress of jobs.
+//! Tests of the rows that hold jobs and their progress.
 
 use indexmap::IndexMap;
-use jobs::Progress;
 use jobs::crash::Crashes;
 use jobs::progress::StepProgress;
-use jobs::row::ProgressRow;
+use jobs::row::{JobRow, ProgressRow};
+use jobs::{AdviceCost, Job, Organisation, Progress, Queue, Resources, Step, Terms};
 
 fn decode(text: &str) -> Progress {
     Progress::try_from(serde_json::from_str::<ProgressRow>(text).unwrap()).unwrap()
@@ -35,3 +35,29 @@
     );
     assert!(step.crashes.is_empty());
 }
+
+/// Guards against rows that a process of the version before or after can't read.
+#[test]
+fn rows_of_jobs_are_readable_both_ways() {
+    let resources = Resources { cpu: 1_000, memory: 10, gpus: 0 };
+    let step = Step { count: 1, resources, estimate: 500, ..Step::default() };
+    let job = Job { payload: "x".to_owned(), steps: vec![step], schedule: None };
+    let limit = Resources { cpu: 8_000, memory: 0, gpus: 0 };
+    let organisation = Organisation { name: "o".to_owned(), limit, ..Organisation::default() };
+    let advice = Some(AdviceCost { decision: 200, period: 10 });
+    let terms = Terms::of(&Queue { advice, priority: 2, max_attempts: 4, ..Queue::default() }, 7);
+    let row = JobRow::new("q", terms, 5, &job).on_behalf_of(Some(&organisation));
+    let text = serde_json::to_value(&row).unwrap();
+    let read: JobRow = serde_json::from_value(text.clone()).unwrap();
+    assert_eq!((read.terms(), read.limit()), (Some(terms), Some(limit)));
+    // What the version before writes, and reads apart from the fields that it does not know.
+    let before = serde_json::json!({
+        "q": "q", "t": 5, "a": 5, "p": "x", "s": [{"n": 1, "c": 1_000, "m": 10, "e": 500}], "o": "o"
+    });
+    let mut known = text;
+    known.as_object_mut().unwrap().retain(|field, _| before.get(field).is_some());
+    assert_eq!(known, before);
+    let read: JobRow = serde_json::from_value(before).unwrap();
+    assert_eq!((read.terms(), read.limit()), (None, None));
+    assert_eq!(Job::from(read), job);
+}
--- a/crates/jobs/src/cell/advice.rs
+++ b/crates/jobs/src/cell/advice.rs
@@ -10,7 +10,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Cell, Order};
+use super::{Cell, JobEntry, Order};
 use crate::job::TaskId;
 use crate::place;
 
@@ -78,12 +78,14 @@
     }
 }
 
-impl Cell {
-    /// Whether the steps of a queue's jobs need tickets.
-    pub(super) fn needs_advice(&self, queue: &str) -> bool {
-        self.queues.get(queue).is_some_and(|queue| queue.advice.is_some())
+impl JobEntry {
+    /// Whether its steps need tickets.
+    pub(super) fn needs_advice(&self) -> bool {
+        self.needs_ticket || self.terms.is_some_and(|terms| terms.advice.is_some())
     }
+}
 
+impl Cell {
     /// Permits the next assignment pass to send a query to the adviser, or not.
     pub fn permit_query(&mut self, permitted: bool) {
         self.queries.permitted = permitted;
@@ -137,7 +139,7 @@
     pub(super) fn send_query(&mut self, now: u64) {
         let Some(query) = self.queries.next.take() else { return };
         let Some((id, entry)) = self.jobs.get_index_mut(query.job) else { return };
-        let cost = self.queues.get(&entry.queue).and_then(|queue| queue.advice).unwrap_or_default();
+        let cost = entry.terms.and_then(|terms| terms.advice).unwrap_or_default();
         entry.occurrences[&query.occurrence][query.step].advice.queried_at = now;
         let step =
             TaskId { job: id.clone(), occurrence: query.occurrence, step: query.step, index: 0 };
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -182,7 +182,7 @@
         let mut least = u64::MAX;
         for item in ready {
             let entry = &self.jobs[item.job];
-            if self.needs_advice(&entry.queue) {
+            if entry.needs_advice() {
                 return 0;
             }
             for steps in entry.occurrences.values() {
@@ -204,7 +204,7 @@
         if kept.is_empty() {
             let suspect = entry.suspects.iter().find(|task| is_turn(entry, task));
             let step = suspect.map(|task| (task.occurrence, task.step));
-            if let Some((occurrence, step)) = step.filter(|_| self.needs_advice(&entry.queue)) {
+            if let Some((occurrence, step)) = step.filter(|_| entry.needs_advice()) {
                 self.request_advice(job, occurrence, step, &pass.accepting, pass.now);
             }
             self.reserve_for_suspect(job, pass);
@@ -244,7 +244,7 @@
     fn assign_job(&mut self, job: usize, pass: &mut Pass) {
         let Some((_, entry)) = self.jobs.get_index(job) else { return };
         // At a peak most waiting jobs are of organisations that may start nothing more.
-        if pass.quota.is_closed(entry.organisation) && !self.needs_advice(&entry.queue) {
+        if pass.quota.is_closed(entry.organisation) && !entry.needs_advice() {
             return;
         }
         let occurrences: Vec<u32> = entry.occurrences.keys().copied().collect();
@@ -258,7 +258,7 @@
                     continue;
                 }
                 let gang = entry.job.steps[step].gang;
-                if self.needs_advice(&entry.queue) {
+                if entry.needs_advice() {
                     self.request_advice(job, occurrence, step, &pass.accepting, pass.now);
                 }
                 if gang {
@@ -276,6 +276,8 @@
         let Some((id, entry)) = self.jobs.get_index(job) else { return };
         let spec = &entry.job.steps[step];
         let long_running = spec.long_running;
+        // Without the terms it is not known whether a task may run again after a failure.
+        let may_repeat = long_running || entry.terms.is_some();
         if pass.quota.is_closed(entry.organisation)
             || (!long_running && pass.cannot_fit(place::required_resources(spec)))
         {
@@ -288,6 +290,7 @@
         let tasks: Vec<u32> = (0u32..)
             .zip(&state.tasks)
             .filter(|(_, t)| !t.done && t.worker.is_none() && t.not_before <= now)
+            .filter(|(_, t)| may_repeat || t.failed_runs.is_empty())
             .filter(|(_, t)| !pass.suspects_only || t.crashes.is_suspect())
             .map(|(n, _)| n)
             .collect();
@@ -335,6 +338,10 @@
         if pass.suspects_only && !state.tasks.iter().any(|t| t.crashes.is_suspect()) {
             return;
         }
+        let has_failed = state.tasks.iter().any(|t| !t.failed_runs.is_empty());
+        if entry.terms.is_none() && has_failed && !entry.job.steps[step].long_running {
+            return;
+        }
         if !self.is_within_quota(job, step, state.tasks.len() as u64, pass) {
             return;
         }
@@ -413,8 +420,8 @@
         let spec = &entry.job.steps[constraints.step];
         let need = place::required_resources(spec);
         let has_room = std::cell::Cell::new(false);
-        let advice = self
-            .needs_advice(&entry.queue)
+        let advice = entry
+            .needs_advice()
             .then(|| &entry.occurrences[&constraints.occurrence][constraints.step].advice);
         let rate = |n: &usize| {
             let (id, worker) = self.workers.get_index(*n)?;
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -43,6 +43,7 @@
 use crate::order::{Candidate, Policy};
 use crate::progress::Progress;
 use crate::queue::Queue;
+use crate::terms::{Known, Terms};
 use crate::worker::{Registration, Worker};
 
 /// Run numbers that each holder of the cell may use for a task; the next holder starts above them.
@@ -159,6 +160,12 @@
 struct JobEntry {
     part: String,
     queue: String,
+    /// Terms under which it was accepted, if they are known.
+    accepted: Option<Terms>,
+    /// Terms that apply to it; `None` while they are not known.
+    terms: Option<Terms>,
+    /// Whether an executor has asked for a ticket although the terms need none.
+    needs_ticket: bool,
     /// Number of the organisation whose limits apply to its tasks.
     organisation: Option<usize>,
     job: Job,
@@ -228,7 +235,8 @@
     acquired: u64,
     /// Latest time at which this holder certainly still held the cell, in milliseconds.
     last_owned: u64,
-    queues: IndexMap<String, Queue>,
+    /// Terms of the queues.
+    terms: Known,
     policy: Policy,
     shares: Shares,
     jobs: IndexMap<String, JobEntry>,
@@ -300,7 +308,7 @@
             config,
             acquired: now,
             last_owned: now,
-            queues: IndexMap::new(),
+            terms: Known::default(),
             policy: Policy::default(),
             shares: Shares::default(),
             jobs: IndexMap::new(),
@@ -337,21 +345,65 @@
 
     /// Updates the configuration of the given queues; queues that are not given keep theirs.
     pub fn configure<'a>(&mut self, queues: impl Iterator<Item = &'a Queue>) {
-        for queue in queues {
-            self.queues.insert(queue.name.clone(), queue.clone());
-        }
+        self.terms.add(queues);
+        self.apply_terms();
+    }
+
+    /// Takes over a version of the configuration with all of its queues at `now`.
+    ///
+    /// The jobs of queues that it lacks keep their terms.
+    pub fn replace_configuration<'a>(
+        &mut self,
+        version: u64,
+        queues: impl Iterator<Item = &'a Queue>,
+        now: u64,
+    ) {
+        self.terms.replace(version, queues);
+        self.apply_terms();
+        let ids: Vec<String> = self.jobs.keys().cloned().collect();
+        ids.iter().for_each(|id| self.fail_if_exhausted(id, now));
+    }
+
+    /// Applies the terms of the queues to the jobs.
+    fn apply_terms(&mut self) {
         for entry in self.jobs.values_mut() {
-            if let Some(queue) = self.queues.get(&entry.queue) {
+            let terms = self.terms.resolve(&entry.queue, entry.accepted).or(entry.terms);
+            if terms != entry.terms {
+                entry.terms = terms;
+                entry.needs_ticket = false;
                 let Candidate { policy, beyond_share, .. } = entry.candidate;
                 entry.candidate = Candidate {
                     policy,
                     beyond_share,
-                    ..candidate(queue, &entry.job, entry.candidate.requested_at)
+                    ..candidate(terms, &entry.job, entry.candidate.requested_at)
                 };
             }
         }
     }
 
+    /// Ends a job of which a task has failed as often as its terms allow.
+    ///
+    /// Its failures may have been counted before the terms were known.
+    fn fail_if_exhausted(&mut self, id: &str, now: u64) {
+        let Some(entry) = self.jobs.get(id) else { return };
+        let Some(terms) = entry.terms else { return };
+        let attempts = terms.max_attempts as usize;
+        let is_exhausted = entry.occurrences.values().any(|steps| {
+            let steps = steps.iter().zip(&entry.job.steps).filter(|(_, spec)| !spec.long_running);
+            let mut tasks = steps.flat_map(|(step, _)| &step.tasks);
+            tasks.any(|task| !task.done && task.failed_runs.len() >= attempts)
+        });
+        if is_exhausted {
+            self.end_job(id, State::Failed, now);
+        }
+    }
+
+    /// Number of failed runs of a task after which a job fails; `None` if its terms are not known, so
+    /// that its tasks do not start again after a failure, or for an unknown job.
+    pub fn max_attempts(&self, job: &str) -> Option<u32> {
+        self.jobs.get(job)?.terms.map(|terms| terms.max_attempts)
+    }
+
     /// Updates the weights of all organisations, in thousandths of a job a second.
     pub fn configure_shares<'a>(&mut self, weights: impl Iterator<Item = (&'a str, u64)>) {
         self.shares.configure(weights);
@@ -366,11 +418,15 @@
     ///
     /// A job that is already in the cell, or that has ended, is left unchanged.
     pub fn admit(&mut self, arrival: Arrival) -> bool {
+        self.admit_under(None, arrival)
+    }
+
+    /// Like [`Self::admit`], with the terms under which the job was accepted, if they are known.
+    pub fn admit_under(&mut self, accepted: Option<Terms>, arrival: Arrival) -> bool {
         if self.jobs.contains_key(&arrival.id) || self.ended_jobs.contains(&arrival.id) {
             return false;
         }
-        let default_queue = Queue { max_attempts: 1, ..Queue::default() };
-        let queue = self.queues.get(&arrival.queue).unwrap_or(&default_queue);
+        let terms = self.terms.resolve(&arrival.queue, accepted);
         let begun = arrival.progress.started;
         // Jobs of a former holder arrive at once when they are read back, not at their rate.
         let counted = arrival.organisation.as_deref().filter(|_| !arrival.inherited);
@@ -380,11 +436,14 @@
             candidate: Candidate {
                 policy: self.policy,
                 beyond_share,
-                ..candidate(queue, &arrival.job, arrival.requested_at)
+                ..candidate(terms, &arrival.job, arrival.requested_at)
             },
             payload: Rc::from(arrival.job.payload.as_str()),
             part: arrival.part,
             queue: arrival.queue,
+            accepted,
+            terms,
+            needs_ticket: false,
             organisation: arrival.organisation.map(|name| self.quotas.number(&name)),
             state: if begun { State::Running } else { State::Queued },
             durable_state: if begun { State::Running } else { State::Queued },
@@ -413,6 +472,7 @@
         }
         self.jobs.insert(arrival.id.clone(), entry);
         self.complete_if_done(&arrival.id);
+        self.fail_if_exhausted(&arrival.id, self.last_owned);
         true
     }
 
@@ -696,15 +756,18 @@
 }
 
 /// Values that decide the position of a job in the scheduling order.
-fn candidate(queue: &Queue, job: &Job, requested_at: u64) -> Candidate {
+///
+/// A job whose terms are not known goes after all others.
+fn candidate(terms: Option<Terms>, job: &Job, requested_at: u64) -> Candidate {
     let critical_path = job.critical_path();
+    let terms = terms.unwrap_or(Terms { priority: u32::MAX, ..Terms::default() });
     let objective =
-        requested_at + critical_path.saturating_mul(queue.stretch) / 1_000 + queue.objective_base;
+        requested_at + critical_path.saturating_mul(terms.stretch) / 1_000 + terms.objective_base;
     Candidate {
         policy: Policy::default(),
         long_running: job.is_long_running(),
         started: false,
-        priority: queue.priority,
+        priority: terms.priority,
         beyond_share: false,
         requested_at,
         objective,
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -167,6 +167,9 @@
                 entry.occurrences.get_mut(&task.occurrence).and_then(|t| t.get_mut(task.step))
         {
             step.advice.remove_ticket(id);
+            // The terms may be older than the job, or not known.
+            let advised = entry.terms.is_some_and(|terms| terms.advice.is_some());
+            entry.needs_ticket |= !advised;
         }
         if let Some(worker) = self.workers.get_mut(id) {
             match refusal {
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -107,7 +107,7 @@
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let Some(spec) = entry.job.steps.get(task.step) else { return };
         let (gang, long_running) = (spec.gang, spec.long_running);
-        let attempts = self.queues.get(&entry.queue).map_or(1, |q| q.max_attempts.max(1)) as usize;
+        let attempts = entry.terms.map_or(usize::MAX, |terms| terms.max_attempts as usize);
         if task.occurrence < entry.first_open {
             return;
         }
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -324,7 +324,7 @@
         let Some((task, spec)) = next_suspect(entry) else { return false };
         let step = &entry.occurrences[&task.occurrence][task.step];
         let assigned = self.tasks_per_worker(step).get(id).copied().unwrap_or(0);
-        let advised = self.needs_advice(&entry.queue);
+        let advised = entry.needs_advice();
         let mut need = place::required_resources(spec);
         for job in quarantine.jobs.keys() {
             let Some(other) = self.jobs.get(job).filter(|other| may_share(other)) else {
@@ -350,7 +350,7 @@
         let Some((task, spec)) = next_suspect(entry) else { return Vec::new() };
         let step = &entry.occurrences[&task.occurrence][task.step];
         let need = place::required_resources(spec);
-        let advised = self.needs_advice(&entry.queue);
+        let advised = entry.needs_advice();
         let siblings = self.tasks_per_worker(step);
         let mut rated = Vec::new();
         for (id, worker) in &self.workers {
--- a/crates/jobs/src/cell/reserve.rs
+++ b/crates/jobs/src/cell/reserve.rs
@@ -44,8 +44,8 @@
         let (_, entry) = self.jobs.get_index(job)?;
         let spec = &entry.job.steps[constraints.step];
         let need = place::required_resources(spec);
-        let advice = self
-            .needs_advice(&entry.queue)
+        let advice = entry
+            .needs_advice()
             .then(|| &entry.occurrences[&constraints.occurrence][constraints.step].advice);
         let suits = |n: usize, pass: &Pass| {
             let Some((id, worker)) = self.workers.get_index(n) else { return false };
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -7,7 +7,10 @@
 
 use crate::crash::Crashes;
 use crate::job::{Job, Schedule, Step};
+use crate::organisation::Organisation;
 use crate::progress::{Progress, StepProgress};
+use crate::queue::AdviceCost;
+use crate::terms::Terms;
 use crate::worker::Resources;
 
 /// Row of an accepted job.
@@ -31,6 +34,57 @@
     pub organisation: Option<String>,
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     schedule: Option<(u64, u64, u32)>,
+    /// Terms under which the job was accepted; none from a process of an earlier version.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    terms: Option<TermsRow>,
+    /// Limit of the organisation when the job was accepted: CPU, memory and accelerators.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    limit: Option<(u64, u64, u64)>,
+}
+
+/// Terms of a queue.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct TermsRow {
+    #[serde(rename = "v")]
+    version: u64,
+    #[serde(rename = "n")]
+    max_attempts: u32,
+    #[serde(rename = "p")]
+    priority: u32,
+    #[serde(rename = "s", skip_serializing_if = "is_zero")]
+    stretch: u64,
+    #[serde(rename = "o", skip_serializing_if = "is_zero")]
+    objective_base: u64,
+    /// Time that the adviser needs for a query, and for each executor in it.
+    #[serde(rename = "a", skip_serializing_if = "Option::is_none")]
+    advice: Option<(u64, u64)>,
+}
+
+impl From<Terms> for TermsRow {
+    fn from(terms: Terms) -> Self {
+        Self {
+            version: terms.version,
+            max_attempts: terms.max_attempts,
+            priority: terms.priority,
+            stretch: terms.stretch,
+            objective_base: terms.objective_base,
+            advice: terms.advice.map(|cost| (cost.decision, cost.period)),
+        }
+    }
+}
+
+impl From<TermsRow> for Terms {
+    fn from(row: TermsRow) -> Self {
+        Self {
+            version: row.version,
+            max_attempts: row.max_attempts,
+            priority: row.priority,
+            stretch: row.stretch,
+            objective_base: row.objective_base,
+            advice: row.advice.map(|(decision, period)| AdviceCost { decision, period }),
+        }
+    }
 }
 
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -134,8 +188,8 @@
 
 impl JobRow {
     /// Creates the row of a job that was accepted at the platform time `accepted_at`, on its
-    /// client's first request.
-    pub fn new(queue: &str, accepted_at: u64, job: &Job) -> Self {
+    /// client's first request, under the terms of its queue.
+    pub fn new(queue: &str, terms: Terms, accepted_at: u64, job: &Job) -> Self {
         Self {
             queue: queue.to_owned(),
             accepted_at,
@@ -144,13 +198,30 @@
             organisation: None,
             steps: job.steps.iter().map(StepRow::from).collect(),
             schedule: job.schedule.map(|s| (s.first_due, s.interval, s.occurrences)),
+            terms: Some(terms.into()),
+            limit: None,
         }
     }
 
     /// Returns the row with the organisation on whose behalf the job was submitted.
     #[must_use]
-    pub fn on_behalf_of(self, organisation: Option<&str>) -> Self {
-        Self { organisation: organisation.map(str::to_owned), ..self }
+    pub fn on_behalf_of(self, organisation: Option<&Organisation>) -> Self {
+        let limited = organisation.filter(|o| o.limit != Resources::default());
+        Self {
+            organisation: organisation.map(|o| o.name.clone()),
+            limit: limited.map(|o| (o.limit.cpu, o.limit.memory, o.limit.gpus)),
+            ..self
+        }
+    }
+
+    /// Returns the terms under which the job was accepted, if the row has them.
+    pub fn terms(&self) -> Option<Terms> {
+        self.terms.filter(|terms| terms.max_attempts > 0).map(Terms::from)
+    }
+
+    /// Returns the limit of the job's organisation when the job was accepted, if it had one.
+    pub fn limit(&self) -> Option<Resources> {
+        self.limit.map(|(cpu, memory, gpus)| Resources { cpu, memory, gpus })
     }
 }
 
