Guard the growing wait of queries and the size of the roster

The replays of jobs::window passed with a variant whose calls are overdue after a fixed time: late answers and the limit of open calls alone satisfied their bounds. The bound on calls in excess is stricter (40 in place of 45 for 30 steps), and an outage without any sign is replayed.

Cause: the bound was as large as the steps and the open calls together.

Before: the variant passes all four replays. After: it fails two of five, and the code passes all. The roster's bound has a test.

--- a/crates/cells/tests/progress.rs
+++ b/crates/cells/tests/progress.rs
@@ -1,10 +1,11 @@
 //! Tests of the rows that hold jobs and their progress.
 
+use cells::rows::{self, Roster};
 use indexmap::IndexMap;
 use jobs::crash::Crashes;
 use jobs::progress::StepProgress;
 use jobs::row::{JobRow, ProgressRow};
-use jobs::{AdviceCost, Job, Organisation, Progress, Queue, Resources, Step, Terms};
+use jobs::{AdviceCost, Job, Organisation, Progress, Queue, Registration, Resources, Step, Terms};
 
 fn decode(text: &str) -> Progress {
     Progress::try_from(serde_json::from_str::<ProgressRow>(text).unwrap()).unwrap()
@@ -61,3 +62,26 @@
     assert_eq!((read.terms(), read.limit()), (None, None));
     assert_eq!(Job::from(read), job);
 }
+
+/// Guards against a roster that the table rejects for its size, so that no executor could be added any
+/// more; and against a row that is left half empty.
+#[test]
+fn a_roster_takes_the_executors_that_fit_in_its_row() {
+    let executor = |n: u64| Registration {
+        id: format!("worker-{n}~1774605815611"),
+        address: format!("10.0.{}.{}:8624", n / 250, n % 250),
+        ..Registration::default()
+    };
+    let mut missing: Vec<Registration> = (0..1_500).map(executor).collect();
+    let mut lists = Vec::new();
+    while !missing.is_empty() {
+        let mut roster = Roster::default();
+        let fitting = roster.add_up_to(65_536, &missing);
+        assert!(fitting > 0 && rows::encode(&roster).len() <= 65_536);
+        assert_eq!(roster.add_up_to(65_536, &missing[fitting..]), 0, "the row is full");
+        missing.drain(..fitting);
+        lists.push(rows::encode(&roster).len());
+    }
+    let (last, full) = lists.split_last().unwrap();
+    assert!(!full.is_empty() && full.iter().all(|bytes| *bytes > 65_400), "{full:?}, {last}");
+}
--- a/crates/jobs/tests/window.rs
+++ b/crates/jobs/tests/window.rs
@@ -22,6 +22,8 @@
     outage: (u64, u64),
     /// Whether the calls that wait when the outage begins get no response.
     loses_calls: bool,
+    /// Whether the caller hears nothing of the outage: calls before and in it never get an outcome.
+    silent: bool,
 }
 
 impl Replay {
@@ -36,7 +38,9 @@
                 self.done_at += 1;
                 if now == self.outage.0 && self.loses_calls {
                     for call in self.waiting.drain(..) {
-                        window.end(call, Outcome::Unanswered, now);
+                        if !self.silent {
+                            window.end(call, Outcome::Unanswered, now);
+                        }
                     }
                 }
             } else if now >= self.done_at
@@ -55,6 +59,9 @@
                 calls += 1;
                 let call = window.begin(self.expected_ms, now);
                 assert!(window.open_calls() <= 16);
+                if is_out && self.silent {
+                    continue;
+                }
                 if is_out || self.waiting.len() > MAX_WAITING {
                     window.end(call, Outcome::Rejected, now);
                     continue;
@@ -77,6 +84,7 @@
         done_at: 0,
         outage: (0, 0),
         loses_calls: false,
+        silent: false,
     }
 }
 
@@ -115,7 +123,8 @@
     for (service_ms, expected_ms) in [(3_000, 10), (20_000, 100), (90_000, 300)] {
         let (took, calls) = replay(service_ms, expected_ms, 0).play(30);
         assert!(took <= service_ms * 45, "{service_ms} ms: {took} ms");
-        assert!(calls <= 45, "{service_ms} ms: {calls} calls");
+        // A third of the calls are in excess at most; a fixed time sends as many as may be open.
+        assert!(calls <= 40, "{service_ms} ms: {calls} calls");
     }
 }
 
@@ -130,3 +139,17 @@
         assert!(took <= 22_000 + 35 * 300 + 4_000, "{loses_calls}: {took} ms");
     }
 }
+
+/// Guards against a window that stays closed for calls that were lost without a word; the time after
+/// which the next one is sent grows no faster than the outage.
+#[test]
+fn calls_are_answered_after_an_outage_without_any_sign() {
+    for length in [5_000, 20_000, 60_000] {
+        let mut replay = replay(300, 300, 0);
+        (replay.loses_calls, replay.silent) = (true, true);
+        replay.outage = (2_000, 2_000 + length);
+        let (took, _) = replay.play(30);
+        let longest = 2_000 + 2 * length + 30 * 300 + 4_000;
+        assert!(took <= longest, "outage of {length} ms: {took} ms");
+    }
+}
