Log why a run is released, and which ends are acknowledged

E2209 run-released gives the reason, the age of the poll or list behind it and of the lease's confirmation; ends and refused starts have lines of their own already. E2304 ends-acknowledged names up to eight ends of former holders' runs for each acknowledgement. E2201 start-sent gains took_ms and confirmed_ms, and jtally_release_confirmation_seconds counts all releases by reason. No decision changes: the reason is passed down to where a run is released.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -101,12 +101,16 @@
     ExecutorCrashed = 2207,
     /// A job was given up, since one of its tasks crashes the executors that start it.
     JobGivenUp = 2208,
+    /// A run was released without a reported end, so that its task may start again.
+    RunReleased = 2209,
     /// An executor answered the cell's lease holder for the first time.
     ExecutorJoined = 2301,
     /// An executor did not answer, was replaced by another incarnation or left the machine list.
     ExecutorSilent = 2302,
     /// An executor that is leaving has no runs left.
     ExecutorEmptied = 2303,
+    /// Ends of a former holder's runs were acknowledged to their executor, which may forget them.
+    EndsAcknowledged = 2304,
     /// This process acquired the lease of a cell.
     CellTaken = 2401,
     /// The jobs of a cell were read from the table and its scheduler runs.
--- a/crates/cells/src/metrics.rs
+++ b/crates/cells/src/metrics.rs
@@ -26,6 +26,8 @@
     pub advice_seconds: HistogramVec,
     /// Duration of calls to the table by call and outcome.
     pub table_seconds: HistogramVec,
+    /// Time from the last confirmation of the lease to the release of a run, by reason.
+    pub release_seconds: HistogramVec,
     /// Duration of the phases of a round of the fleet's duties.
     pub fleet_round_seconds: HistogramVec,
     /// Number of expected peaks by whether they came.
@@ -116,6 +118,11 @@
                 "Calls to the table.",
                 &["call", "outcome"],
             )?,
+            release_seconds: histogram(
+                "jtally_release_confirmation_seconds",
+                "Age of the lease's confirmation when a run was released.",
+                &["reason"],
+            )?,
             fleet_round_seconds: histogram(
                 "jtally_fleet_round_seconds",
                 "Phases of a round of the fleet's duties.",
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -299,6 +299,11 @@
         self.is_active() && clock::now() < self.confirmed_at.get() + ORDER_VALIDITY_MS
     }
 
+    /// Time since the lease was last confirmed, in milliseconds.
+    pub fn confirmation_age(&self) -> u64 {
+        clock::now().saturating_sub(self.confirmed_at.get())
+    }
+
     /// Whether the registry was read recently enough to start tasks by its capacities.
     pub fn is_registry_current(&self) -> bool {
         clock::now() < self.ctx.registry_read_at.get() + MAX_REGISTRY_AGE_MS
@@ -376,6 +381,7 @@
                 }
             }
             self.log_crashes();
+            self.log_releases();
             if self.cell.borrow().is_superseded() {
                 self.mark_lost("an executor has received orders with a higher epoch");
             }
@@ -388,6 +394,7 @@
                 () = self.wake.notified() => pause(wake_delay).await,
             }
         }
+        self.log_releases();
     }
 
     /// Passes the queues of the current configuration to the scheduler.
--- a/crates/cells/src/owner/report.rs
+++ b/crates/cells/src/owner/report.rs
@@ -1,9 +1,12 @@
 //! Log lines and metrics about a cell.
 
-use jobs::cell::Usage;
+use std::time::Duration;
+
+use jobs::cell::{ReleaseReason, Usage};
 
 use super::Inner;
 use crate::clock;
+use crate::metrics::Metrics;
 use crate::rows::Load;
 
 /// Time without a run after which a long-running task is logged, in milliseconds; longer than a stop
@@ -11,6 +14,8 @@
 const WAITING_TASK_LOG_MS: u64 = 2_000;
 /// Maximum number of waiting tasks logged at a time.
 const MAX_LOGGED_WAITING_TASKS: usize = 4;
+/// Maximum number of acknowledged ends named in a log line.
+const MAX_LOGGED_ENDS: usize = 8;
 /// Maximum number of suspects named in the log line about a crash.
 const MAX_LOGGED_SUSPECTS: usize = 4;
 
@@ -89,6 +94,52 @@
         }
     }
 
+    /// Logs releases of runs without a reported end, and acknowledged ends of former holders' runs.
+    pub(super) fn log_releases(&self) {
+        let (releases, acknowledged) = {
+            let mut cell = self.cell.borrow_mut();
+            (cell.take_releases(), cell.take_acknowledged())
+        };
+        for release in &releases {
+            let confirmed_ms = release.released.saturating_sub(release.confirmed);
+            let age = Duration::from_millis(confirmed_ms);
+            let reason: &str = release.reason.into();
+            Metrics::observe(&self.ctx.metrics.release_seconds, &[reason], age);
+            // Ends and refused starts have log lines of their own.
+            if matches!(release.reason, ReleaseReason::Ended | ReleaseReason::Refused) {
+                continue;
+            }
+            self.ctx.timeline.record(
+                base::Event::RunReleased,
+                &[
+                    ("task", &release.task),
+                    ("run", &release.run),
+                    ("executor", &release.executor),
+                    ("reason", &reason),
+                    ("epoch", &self.tenure.epoch),
+                    ("requested_ms", &release.released.saturating_sub(release.requested)),
+                    ("confirmed_ms", &confirmed_ms),
+                ],
+            );
+        }
+        for ends in acknowledged.chunk_by(|a, b| a.executor == b.executor) {
+            let Some(last) = ends.last() else { continue };
+            let first = ends.iter().take(MAX_LOGGED_ENDS);
+            let first: Vec<String> = first.map(|end| format!("{}/{}", end.task, end.run)).collect();
+            self.ctx.timeline.record(
+                base::Event::EndsAcknowledged,
+                &[
+                    ("cell", &self.tenure.cell),
+                    ("executor", &last.executor),
+                    ("epoch", &self.tenure.epoch),
+                    ("through", &last.sequence),
+                    ("ends", &ends.len()),
+                    ("first", &first.join(" ")),
+                ],
+            );
+        }
+    }
+
     /// Logs long-running tasks that do not run, with the reasons.
     pub(super) fn log_waiting_tasks(&self) {
         let waiting = self.cell.borrow().waiting_tasks(WAITING_TASK_LOG_MS, clock::now());
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -201,6 +201,8 @@
                 ("epoch", &self.tenure.epoch),
                 ("resumes", &!checkpoint.is_empty()),
                 ("outcome", &outcome),
+                ("took_ms", &sent.elapsed().as_millis()),
+                ("confirmed_ms", &self.confirmation_age()),
             ],
         );
     }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod quota;
 mod record;
+mod release;
 mod reserve;
 mod restart;
 mod stall;
@@ -34,6 +35,7 @@
 use quota::Quotas;
 pub use quota::{Charge, QuotaUse, WaitReason};
 pub use record::{Flush, JobChange};
+pub use release::{AcknowledgedEnd, Release, ReleaseReason};
 use restart::OpenStart;
 pub use wait::WaitingTask;
 
@@ -274,6 +276,10 @@
     no_sharing_until: u64,
     /// Crashes that have not been read for the log.
     crashes: Vec<Crash>,
+    /// Released runs that have not been read for the log.
+    releases: Vec<Release>,
+    /// Acknowledged ends of former holders' runs that have not been read for the log.
+    acknowledged: Vec<AcknowledgedEnd>,
     /// Whether an executor has seen orders of a later holder.
     superseded: bool,
     /// Whether no tasks are started for now.
@@ -329,6 +335,8 @@
             unexplained_until: 0,
             no_sharing_until: 0,
             crashes: Vec::new(),
+            releases: Vec::new(),
+            acknowledged: Vec::new(),
             superseded: false,
             starts_held: false,
             reservations: IndexMap::new(),
@@ -592,7 +600,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
-            self.release_verified(&id, now);
+            self.release_verified(&id, ReleaseReason::Expired, now, now);
         }
         self.expire_unverified(owned_at, now);
         self.workers.retain(|_, w| {
@@ -622,17 +630,22 @@
     /// Unless the executor was about to leave, its end counts as a crash, and the runs that had just
     /// begun are suspected of having caused it.
     pub fn mark_dead(&mut self, id: &str, now: u64) {
-        self.handle_crash(id, now);
-        self.release_all(id, now);
+        self.handle_crash(id, ReleaseReason::Replaced, now, now);
+        self.release_all(id, ReleaseReason::Replaced, now);
         self.rule_out_life(id);
     }
 
     /// Like [`Self::mark_dead`], for an executor that has ended by an order.
     pub fn mark_ended(&mut self, id: &str, now: u64) {
+        self.end_worker(id, ReleaseReason::Ordered, now, now);
+    }
+
+    /// Marks an incarnation as dead and releases the runs that have certainly ended with it.
+    fn end_worker(&mut self, id: &str, reason: ReleaseReason, requested: u64, now: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.dead = true;
         }
-        self.release_verified(id, now);
+        self.release_verified(id, reason, requested, now);
     }
 
     /// Whether tasks wait for executors that do not answer and may be dead.
@@ -667,7 +680,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &dead {
-            self.handle_crash(id, now);
+            self.handle_crash(id, ReleaseReason::Unlisted, requested, now);
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.presumed_dead = true;
             }
@@ -675,37 +688,6 @@
         dead
     }
 
-    /// Releases all runs of an executor that has ended for good.
-    fn release_all(&mut self, id: &str, now: u64) {
-        let Some(worker) = self.workers.get(id) else { return };
-        let tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
-        for task in tasks {
-            self.release_run(id, &task, now);
-        }
-    }
-
-    /// Removes a run from its executor and reopens its task, which may start again from `now` on.
-    fn release_run(&mut self, worker: &str, task: &TaskId, now: u64) {
-        let slot = self.workers.get_mut(worker).and_then(|w| w.remove_run(task));
-        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        entry.cpu_time +=
-            slot.map_or(0, |slot| slot.resources.cpu * now.saturating_sub(slot.phase_since));
-        let Some(step) =
-            entry.occurrences.get_mut(&task.occurrence).and_then(|t| t.get_mut(task.step))
-        else {
-            return;
-        };
-        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
-        if state.worker.as_deref() != Some(worker) {
-            return;
-        }
-        state.worker = None;
-        state.not_before = state.not_before.max(now);
-        if !state.done {
-            step.open_count += 1;
-        }
-    }
-
     /// Sets the final state of a job and stops its runs.
     fn end_job(&mut self, id: &str, state: State, now: u64) {
         let Some(entry) = self.jobs.get_mut(id) else { return };
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -1,6 +1,6 @@
 //! Handling of the answers to orders.
 
-use super::Cell;
+use super::{Cell, ReleaseReason};
 use crate::job::TaskId;
 use crate::worker::{Phase, Slot};
 
@@ -188,7 +188,8 @@
     fn release_unstarted(&mut self, id: &str, task: &TaskId, run: u64, now: u64) {
         let current = self.workers.get(id).and_then(|w| w.runs.get(task));
         if current.is_some_and(|slot| slot.run == run) {
-            self.release_run(id, task, now + REFUSED_START_DELAY_MS);
+            let reason = ReleaseReason::Refused;
+            self.release_run(id, task, reason, now, now + REFUSED_START_DELAY_MS);
         }
     }
 
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -1,6 +1,6 @@
 //! Handling of the runs and ends that an executor reports when it is polled.
 
-use super::{Cell, Order, RUNS_PER_TERM, StepState};
+use super::{Cell, Order, RUNS_PER_TERM, ReleaseReason, StepState};
 use crate::job::{State, TaskId};
 use crate::pace;
 use crate::place;
@@ -41,6 +41,7 @@
         self.replace_restarted(now);
         self.revive(id);
         let longest_lease = self.longest_lease;
+        let former_runs = self.former_runs();
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_answer(answer.clock, now);
         if !worker.joined {
@@ -56,7 +57,10 @@
             let Some(worker) = self.workers.get_mut(id) else { return };
             if end.sequence > worker.last_seen_end {
                 worker.last_seen_end = end.sequence;
-                self.handle_end(id, end, now);
+                if end.run <= former_runs {
+                    worker.former_ends.insert(end.sequence, (end.task.clone(), end.run));
+                }
+                self.handle_end(id, end, sent, now);
                 self.await_durability(id, end);
             }
         }
@@ -79,6 +83,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.record_acknowledged(sequence);
         }
+        self.record_former_ends(id, sequence);
     }
 
     /// Keeps an end from being acknowledged until its effect on its job has been written.
@@ -91,11 +96,11 @@
     }
 
     /// Handles the end of a run.
-    fn handle_end(&mut self, id: &str, end: &EndedRun, now: u64) {
+    fn handle_end(&mut self, id: &str, end: &EndedRun, sent: u64, now: u64) {
         let task = &end.task;
         let current = self.workers.get(id).and_then(|w| w.runs.get(task)).map(|s| s.run);
         if current == Some(end.run) {
-            self.release_run(id, task, now);
+            self.release_run(id, task, ReleaseReason::Ended, sent, now);
         }
         if let Some(worker) = self.workers.get_mut(id) {
             match end.outcome {
@@ -282,7 +287,7 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in missing {
-            self.release_run(id, &task, now);
+            self.release_run(id, &task, ReleaseReason::Missing, sent, now);
         }
     }
 
@@ -351,7 +356,12 @@
 
     /// Number for the next run of a task, above all numbers that former holders may have used.
     pub(super) fn next_run(&self, last: u64) -> u64 {
-        last.max((self.config.term - 1) * RUNS_PER_TERM) + 1
+        last.max(self.former_runs()) + 1
+    }
+
+    /// Highest number of a run that former holders may have started.
+    fn former_runs(&self) -> u64 {
+        (self.config.term - 1) * RUNS_PER_TERM
     }
 }
 
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -10,7 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::quota::QuotaPass;
-use super::{Cell, JobEntry, StepState};
+use super::{Cell, JobEntry, ReleaseReason, StepState};
 use crate::crash;
 use crate::job::{State, Step, TaskId};
 use crate::place;
@@ -79,9 +79,17 @@
     }
 
     /// Records an executor's crash under the runs that may have caused it, and releases its runs.
-    pub(super) fn handle_crash(&mut self, id: &str, now: u64) {
+    ///
+    /// `requested` is when the call that shows the crash was sent.
+    pub(super) fn handle_crash(
+        &mut self,
+        id: &str,
+        reason: ReleaseReason,
+        requested: u64,
+        now: u64,
+    ) {
         if self.end_was_expected(id) {
-            self.mark_ended(id, now);
+            self.end_worker(id, reason, requested, now);
             return;
         }
         let Some(worker) = self.workers.get(id) else { return };
@@ -92,7 +100,7 @@
             .filter(|(_, slot)| slot.sent && !slot.cleared)
             .map(|(task, slot)| (task.clone(), crash::is_to_blame(slot.start_clock, worker.clock)))
             .collect();
-        self.mark_ended(id, now);
+        self.end_worker(id, reason, requested, now);
         let mut jobs: Vec<&str> = uncleared.iter().map(|(task, _)| task.job.as_str()).collect();
         jobs.sort_unstable();
         jobs.dedup();
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -10,7 +10,7 @@
 //! Load pattern: some executors crash and restart within a second or two, while each of them starts
 //! dozens of tasks a second. Only the starts of the last fraction of a second are in doubt.
 
-use super::Cell;
+use super::{Cell, ReleaseReason};
 use crate::incarnation;
 use crate::job::TaskId;
 use crate::worker::{Phase, Slot};
@@ -50,7 +50,7 @@
         // A former holder may have ordered starts that the new incarnation has carried out.
         let is_unread = !worker.joined && self.inherited_workers.contains(id);
         if !worker.dead {
-            self.handle_crash(id, now);
+            self.handle_crash(id, ReleaseReason::Restarted, now, now);
         }
         self.rule_out_life(id);
         let later = self.workers.keys().filter(|other| incarnation::is_replaced_by(id, other));
@@ -102,7 +102,7 @@
                 } else {
                     // Both may be the same incarnation, which has told its start only now.
                     self.pass_on_runs(&other, &id, now);
-                    self.mark_ended(&other, now);
+                    self.end_worker(&other, ReleaseReason::Restarted, now, now);
                 }
             }
             self.check_open_starts(&id, now);
@@ -180,14 +180,20 @@
     /// Releases the runs that have certainly ended with their incarnation or its lease.
     ///
     /// Runs that another incarnation may have, or may still begin, are kept.
-    pub(super) fn release_verified(&mut self, id: &str, now: u64) {
+    pub(super) fn release_verified(
+        &mut self,
+        id: &str,
+        reason: ReleaseReason,
+        requested: u64,
+        now: u64,
+    ) {
         let Some(worker) = self.workers.get(id) else { return };
         let may_restart = worker.may_restart();
         let is_verified = |slot: &Slot| !may_restart || slot.unverified_since.is_none();
         let runs = worker.runs.iter().filter(|(_, slot)| is_verified(slot));
         let tasks: Vec<TaskId> = runs.map(|(task, _)| task.clone()).collect();
         for task in tasks {
-            self.release_run(id, &task, now);
+            self.release_run(id, &task, reason, requested, now);
         }
     }
 
@@ -207,7 +213,7 @@
             }
         }
         for (id, task) in expired {
-            self.release_run(&id, &task, now);
+            self.release_run(&id, &task, ReleaseReason::Unverified, now, now);
         }
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -279,6 +279,8 @@
     pub last_acknowledged_end: u64,
     /// Ended runs whose results are not durable yet, by sequence number with the id of the job.
     pub pending_ends: BTreeMap<u64, String>,
+    /// Ended runs of former holders that are not acknowledged yet, by sequence number.
+    pub former_ends: BTreeMap<u64, (TaskId, u64)>,
     /// Time of the last answer, in milliseconds; 0 before the first.
     pub last_answer_at: u64,
     /// Clock of the executor at the last answer, in milliseconds.
@@ -322,6 +324,7 @@
             last_durable_end: 0,
             last_acknowledged_end: 0,
             pending_ends: BTreeMap::new(),
+            former_ends: BTreeMap::new(),
             last_answer_at: 0,
             clock: 0,
             first_clock: 0,
