Show decisions of holders that may have been replaced

- an executor counts as drained although an end that its holder has read is not durable, and a holder whose lease is not confirmed reports it;
- an executor that an order has ended loses its runs, whose ends a later holder may have read;
- an end is acknowledged before its job is read;
- a claim counts from its answer on, not from its request;
- starts that wait for a permit go out after an executor has refused the epoch;
- a new holder of the duties drops the record of its predecessor's order for a move or a finished maintenance, measures the time between two orders from a record that was slow to write, and plans with rows from before the last order of its predecessor.

Ruled out: a further pass of the scheduler with starts after a refusal (`Cell::assign` returns, and the send checks again).

--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -1,7 +1,8 @@
 //! A process with its tasks, against a table, executors and machines in memory.
 //!
 //! The tests guard against executors that are given up though they live, leases that are released before
-//! their holder has stopped, and machines whose orders hold up others or are not on record.
+//! their holder has stopped, machines whose orders hold up others or are not on record, and holders
+//! that act on what was true under another holder.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -13,14 +14,14 @@
     MachineError, Machines, OrderError, Page, Permissions, Place, PollRequest, ReadError, Row,
     StartOrder, Store, Transaction, TransactionError,
 };
-use cells::rows::{self, Duty, Lease};
+use cells::rows::{self, Duty, Heartbeat, Lease};
 use cells::{Bounds, Metrics, Node, Ports, Settings, clock, keys};
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
-use jobs::cell::StartOutcome;
+use jobs::cell::{Refusal, StartOutcome};
 use jobs::queue::Pool;
 use jobs::wave::Wave;
-use jobs::worker::{EndedRun, PresentRun};
+use jobs::worker::{EndedRun, MAX_CONCURRENT_STARTS, PresentRun};
 use jobs::{Configuration, ExecutorReport, Queue, Registration, Resources, RunOutcome, TaskId};
 
 const POOL: &str = "p";
@@ -58,6 +59,20 @@
     standby: RefCell<Vec<String>>,
     /// Machines ordered into the pool.
     moved: RefCell<Vec<String>>,
+    /// Times of the orders for maintenance, in milliseconds.
+    ordered_at: RefCell<Vec<u64>>,
+    /// Epochs of the starts.
+    starts: RefCell<Vec<u64>>,
+    /// Whether starts are refused because of a higher epoch.
+    fences_starts: Cell<bool>,
+    /// Time after which the next claim of the pool's cell is answered, in milliseconds.
+    claim_delay: Cell<u64>,
+    /// Time that a transaction with duties takes, in milliseconds.
+    duty_delay: Cell<u64>,
+    /// Whether leases and guard rows can't be read.
+    hides_leases: Cell<bool>,
+    /// Whether the feed of duties gets no answers.
+    holds_duties: Cell<bool>,
 }
 
 impl World {
@@ -135,7 +150,15 @@
                 world.write(place, Some(value.clone()));
             }
             transaction.removes.iter().for_each(|place| world.write(place, None));
-            Ok(Committed { version: world.version.get(), clock: clock::now() })
+            let version = world.version.get();
+            let writes = |is: &dyn Fn(&Place) -> bool| transaction.writes.iter().any(|w| is(&w.0));
+            if writes(&|place| *place == keys::lease(POOL)) {
+                sleep(world.claim_delay.take()).await;
+            }
+            if writes(&|place| place.table == keys::DUTY_TABLE) {
+                sleep(world.duty_delay.get()).await;
+            }
+            Ok(Committed { version, clock: clock::now() })
         })
     }
 
@@ -145,6 +168,10 @@
         limit: usize,
     ) -> LocalBoxFuture<'a, Result<Page, ReadError>> {
         Box::pin(async move {
+            let is_hidden = from.part == keys::LEASE_PART || from.table == "guards";
+            if is_hidden && self.0.hides_leases.get() {
+                return Err(ReadError::Unavailable { detail: "out of service".to_owned() });
+            }
             let rows = self.0.rows.borrow();
             let in_part = rows.iter().filter(|(place, _)| {
                 place.table == from.table && place.part == from.part && place.key >= from.key
@@ -185,6 +212,9 @@
         Box::pin(async move {
             let until = clock::now() + u64::try_from(wait.as_millis()).unwrap_or(0);
             loop {
+                while table == keys::DUTY_TABLE && self.0.holds_duties.get() {
+                    sleep(5).await;
+                }
                 let changed: Vec<Row> = (self.0.changes.borrow().iter())
                     .filter(|(version, place, _)| *version > after && place.table == table)
                     .map(|(version, place, value)| Row {
@@ -206,10 +236,15 @@
     fn start<'a>(
         &'a self,
         _: &'a Executor,
-        _: u64,
+        epoch: u64,
         order: &'a StartOrder<'a>,
     ) -> LocalBoxFuture<'a, StartOutcome> {
         Box::pin(async move {
+            self.0.starts.borrow_mut().push(epoch);
+            if self.0.fences_starts.get() {
+                sleep(20).await;
+                return StartOutcome::Refused(Refusal::Fenced);
+            }
             self.0.present.borrow_mut().push(PresentRun {
                 task: order.task.clone(),
                 run: order.run,
@@ -292,6 +327,7 @@
     ) -> LocalBoxFuture<'a, Result<(), MachineError>> {
         let world = &self.0;
         world.orders.set(world.orders.get() + 1);
+        world.ordered_at.borrow_mut().push(clock::now());
         let duty = world.get::<Duty>(&keys::maintenance(wave, machine));
         world.epochs.borrow_mut().push((epoch, duty.map_or(0, |duty| duty.epoch)));
         let lost = world.loses_answers.replace(false);
@@ -412,6 +448,11 @@
 
 /// Starts a process in a world with one executor.
 fn start(world: &Rc<World>) -> Node {
+    start_as("a", 500, world)
+}
+
+/// Like [`start`], with a name and the least time between the orders of two holders for a machine.
+fn start_as(name: &str, handover: u64, world: &Rc<World>) -> Node {
     world.put(&Place::new("instructions", "", "configuration"), Vec::new());
     world.put(&Place::new("registry", "", &world.executor()), Vec::new());
     let client = Client(Rc::clone(world));
@@ -424,7 +465,7 @@
     };
     let bounds = Bounds {
         lease: 6_000,
-        handover: 500,
+        handover,
         stop: 900,
         early: 0,
         grace: 6_000,
@@ -433,7 +474,7 @@
     };
     let settings = Settings {
         max_row_bytes: 65_536,
-        name: "a".to_owned(),
+        name: name.to_owned(),
         centre: "c".to_owned(),
         cpu: 1_000,
         order_rate: 40,
@@ -442,7 +483,7 @@
         bounds,
     };
     let metrics = Metrics::register(&prometheus::Registry::new()).expect("names are unique");
-    Node::spawn(settings, ports, Timeline::new("a"), metrics)
+    Node::spawn(settings, ports, Timeline::new(name), metrics)
 }
 
 /// Guards against an executor that its cell gives up for good, as the platform accepted the repeated
@@ -625,3 +666,208 @@
         assert!(moved.iter().any(|name| name == "m-4"), "{orders} orders for the refused machine");
     });
 }
+
+/// Time between the orders of two holders for a machine in the tests about it, in milliseconds.
+const HANDOVER_MS: u64 = 3_000;
+
+/// Orders a wave of the machine and expects its first order no sooner than the time between two
+/// holders after `former`, the time of a former holder's order.
+async fn expect_order_after_handover(world: &Rc<World>, wave: u64, former: u64) {
+    put_wave_of(world, wave, MACHINE);
+    let _node = start_as("a", HANDOVER_MS, world);
+    wait_for("order", || world.orders.get() > 0).await;
+    let after = world.ordered_at.borrow()[0] - former;
+    assert!(after >= HANDOVER_MS, "ordered {after} ms after a former holder's order");
+}
+
+/// Returns the duty of a machine that a former holder orders now.
+fn ordered_now(wave: u64, executor: &str) -> Duty {
+    Duty {
+        machine: MACHINE.to_owned(),
+        wave,
+        stage: "down".to_owned(),
+        executor: executor.to_owned(),
+        emptied: true,
+        ordered_at: clock::now(),
+        epoch: 1,
+        ..Duty::default()
+    }
+}
+
+/// Guards against orders of two holders for one machine within the time between them, as the second
+/// one drops the record of a move that the first one has ordered.
+#[test]
+fn a_machine_is_not_ordered_right_after_a_former_holders_order_for_a_move() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let duty = Duty { pool: STANDBY.to_owned(), ..ordered_now(0, &world.executor()) };
+        world.put(&keys::pool_move(MACHINE), rows::encode(&duty));
+        expect_order_after_handover(&world, 1, duty.ordered_at).await;
+    });
+}
+
+/// Guards against the same fault where the first holder's order was carried out in less time.
+#[test]
+fn a_machine_is_not_ordered_right_after_a_maintenance_ordered_by_a_former_holder() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let duty = Duty { executor_ended: true, ..ordered_now(1, "executor-1") };
+        world.put(&keys::maintenance(1, MACHINE), rows::encode(&duty));
+        put_wave(&world);
+        expect_order_after_handover(&world, 2, duty.ordered_at).await;
+    });
+}
+
+/// Guards against the same fault where the record of the first holder's order was slow to write, so
+/// that the order went out long after the time on record.
+#[test]
+fn a_machine_is_not_ordered_right_after_a_former_holders_order_with_a_slow_record() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        world.duty_delay.set(900);
+        world.loses_answers.set(true);
+        put_wave(&world);
+        let former = start_as("a", HANDOVER_MS, &world);
+        wait_for("order", || world.orders.get() > 0).await;
+        world.duty_delay.set(0);
+        former.close().await;
+        let _node = start_as("b", HANDOVER_MS, &world);
+        wait_for("order of the next holder", || world.orders.get() > 1).await;
+        let times = world.ordered_at.borrow();
+        let after = times[1] - times[0];
+        assert!(after >= HANDOVER_MS, "ordered {after} ms after a former holder's order");
+    });
+}
+
+/// Guards against more machines down than a wave allows, as a new holder of the duties plans with
+/// rows from before the last order of the former one.
+#[test]
+fn a_new_holder_of_the_duties_counts_the_machines_that_its_predecessor_has_ordered_down() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let fleet = keys::lease(keys::FLEET_CELL);
+        let lease = |holder: &str| rows::encode(&Lease { holder: holder.to_owned(), term: 1 });
+        world.put(&fleet, lease("b~1"));
+        let released = Rc::new(Cell::new(false));
+        let (former, is_released) = (Rc::clone(&world), Rc::clone(&released));
+        actix::spawn(async move {
+            for count in 1.. {
+                if is_released.get() {
+                    break;
+                }
+                let heartbeat = Heartbeat {
+                    count,
+                    start_time: 1,
+                    accepts_cells: true,
+                    cpu: 10,
+                    centre: "c".to_owned(),
+                };
+                former.put(&keys::heartbeat("b"), rows::encode(&heartbeat));
+                sleep(200).await;
+            }
+        });
+        let _node = start(&world);
+        wait_for("poll", || world.polled_at.get() > 0).await;
+        let other = |stage: &str| Duty {
+            machine: "m-2".to_owned(),
+            wave: 1,
+            stage: stage.to_owned(),
+            executor: "executor-3".to_owned(),
+            ..Duty::default()
+        };
+        let emptying =
+            Duty { machine: MACHINE.to_owned(), executor: world.executor(), ..other("emptying") };
+        world.put(&keys::maintenance(1, MACHINE), rows::encode(&emptying));
+        world.put(&keys::maintenance(1, "m-2"), rows::encode(&other("emptying")));
+        let is_emptied =
+            || world.get(&keys::maintenance(1, MACHINE)).is_some_and(|d: Duty| d.emptied);
+        wait_for("empty executor", is_emptied).await;
+        world.holds_duties.set(true);
+        let down = Duty { emptied: true, ordered_at: clock::now(), epoch: 1, ..other("down") };
+        world.put(&keys::maintenance(1, "m-2"), rows::encode(&down));
+        world.waves.borrow_mut().push(Wave {
+            number: 1,
+            machines: vec![MACHINE.to_owned(), "m-2".to_owned()],
+            max_down: 1,
+            time_limit: 26_000,
+        });
+        world.put(&Place::new("instructions", "", &wave_key(1)), Vec::new());
+        released.set(true);
+        world.put(&fleet, lease(""));
+        let is_taken = || world.get(&fleet).is_some_and(|lease: Lease| lease.term > 1);
+        wait_for("holder of the duties", is_taken).await;
+        sleep(1_500).await;
+        assert_eq!(world.orders.get(), 0, "ordered a second machine of the wave down");
+    });
+}
+
+/// Puts a job of some tasks.
+fn put_job(world: &World, tasks: usize) {
+    let id = "5c0e7a21d94b36f8";
+    let job = Place::new(&keys::jobs_table(POOL), &keys::part("q", id), id);
+    world.put(&job, format!(r#"{{"q":"q","s":[{{"n":{tasks},"c":100,"e":500}}]}}"#).into_bytes());
+}
+
+/// Guards against a task that runs twice: its holder was frozen while its claim was answered, and
+/// counts the lease, which another process has taken meanwhile, from the answer on.
+#[test]
+fn a_claim_whose_answer_is_late_permits_no_orders() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        world.claim_delay.set(4_000);
+        put_job(&world, 1);
+        let _node = start(&world);
+        wait_for("claim", || world.get::<Lease>(&keys::lease(POOL)).is_some()).await;
+        sleep(3_000).await;
+        let lease = Lease { holder: "b~1".to_owned(), term: 2 };
+        world.put(&keys::lease(POOL), rows::encode(&lease));
+        let taken = world.version.get();
+        wait_for("start", || !world.starts.borrow().is_empty()).await;
+        let epoch = world.starts.borrow()[0];
+        assert!(epoch > taken, "started under epoch {epoch}, another holder claimed at {taken}");
+    });
+}
+
+/// Guards against a task that runs twice: its holder, which an executor has told of a later one, still
+/// sends the starts that waited for a permit, to executors that have not heard of the later one.
+#[test]
+fn a_holder_sends_no_more_starts_once_an_executor_has_refused_its_epoch() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        world.fences_starts.set(true);
+        put_job(&world, MAX_CONCURRENT_STARTS + 2);
+        let _node = start(&world);
+        wait_for("start", || !world.starts.borrow().is_empty()).await;
+        sleep(300).await;
+        let starts = world.starts.borrow();
+        let sent = starts.iter().filter(|epoch| **epoch == starts[0]).count();
+        assert!(sent <= MAX_CONCURRENT_STARTS, "{sent} starts under a refused epoch");
+    });
+}
+
+/// Guards against a machine that goes down under the runs of a later holder, as a former one, whose
+/// lease can't be confirmed, reports its executor as empty.
+#[test]
+fn a_holder_with_an_unconfirmed_lease_reports_no_executor_as_empty() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let _node = start(&world);
+        wait_for("poll", || world.polled_at.get() > 0).await;
+        world.hides_leases.set(true);
+        let lease = Lease { holder: "b~1".to_owned(), term: 2 };
+        world.put(&keys::lease(POOL), rows::encode(&lease));
+        sleep(4_000).await;
+        let place = keys::maintenance(1, MACHINE);
+        let duty = Duty {
+            machine: MACHINE.to_owned(),
+            wave: 1,
+            stage: "emptying".to_owned(),
+            executor: world.executor(),
+            ..Duty::default()
+        };
+        world.put(&place, rows::encode(&duty));
+        sleep(1_000).await;
+        let is_emptied = world.get(&place).is_some_and(|duty: Duty| duty.emptied);
+        assert!(!is_emptied, "reported as empty by a holder that may have been replaced");
+    });
+}
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1383,3 +1383,48 @@
     assert_eq!(ids(&mut cell), ["bad"], "nothing of it is forgotten");
     assert_eq!(starts(&cell.tick(1_100, 0)).len(), 1);
 }
+
+/// Guards against a machine that goes down with the only record of a run that is done, so that its
+/// task is done again.
+#[test]
+fn an_executor_is_not_drained_while_its_ends_are_not_durable() {
+    let mut cell = cell(1, &["a"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    start_first_task(&mut cell);
+    finish_first_task(&mut cell);
+    assert!(!cell.is_drained("a"), "its end is not durable");
+    let (_, flush) = cell.take_changes();
+    cell.flush_done(&flush);
+    assert!(cell.is_drained("a"));
+}
+
+/// Guards against a task that is started again by a former holder, as the order for a machine, which
+/// a later holder has emptied and whose ends it has read, has ended the executor.
+#[test]
+fn runs_of_an_executor_that_an_order_has_ended_are_released_once_the_lease_was_confirmed_later() {
+    let mut cell = cell(1, &["a", "bb"]);
+    cell.admit(arrival(vec![step(1, 100)], false));
+    start_first_task(&mut cell);
+    let answer = ExecutorReport { present: vec![present(task(0, 0), 1)], ..poll_answer(601) };
+    cell.handle_poll("a", &answer, 502, 503);
+    cell.handle_poll("bb", &poll_answer(600), 504, 505);
+    cell.confirm_ownership(900);
+    cell.mark_ended("a", 1_000);
+    assert!(starts(&cell.tick(1_010, 0)).is_empty(), "a later holder may know how the run ended");
+    cell.confirm_ownership(1_020);
+    assert_eq!(starts(&cell.tick(1_030, 0)), [("bb".to_owned(), task(0, 0), 2)]);
+}
+
+/// Guards against a task that is started again, as its end was acknowledged before its job was read.
+#[test]
+fn the_end_of_a_job_that_is_read_later_is_not_lost() {
+    let mut cell = cell(2, &["a"]);
+    let answer =
+        ExecutorReport { ended: vec![end(1, task(0, 0), 1, RunOutcome::Done)], ..poll_answer(100) };
+    cell.handle_poll("a", &answer, 0, 1);
+    let is_forgotten = cell.workers()["a"].end_to_acknowledge() >= 1;
+    cell.admit(arrival(vec![step(1, 100)], true));
+    let ended = if is_forgotten { Vec::new() } else { answer.ended };
+    cell.handle_poll("a", &ExecutorReport { ended, ..poll_answer(200) }, 100, 101);
+    assert!(starts(&cell.tick(102, 0)).is_empty(), "the end was forgotten: {is_forgotten}");
+}
