Release runs without an end once the lease is confirmed

Cause: a holder that had been replaced, and did not know it, released runs whose end it had not seen. A successor had read the ends, acknowledged them, and had the machine moved or the end forgotten; "the run is no longer there" was taken for "the run did not end". The successor may claim the cell 1.6 s after the last heartbeat, the former holder sends orders for 3.5 s, and epochs keep it only from executors that the successor has called.

A run without a reported end (in neither list of an answer, replaced, restarted, not listed, ordered away) is now marked absent with the time of the evidence, and released by the first tick at which the lease is known to have been held later than that: by then no other holder had called an executor, so that nobody can have read the end. Starts in doubt on an executor that has ended wait for the same. Expired leases were judged so before. A run whose start has not gone out is released at once. While runs wait, the holder reads the lease row each 100 ms rather than with the next heartbeat.

Ruled out as the whole cause: the list of machines alone.

--- /dev/null
+++ b/crates/cells/src/owner/confirm.rs
@@ -0,0 +1,62 @@
+//! Confirmations that this process still holds the lease of its cell.
+//!
+//! Load pattern: an executor at a queue's peak crashes, and dozens of its tasks wait for the next
+//! confirmation to start again. The lease is then read at once, rather than with the next heartbeat.
+
+use std::rc::Rc;
+
+use super::Inner;
+use crate::clock;
+use crate::context::pause;
+use crate::keys;
+
+/// Time for which a holder sends orders after its lease was last confirmed, in milliseconds.
+///
+/// Together with the executors' lease it keeps tasks running while the table is unavailable for
+/// eight seconds. A successor waits no longer than that for executors that it can't reach.
+pub(super) const ORDER_VALIDITY_MS: u64 = 3_500;
+/// Least time between two reads of the lease for runs that wait to be released, in milliseconds.
+const CONFIRMATION_INTERVAL_MS: u64 = 100;
+
+impl Inner {
+    /// Records a time at which no later holder could send orders.
+    pub fn confirm(&self, at: u64) {
+        self.confirmed_at.set(self.confirmed_at.get().max(at));
+        let mut cell = self.cell.borrow_mut();
+        cell.confirm_ownership(at);
+        if cell.awaits_confirmation() {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Whether orders may be sent: the lease was confirmed recently enough.
+    pub fn may_order(&self) -> bool {
+        self.is_active() && clock::now() < self.confirmed_at.get() + ORDER_VALIDITY_MS
+    }
+
+    /// Time since the lease was last confirmed, in milliseconds.
+    pub fn confirmation_age(&self) -> u64 {
+        clock::now().saturating_sub(self.confirmed_at.get())
+    }
+
+    /// Reads the lease if runs wait for its confirmation to be released.
+    pub(super) fn confirm_for_releases(self: &Rc<Self>) {
+        if self.cell.borrow().awaits_confirmation() && !self.confirming.replace(true) {
+            actix::spawn(Rc::clone(self).read_lease());
+        }
+    }
+
+    /// Reads the lease once, and confirms it if its row has not changed.
+    async fn read_lease(self: Rc<Self>) {
+        let read_at = clock::now();
+        let place = keys::lease(&self.tenure.cell);
+        // A failed read is repeated below, and the lease is read with each heartbeat as well.
+        if let Ok(page) = self.ctx.ports.store.read(&place, 1).await
+            && page.rows.iter().any(|row| row.place == place && row.version == self.tenure.epoch)
+        {
+            self.confirm(read_at);
+        }
+        pause(CONFIRMATION_INTERVAL_MS).await;
+        self.confirming.set(false);
+    }
+}
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the scheduler of a cell that this process holds, against the table and the executors.
 
 mod allowance;
+mod confirm;
 mod duty;
 mod poll;
 mod recover;
@@ -12,6 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use confirm::ORDER_VALIDITY_MS;
 use indexmap::{IndexMap, IndexSet};
 use jobs::cell::{Arrival, ShrinkLimits};
 use jobs::flush::Writes;
@@ -30,11 +32,6 @@
 use crate::rows::{self, Lease, Load, PoolState};
 use crate::supervise;
 
-/// Time for which a holder sends orders after its lease was last confirmed, in milliseconds.
-///
-/// Together with the executors' lease it keeps tasks running while the table is unavailable for
-/// eight seconds. A successor waits no longer than that for executors that it can't reach.
-const ORDER_VALIDITY_MS: u64 = 3_500;
 /// Age up to which the registry's last read counts for starts, in milliseconds; less than the time in
 /// which a capacity that has shrunk has to take effect.
 const MAX_REGISTRY_AGE_MS: u64 = 4_000;
@@ -142,6 +139,8 @@
     taken_at: u64,
     /// Time at which the lease was last confirmed, in milliseconds.
     confirmed_at: Cell<u64>,
+    /// Whether the lease is being read for runs that wait to be released.
+    confirming: Cell<bool>,
     lost: Cell<bool>,
     /// Triggers a scheduler pass before the next interval.
     pub wake: Notify,
@@ -199,6 +198,7 @@
             exchange: RefCell::new(Exchange::new(&tenure.cell, tenure.epoch)),
             taken_at: now,
             confirmed_at: Cell::new(now),
+            confirming: Cell::new(false),
             lost: Cell::new(false),
             wake: Notify::new(),
             tenure,
@@ -288,22 +288,6 @@
         !self.lost.get()
     }
 
-    /// Records a time at which no later holder could send orders.
-    pub fn confirm(&self, at: u64) {
-        self.confirmed_at.set(self.confirmed_at.get().max(at));
-        self.cell.borrow_mut().confirm_ownership(at);
-    }
-
-    /// Whether orders may be sent: the lease was confirmed recently enough.
-    pub fn may_order(&self) -> bool {
-        self.is_active() && clock::now() < self.confirmed_at.get() + ORDER_VALIDITY_MS
-    }
-
-    /// Time since the lease was last confirmed, in milliseconds.
-    pub fn confirmation_age(&self) -> u64 {
-        clock::now().saturating_sub(self.confirmed_at.get())
-    }
-
     /// Whether the registry was read recently enough to start tasks by its capacities.
     pub fn is_registry_current(&self) -> bool {
         clock::now() < self.ctx.registry_read_at.get() + MAX_REGISTRY_AGE_MS
@@ -380,6 +364,7 @@
                     self.send(order);
                 }
             }
+            self.confirm_for_releases();
             self.log_crashes();
             self.log_releases();
             if self.cell.borrow().is_superseded() {
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -487,6 +487,7 @@
             start_clock: None,
             cleared: false,
             unverified_since: Some(now),
+            absence: None,
         };
         if let Some(charge) = &slot.charge {
             self.quotas.remove_waiting(charge);
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -35,7 +35,7 @@
 use quota::Quotas;
 pub use quota::{Charge, QuotaUse, WaitReason};
 pub use record::{Flush, JobChange};
-pub use release::{AcknowledgedEnd, Release, ReleaseReason};
+pub use release::{Absence, AcknowledgedEnd, Release, ReleaseReason};
 use restart::OpenStart;
 pub use wait::WaitingTask;
 
@@ -276,6 +276,8 @@
     no_sharing_until: u64,
     /// Crashes that have not been read for the log.
     crashes: Vec<Crash>,
+    /// Runs that are absent from their executors and wait for a confirmation of the lease.
+    absent_runs: Vec<(String, TaskId)>,
     /// Released runs that have not been read for the log.
     releases: Vec<Release>,
     /// Acknowledged ends of former holders' runs that have not been read for the log.
@@ -335,6 +337,7 @@
             unexplained_until: 0,
             no_sharing_until: 0,
             crashes: Vec::new(),
+            absent_runs: Vec::new(),
             releases: Vec::new(),
             acknowledged: Vec::new(),
             superseded: false,
@@ -600,8 +603,11 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
-            self.release_verified(&id, ReleaseReason::Expired, now, now);
+            for task in self.verified_runs(&id) {
+                self.release_run(&id, &task, ReleaseReason::Expired, now, now);
+            }
         }
+        self.release_absent(owned_at, now);
         self.expire_unverified(owned_at, now);
         self.workers.retain(|_, w| {
             let removable = w.dead
@@ -630,22 +636,26 @@
     /// Unless the executor was about to leave, its end counts as a crash, and the runs that had just
     /// begun are suspected of having caused it.
     pub fn mark_dead(&mut self, id: &str, now: u64) {
-        self.handle_crash(id, ReleaseReason::Replaced, now, now);
-        self.release_all(id, ReleaseReason::Replaced, now);
+        let absence = Absence { reason: ReleaseReason::Replaced, requested: now, since: now };
+        self.handle_crash(id, absence);
+        self.mark_all_absent(id, absence);
         self.rule_out_life(id);
     }
 
     /// Like [`Self::mark_dead`], for an executor that has ended by an order.
     pub fn mark_ended(&mut self, id: &str, now: u64) {
-        self.end_worker(id, ReleaseReason::Ordered, now, now);
+        self.end_worker(id, Absence { reason: ReleaseReason::Ordered, requested: now, since: now });
     }
 
-    /// Marks an incarnation as dead and releases the runs that have certainly ended with it.
-    fn end_worker(&mut self, id: &str, reason: ReleaseReason, requested: u64, now: u64) {
-        if let Some(worker) = self.workers.get_mut(id) {
+    /// Marks an incarnation as dead, and the runs that have certainly ended with it as absent.
+    fn end_worker(&mut self, id: &str, absence: Absence) {
+        if let Some(worker) = self.workers.get_mut(id).filter(|worker| !worker.dead) {
             worker.dead = true;
+            worker.dead_since = absence.since;
+        }
+        for task in self.verified_runs(id) {
+            self.mark_absent(id, &task, absence);
         }
-        self.release_verified(id, reason, requested, now);
     }
 
     /// Whether tasks wait for executors that do not answer and may be dead.
@@ -680,7 +690,8 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &dead {
-            self.handle_crash(id, ReleaseReason::Unlisted, requested, now);
+            let absence = Absence { reason: ReleaseReason::Unlisted, requested, since: now };
+            self.handle_crash(id, absence);
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.presumed_dead = true;
             }
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -57,11 +57,12 @@
     /// Handles a start order that is about to go out, and returns whether it is still wanted.
     ///
     /// Starts queue at the holder for a permit of their executor. A run whose start has not gone out
-    /// can't be the cause of a crash. A run that the cell has released must not begin any more: its
-    /// task may have started elsewhere.
+    /// can't be the cause of a crash. A run that the cell has released, or whose executor has ended,
+    /// must not begin any more: its task may have started elsewhere.
     pub fn handle_start_sent(&mut self, id: &str, task: &TaskId, run: u64) -> bool {
         let slot = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(task));
-        let Some(slot) = slot.filter(|slot| slot.run == run) else { return false };
+        let slot = slot.filter(|slot| slot.run == run && slot.absence.is_none());
+        let Some(slot) = slot else { return false };
         slot.sent = true;
         true
     }
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -1,6 +1,6 @@
 //! Handling of the runs and ends that an executor reports when it is polled.
 
-use super::{Cell, Order, RUNS_PER_TERM, ReleaseReason, StepState};
+use super::{Absence, Cell, Order, RUNS_PER_TERM, ReleaseReason, StepState};
 use crate::job::{State, TaskId};
 use crate::pace;
 use crate::place;
@@ -26,7 +26,7 @@
     slot: &mut Slot,
     now: u64,
 ) {
-    if matches!(slot.phase, Phase::Stopping | Phase::Stopped) {
+    if matches!(slot.phase, Phase::Stopping | Phase::Stopped) || slot.absence.is_some() {
         return;
     }
     slot.phase = Phase::Stopping;
@@ -72,7 +72,7 @@
         }
         // Starts that were addressed to an incarnation that has ended are settled with the next one.
         if self.workers.get(id).is_some_and(|w| !w.dead) {
-            self.release_missing(id, answer, sent, now);
+            self.mark_missing(id, answer, sent, now);
             self.stop_unsure(id, sent, now);
         }
         self.adjust_best_effort_pace(id, answer);
@@ -159,6 +159,12 @@
         let task = &run.task;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let known = worker.runs.get(task).is_some_and(|slot| slot.run == run.run);
+        if worker.dead {
+            // The answer is older than the end of the executor.
+            let reason = ReleaseReason::Replaced;
+            self.mark_absent(id, task, Absence { reason, requested: now, since: now });
+            return;
+        }
         if !known && !self.adopt_run(id, run, now) {
             return;
         }
@@ -174,6 +180,7 @@
         slot.sent = true;
         slot.start_clock.get_or_insert(clock);
         slot.unverified_since = None;
+        slot.absence = None;
         if matches!(slot.phase, Phase::Sent | Phase::Unsure) {
             slot.phase = Phase::Running;
             slot.phase_since = now;
@@ -244,6 +251,7 @@
             start_clock: None,
             cleared: false,
             unverified_since: None,
+            absence: None,
         };
         worker.add_run(task.clone(), slot);
         self.quarantine_adopted(id, task, now);
@@ -262,11 +270,11 @@
         steps.get_mut(task.step)?.tasks.get_mut(task.index as usize)
     }
 
-    /// Releases runs that an executor should report as present but does not.
+    /// Marks runs as absent that an executor should report as present but does not.
     ///
-    /// A full answer may omit the end of such a run. Only long-running tasks are released then,
+    /// A full answer may omit the end of such a run. Only long-running tasks are marked then,
     /// since they start again however they ended.
-    fn release_missing(&mut self, id: &str, answer: &ExecutorReport, sent: u64, now: u64) {
+    fn mark_missing(&mut self, id: &str, answer: &ExecutorReport, sent: u64, now: u64) {
         let Some(worker) = self.workers.get(id) else { return };
         let restarts = |task: &TaskId| {
             let spec = self.jobs.get(&task.job).and_then(|e| e.job.steps.get(task.step));
@@ -287,7 +295,8 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in missing {
-            self.release_run(id, &task, ReleaseReason::Missing, sent, now);
+            let reason = ReleaseReason::Missing;
+            self.mark_absent(id, &task, Absence { reason, requested: sent, since: now });
         }
     }
 
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -10,7 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::quota::QuotaPass;
-use super::{Cell, JobEntry, ReleaseReason, StepState};
+use super::{Absence, Cell, JobEntry, StepState};
 use crate::crash;
 use crate::job::{State, Step, TaskId};
 use crate::place;
@@ -78,18 +78,12 @@
         self.workers.get(id).is_none_or(|w| w.dead || w.leaving || !w.registration.ready)
     }
 
-    /// Records an executor's crash under the runs that may have caused it, and releases its runs.
-    ///
-    /// `requested` is when the call that shows the crash was sent.
-    pub(super) fn handle_crash(
-        &mut self,
-        id: &str,
-        reason: ReleaseReason,
-        requested: u64,
-        now: u64,
-    ) {
+    /// Records an executor's crash under the runs that may have caused it, and marks its runs as
+    /// absent.
+    pub(super) fn handle_crash(&mut self, id: &str, absence: Absence) {
+        let now = absence.since;
         if self.end_was_expected(id) {
-            self.end_worker(id, reason, requested, now);
+            self.end_worker(id, absence);
             return;
         }
         let Some(worker) = self.workers.get(id) else { return };
@@ -100,7 +94,7 @@
             .filter(|(_, slot)| slot.sent && !slot.cleared)
             .map(|(task, slot)| (task.clone(), crash::is_to_blame(slot.start_clock, worker.clock)))
             .collect();
-        self.end_worker(id, reason, requested, now);
+        self.end_worker(id, absence);
         let mut jobs: Vec<&str> = uncleared.iter().map(|(task, _)| task.job.as_str()).collect();
         jobs.sort_unstable();
         jobs.dedup();
--- a/crates/jobs/src/cell/release.rs
+++ b/crates/jobs/src/cell/release.rs
@@ -1,4 +1,12 @@
 //! Releases of runs, after which their tasks may start again.
+//!
+//! A run without a reported end, such as one of an executor that has crashed, may have ended as done
+//! and have been acknowledged to a later holder. It is released only once this holder is known to
+//! have held the cell after the run was found absent: no other holder had called an executor by
+//! then, and the end can no longer be read by anybody.
+//!
+//! Load pattern: a holder can reach neither the table nor some executors for a few seconds. Its
+//! successor takes the cell while the orders of both are still accepted.
 
 use super::Cell;
 use crate::job::TaskId;
@@ -30,6 +38,17 @@
     Unverified,
 }
 
+/// Evidence that a run is no longer on its executor, although no end was reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Absence {
+    /// What shows it.
+    pub reason: ReleaseReason,
+    /// When the poll or list that shows it was requested, in milliseconds.
+    pub requested: u64,
+    /// When this holder learned of it, in milliseconds.
+    pub since: u64,
+}
+
 /// A run that was released, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Release {
@@ -73,12 +92,42 @@
         std::mem::take(&mut self.acknowledged)
     }
 
-    /// Releases all runs of an executor that has ended for good.
-    pub(super) fn release_all(&mut self, id: &str, reason: ReleaseReason, now: u64) {
+    /// Whether runs wait for a confirmation of the lease to be released.
+    pub fn awaits_confirmation(&self) -> bool {
+        !self.absent_runs.is_empty()
+    }
+
+    /// Records that a run is absent from its executor, so that it is released once the lease is
+    /// confirmed, or at once if its start has not gone out.
+    pub(super) fn mark_absent(&mut self, id: &str, task: &TaskId, absence: Absence) {
+        let slot = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(task));
+        let Some(slot) = slot.filter(|slot| slot.absence.is_none()) else { return };
+        if slot.sent {
+            slot.absence = Some(absence);
+            self.absent_runs.push((id.to_owned(), task.clone()));
+        } else {
+            self.release_run(id, task, absence.reason, absence.requested, absence.since);
+        }
+    }
+
+    /// Marks all runs of an executor that has ended for good as absent.
+    pub(super) fn mark_all_absent(&mut self, id: &str, absence: Absence) {
         let Some(worker) = self.workers.get(id) else { return };
         let tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
-        for task in tasks {
-            self.release_run(id, &task, reason, now, now);
+        tasks.iter().for_each(|task| self.mark_absent(id, task, absence));
+    }
+
+    /// Releases the runs that were absent before `owned_at`, when this holder held the cell.
+    pub(super) fn release_absent(&mut self, owned_at: u64, now: u64) {
+        for (id, task) in std::mem::take(&mut self.absent_runs) {
+            let slot = self.workers.get(&id).and_then(|worker| worker.runs.get(&task));
+            // Without an absence, a later answer has shown the run or its end.
+            let Some(absence) = slot.and_then(|slot| slot.absence) else { continue };
+            if absence.since < owned_at {
+                self.release_run(&id, &task, absence.reason, absence.requested, now);
+            } else {
+                self.absent_runs.push((id, task));
+            }
         }
     }
 
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -10,7 +10,7 @@
 //! Load pattern: some executors crash and restart within a second or two, while each of them starts
 //! dozens of tasks a second. Only the starts of the last fraction of a second are in doubt.
 
-use super::{Cell, ReleaseReason};
+use super::{Absence, Cell, ReleaseReason};
 use crate::incarnation;
 use crate::job::TaskId;
 use crate::worker::{Phase, Slot};
@@ -50,7 +50,8 @@
         // A former holder may have ordered starts that the new incarnation has carried out.
         let is_unread = !worker.joined && self.inherited_workers.contains(id);
         if !worker.dead {
-            self.handle_crash(id, ReleaseReason::Restarted, now, now);
+            let absence = Absence { reason: ReleaseReason::Restarted, requested: now, since: now };
+            self.handle_crash(id, absence);
         }
         self.rule_out_life(id);
         let later = self.workers.keys().filter(|other| incarnation::is_replaced_by(id, other));
@@ -102,7 +103,8 @@
                 } else {
                     // Both may be the same incarnation, which has told its start only now.
                     self.pass_on_runs(&other, &id, now);
-                    self.end_worker(&other, ReleaseReason::Restarted, now, now);
+                    let reason = ReleaseReason::Restarted;
+                    self.end_worker(&other, Absence { reason, requested: now, since: now });
                 }
             }
             self.check_open_starts(&id, now);
@@ -139,6 +141,7 @@
                     phase_since: now,
                     start_clock: None,
                     cleared: false,
+                    absence: None,
                     ..start.slot.clone()
                 };
                 worker.add_run(start.task.clone(), slot);
@@ -150,7 +153,8 @@
     /// whether it has them.
     fn pass_on_runs(&mut self, earlier: &str, later: &str, now: u64) {
         let Some(worker) = self.workers.get_mut(earlier) else { return };
-        let tasks: Vec<TaskId> = worker.runs.keys().cloned().collect();
+        let present = worker.runs.iter().filter(|(_, slot)| slot.absence.is_none());
+        let tasks: Vec<TaskId> = present.map(|(task, _)| task.clone()).collect();
         for task in tasks {
             let slot = self.workers.get_mut(earlier).and_then(|w| w.remove_run(&task));
             let Some(slot) = slot else { continue };
@@ -177,24 +181,15 @@
         }
     }
 
-    /// Releases the runs that have certainly ended with their incarnation or its lease.
+    /// Runs that have certainly ended once their incarnation or its lease has.
     ///
-    /// Runs that another incarnation may have, or may still begin, are kept.
-    pub(super) fn release_verified(
-        &mut self,
-        id: &str,
-        reason: ReleaseReason,
-        requested: u64,
-        now: u64,
-    ) {
-        let Some(worker) = self.workers.get(id) else { return };
+    /// The others may be on another incarnation, or may still begin there.
+    pub(super) fn verified_runs(&self, id: &str) -> Vec<TaskId> {
+        let Some(worker) = self.workers.get(id) else { return Vec::new() };
         let may_restart = worker.may_restart();
         let is_verified = |slot: &Slot| !may_restart || slot.unverified_since.is_none();
         let runs = worker.runs.iter().filter(|(_, slot)| is_verified(slot));
-        let tasks: Vec<TaskId> = runs.map(|(task, _)| task.clone()).collect();
-        for task in tasks {
-            self.release_run(id, &task, reason, requested, now);
-        }
+        runs.map(|(task, _)| task.clone()).collect()
     }
 
     /// Releases runs of executors that can't be asked and have not restarted in time.
@@ -204,8 +199,12 @@
         let mut expired: Vec<(String, TaskId)> = Vec::new();
         for (id, worker) in self.workers.iter().filter(|(_, w)| !w.runs.is_empty()) {
             let is_unread = worker.dead || !worker.joined || worker.leases_expired(owned_at);
+            // An executor that has answered a later holder may have ended since.
+            let unread_since = if worker.dead { worker.dead_since } else { 0 };
             let is_over = |slot: &Slot| {
-                slot.unverified_since.is_some_and(|since| owned_at > since + RESTART_WAIT_MS)
+                slot.unverified_since.is_some_and(|since| {
+                    owned_at > (since + RESTART_WAIT_MS).max(unread_since).max(slot.phase_since)
+                })
             };
             if is_unread && worker.may_restart() {
                 let over = worker.runs.iter().filter(|(_, slot)| is_over(slot));
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use strum::{Display, EnumString, IntoStaticStr};
 
-use crate::cell::Charge;
+use crate::cell::{Absence, Charge};
 use crate::incarnation;
 use crate::job::TaskId;
 
@@ -240,6 +240,8 @@
     /// Answers to starts do not tell the incarnation, so that another one of the same name may have
     /// carried the order out, or may still do so.
     pub unverified_since: Option<u64>,
+    /// Evidence that the run is no longer on the executor; `None` as long as it may be.
+    pub absence: Option<Absence>,
 }
 
 /// State that a cell keeps for one executor.
@@ -253,6 +255,8 @@
     pub joined: bool,
     /// Whether the incarnation is known to have ended, so that it has no runs.
     pub dead: bool,
+    /// When this holder learned that it has ended, in milliseconds.
+    pub dead_since: u64,
     /// Whether it counts as dead only since the list of machines did not name it.
     pub presumed_dead: bool,
     /// Whether it is to be drained, for maintenance or a move of its machine.
@@ -311,6 +315,7 @@
             listed: true,
             joined: false,
             dead: false,
+            dead_since: 0,
             presumed_dead: false,
             leaving: false,
             leaving_since: None,
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -95,6 +95,7 @@
 /// Tasks that a pass starts, each confirmed at once.
 fn start_all(cell: &mut Cell, now: u64) -> Vec<TaskId> {
     let mut started = Vec::new();
+    cell.confirm_ownership(now);
     for order in cell.tick(now, 0) {
         if let Order::Start { worker, task, run, .. } = order {
             cell.handle_start_outcome(&worker, &task, run, StartOutcome::Running(now), now);
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -678,6 +678,7 @@
     let (_, begun) = cell.take_changes();
     cell.flush_done(&begun);
     cell.mark_dead(&first, START_MS + 20);
+    cell.confirm_ownership(START_MS + 30);
     assert_eq!(start_of(&cell.tick(START_MS + 30, 0)), None);
     let (changes, flush) = cell.take_changes();
     assert_eq!(changes[0].progress.occurrences[&0][0].crashes.len(), 1);
@@ -707,6 +708,7 @@
         let (mut cell, first) = cell_with_new_run(&["m0-0", "m1-0"]);
         depart(&mut cell, &first);
         assert!(cell.take_crashes().is_empty());
+        cell.confirm_ownership(START_MS + 30);
         assert!(start_of(&cell.tick(START_MS + 30, 0)).is_some());
     }
 }
@@ -723,6 +725,7 @@
     let (_, flush) = cell.take_changes();
     cell.flush_done(&flush);
     cell.admit(arrival(others[1], &small_job(1), false));
+    cell.confirm_ownership(START_MS + 30);
     let orders = cell.tick(START_MS + 30, 0);
     let starts: Vec<(&str, &str)> = orders
         .iter()
@@ -758,6 +761,7 @@
         if changes.iter().any(|change| change.id == JOB && change.state == State::Failed) {
             return count;
         }
+        cell.confirm_ownership(now + 10);
         current = start_and_confirm(cell, now + 10).expect("the suspect starts again");
     }
     panic!("the job is not given up")
--- a/crates/jobs/tests/quarantine.rs
+++ b/crates/jobs/tests/quarantine.rs
@@ -461,6 +461,7 @@
     pool.crash(&first);
     pool.write();
     pool.now += TICK_MS;
+    pool.cell.confirm_ownership(pool.now);
     let orders = pool.cell.tick(pool.now, 0);
     let Some(Order::Start { worker, task, run, .. }) = orders.first() else {
         panic!("the suspect starts again")
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -157,6 +157,7 @@
     cell.handle_poll("a~200", &report(150, &[]), 60_240, 60_250);
     let (_, flush) = cell.take_changes();
     cell.flush_done(&flush);
+    cell.confirm_ownership(60_260);
     assert_eq!(starts(&cell.tick(60_260, 0)).len(), 1);
 }
 
@@ -168,6 +169,7 @@
     cell.handle_poll("a~100", &report(61_400, &[("aa", 1)]), 60_400, 60_410);
     cell.tick(60_420, 0);
     cell.mark_restarted("a~100", 60_500);
+    cell.confirm_ownership(60_510);
     assert_eq!(starts(&cell.tick(60_510, 0)), [("b~100", 2)]);
 }
 
@@ -177,6 +179,7 @@
 fn a_start_answered_by_the_clock_of_its_incarnation_starts_again_at_once() {
     let mut cell = started(StartOutcome::Running(61_020));
     cell.mark_restarted("a~100", 60_500);
+    cell.confirm_ownership(60_510);
     let orders = cell.tick(60_510, 0);
     // As a suspect of the crash it waits until the table knows of it.
     assert!(starts(&orders).is_empty());
@@ -229,6 +232,7 @@
         cell.handle_poll("a~200", &report(50, &[("aa", 7)]), 50, 60);
         assert_eq!(cell.tick(70, 0), []);
         cell.handle_poll("a~200", &report(600, &[]), 600, 610);
+        cell.confirm_ownership(620);
         assert_eq!(starts(&cell.tick(620, 0)).len(), 1);
     }
 }
@@ -328,6 +332,7 @@
     cell.handle_no_answer("a~100");
     let live = std::iter::once("b~100".to_owned()).collect();
     assert_eq!(cell.mark_missing_dead(&live, 60_500, 60_510), ["a~100"]);
+    cell.confirm_ownership(60_520);
     assert_eq!(starts(&cell.tick(60_520, 0)), [("b~100", 2)]);
     assert!(cell.workers()["a~100"].is_polled());
     cell.handle_poll("a~100", &report(62_400, &[("aa", 1)]), 61_400, 61_410);
--- a/crates/jobs/tests/sizing.rs
+++ b/crates/jobs/tests/sizing.rs
@@ -144,6 +144,7 @@
         self.poll_executors();
         for pool in self.cells.keys().cloned().collect::<Vec<_>>() {
             let cell = &mut self.cells[&pool];
+            cell.confirm_ownership(self.now);
             for order in cell.tick(self.now, self.now) {
                 let Order::Start { worker, task, run, .. } = order else { continue };
                 let ends = estimate(&task).map(|duration| self.now + duration);
--- a/crates/jobs/tests/starts.rs
+++ b/crates/jobs/tests/starts.rs
@@ -85,6 +85,7 @@
         assert!(cell.handle_start_sent(&start.worker, &start.task, start.run));
     }
     cell.mark_dead(&ordered[0].worker, START_MS + 20);
+    cell.confirm_ownership(START_MS + 25);
     ordered
 }
 
