Keep a run refused as old until a poll shows how it ended

An executor refuses a start as old if the run, or a later one, was stopped or has ended there.

The run now counts as stopped: the next poll lists its end, or shows that there is none, and it is released as other runs without an end are.

jobs/tests/former: a_run_whose_start_is_refused_as_old failed before (started again 100 ms after the refusal) and passes.

--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -182,7 +182,21 @@
                 _ => {}
             }
         }
-        self.release_unstarted(id, task, run, now);
+        if refusal == Refusal::Old {
+            self.await_poll(id, task, run, now);
+        } else {
+            self.release_unstarted(id, task, run, now);
+        }
+    }
+
+    /// Leaves it to the next poll to show whether a run has ended, or has never begun.
+    fn await_poll(&mut self, id: &str, task: &TaskId, run: u64, now: u64) {
+        let slot = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(task));
+        if let Some(slot) = slot.filter(|slot| slot.run == run && slot.absence.is_none()) {
+            slot.sent = true;
+            slot.phase = Phase::Stopped;
+            slot.phase_since = now;
+        }
     }
 
     /// Releases a run that has certainly not begun.
