Send no starts after an executor has refused the epoch

A start that waited for a permit of an executor was sent although the executor, or another one, had just told that a later holder has called it: the cell is marked as lost in the next pass only, up to 25 ms later.

may_order is false once an executor has refused the epoch. The scheduler's own pass sent nothing in that time before, as a superseded cell assigns no tasks.

cells/tests/fleet: a_holder_sends_no_more_starts_once_an_executor_has_ refused_its_epoch failed before (6 starts, at most 4) and passes.

--- a/crates/cells/src/owner/confirm.rs
+++ b/crates/cells/src/owner/confirm.rs
@@ -29,9 +29,12 @@
         }
     }
 
-    /// Whether orders may be sent: the lease was confirmed recently enough.
+    /// Whether orders may be sent: the lease was confirmed recently enough, and no executor has seen
+    /// orders of a later holder.
     pub fn may_order(&self) -> bool {
-        self.is_active() && clock::now() < self.confirmed_at.get() + ORDER_VALIDITY_MS
+        self.is_active()
+            && !self.cell.borrow().is_superseded()
+            && clock::now() < self.confirmed_at.get() + ORDER_VALIDITY_MS
     }
 
     /// Time since the lease was last confirmed, in milliseconds.
