Count a claimed lease from before the claim was sent

A holder counted its order validity from when it handled the answer to its claim.

The validity, and the time at which the scheduler knows the cell as its own, now count from before the claim was sent, or from the read of the leases that shows a claim whose answer was lost. A scheduler that was told of no confirmation counts as unconfirmed.

cells/tests/fleet: a_claim_whose_answer_is_late_permits_no_orders failed before (a start under the former epoch) and passes.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -101,7 +101,8 @@
 }
 
 impl Fleet {
-    pub fn spawn(ctx: Rc<Context>, tenure: Tenure) -> Self {
+    /// Starts the duties, whose lease was free or this process's at `confirmed_at`.
+    pub fn spawn(ctx: Rc<Context>, tenure: Tenure, confirmed_at: u64) -> Self {
         let order_rate = RefCell::new(OrderRate::new(ctx.settings.order_rate));
         let rebalancer = if ctx.settings.forecast_peaks {
             Rebalancer::with_forecast()
@@ -112,7 +113,7 @@
             ctx,
             tenure,
             taken_at: clock::now(),
-            confirmed_at: Cell::new(clock::now()),
+            confirmed_at: Cell::new(confirmed_at),
             lost: Cell::new(false),
             machines: RefCell::default(),
             listed_at: Cell::new(0),
--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -401,7 +401,7 @@
             fleet.confirm(read_at);
         }
         drop(held);
-        self.settle_unconfirmed(leases);
+        self.settle_unconfirmed(leases, read_at);
     }
 
     /// Releases leases of this process whose cells it no longer runs.
@@ -474,25 +474,27 @@
         let claims = self.observations.borrow_mut().claims(&cells, &me, clock::now());
         for cell in claims {
             let (version, lease) = self.observations.borrow().lease(&cell);
+            // The answer may be handled long after the claim was applied.
+            let requested = clock::now();
             if let Some(tenure) = self.claim(&cell, version, &lease).await {
-                self.start(tenure);
+                self.start(tenure, requested);
             }
         }
     }
 
     /// Starts to run a cell or the fleet's duties.
-    fn start(&self, tenure: Tenure) {
+    fn start(&self, tenure: Tenure, confirmed_at: u64) {
         let mut held = self.held.borrow_mut();
         if tenure.cell == keys::FLEET_CELL {
-            held.fleet = Some(Fleet::spawn(Rc::clone(&self.ctx), tenure));
+            held.fleet = Some(Fleet::spawn(Rc::clone(&self.ctx), tenure, confirmed_at));
         } else {
             let cell = tenure.cell.clone();
-            held.owners.insert(cell, Owner::spawn(Rc::clone(&self.ctx), tenure));
+            held.owners.insert(cell, Owner::spawn(Rc::clone(&self.ctx), tenure, confirmed_at));
         }
     }
 
     /// Settles claims with an unknown outcome: starts those whose lease was written.
-    fn settle_unconfirmed(&self, leases: &IndexMap<String, (u64, Lease)>) {
+    fn settle_unconfirmed(&self, leases: &IndexMap<String, (u64, Lease)>, read_at: u64) {
         let me = self.ctx.holder_name();
         let unconfirmed = std::mem::take(&mut *self.unconfirmed.borrow_mut());
         for (cell, tenure) in unconfirmed {
@@ -508,7 +510,7 @@
                         && !held
                         && !self.ctx.stopping.get() =>
                 {
-                    self.start(Tenure { epoch: *version, ..tenure });
+                    self.start(Tenure { epoch: *version, ..tenure }, read_at);
                 }
                 // The claim may still be applied.
                 Some((_, lease)) if lease.term < tenure.term => {
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -152,8 +152,8 @@
 }
 
 impl Owner {
-    /// Starts running the cell.
-    pub fn spawn(ctx: Rc<Context>, tenure: Tenure) -> Self {
+    /// Starts running the cell, whose lease was free or this process's at `confirmed_at`.
+    pub fn spawn(ctx: Rc<Context>, tenure: Tenure, confirmed_at: u64) -> Self {
         let now = clock::now();
         let lease = ctx.executor_lease();
         let config = CellConfig {
@@ -169,6 +169,7 @@
         };
         let mut cell = jobs::Cell::new(config, now);
         cell.set_longest_lease(ctx.settings.bounds.lease);
+        cell.confirm_ownership(confirmed_at);
         let inner = Rc::new(Inner {
             ctx,
             cell: RefCell::new(cell),
@@ -197,7 +198,7 @@
             former_limits: RefCell::default(),
             exchange: RefCell::new(Exchange::new(&tenure.cell, tenure.epoch)),
             taken_at: now,
-            confirmed_at: Cell::new(now),
+            confirmed_at: Cell::new(confirmed_at),
             confirming: Cell::new(false),
             lost: Cell::new(false),
             wake: Notify::new(),
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -235,7 +235,7 @@
     config: CellConfig,
     /// When this holder acquired the cell, in milliseconds.
     acquired: u64,
-    /// Latest time at which this holder certainly still held the cell, in milliseconds.
+    /// Latest time at which this holder certainly held the cell, in milliseconds; 0 if unknown.
     last_owned: u64,
     /// Terms of the queues.
     terms: Known,
@@ -295,7 +295,9 @@
 }
 
 impl Cell {
-    /// Creates a cell without jobs that this holder acquired at `now`.
+    /// Creates a cell without jobs that this holder acquired at `now` or before.
+    ///
+    /// When it certainly held the cell is told by [`Cell::confirm_ownership`].
     ///
     /// # Examples
     ///
@@ -315,7 +317,7 @@
         Self {
             config,
             acquired: now,
-            last_owned: now,
+            last_owned: 0,
             terms: Known::default(),
             policy: Policy::default(),
             shares: Shares::default(),
