Report an executor as empty once its ends are durable

An executor that is leaving was reported as empty as soon as it had no runs, although the ends of the last ones were not written yet.

An executor now counts as drained once the table has the effect of all ends seen. It costs the wait for one write round of the cell.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -559,11 +559,13 @@
         self.leaving = executors;
     }
 
-    /// Whether an executor has no runs left.
+    /// Whether an executor has no runs left and the table has the results of those that have ended.
     ///
     /// True for an unknown or dead executor, false for one that has not answered this holder yet.
     pub fn is_drained(&self, id: &str) -> bool {
-        self.workers.get(id).is_none_or(|w| w.dead || (w.runs.is_empty() && w.joined))
+        let is_empty =
+            |w: &Worker| w.joined && w.runs.is_empty() && w.last_durable_end >= w.last_seen_end;
+        self.workers.get(id).is_none_or(|w| w.dead || is_empty(w))
     }
 
     /// Records that this holder certainly still held the cell at `at`.
