Report no executor as empty while the lease is unconfirmed

A holder that can read neither the leases nor the guard rows polls no executors, so that none refuses its epoch, but it still reported executors without runs as empty when it read a new duty, with no limit in time.

The report now needs what orders need: a lease confirmed within the order validity, and no executor that has refused the epoch. Up to 3.5 s remain, in which the later holder's view and the duty's version decide.

--- a/crates/cells/src/owner/duty.rs
+++ b/crates/cells/src/owner/duty.rs
@@ -20,6 +20,7 @@
     /// Marks the executors that have to be emptied, reports those that are empty, and marks those
     /// that have ended as dead.
     pub(super) fn apply_duties(self: &Rc<Self>) {
+        let may_report = self.may_order();
         let duties = self.ctx.duties.borrow();
         let mut cell = self.cell.borrow_mut();
         let revision = (duties.revision(), self.synced_registry.get());
@@ -40,7 +41,8 @@
                 }
             }
         }
-        if self.reporting_empty.get() {
+        // A later holder may have started runs that this one does not know.
+        if self.reporting_empty.get() || !may_report {
             return;
         }
         let mut emptied = Vec::new();
