Keep ends and runs of a job that is read after its executors

The run was taken for one of an unknown job and stopped; when the job was read, its task counted as open and was started elsewhere while run 1 worked on. An end that was seen so early was acknowledged without any effect, and the task ran again.

A job that is admitted now gets the runs that executors were seen to have, and the ends that were seen before it. Ends of unknown jobs are not acknowledged, and their executors not drained, until a read of the cell's jobs that was requested later has been applied.

--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -131,6 +131,7 @@
         let table = keys::jobs_table(&self.tenure.cell);
         while self.is_active() {
             let wait = Duration::from_millis(FEED_WAIT_MS);
+            let requested = clock::now();
             match self.ctx.ports.store.feed(&table, version, wait).await {
                 Ok(page) => {
                     self.ctx.record_page_clock(&page);
@@ -141,6 +142,7 @@
                     if self.apply_rows(&rows).await {
                         if !page.more {
                             self.feed_clock.set(page.clock);
+                            self.cell.borrow_mut().settle_unknown_ends(requested);
                         }
                         version = if page.more { last } else { page.version.max(last) };
                     }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -484,6 +484,8 @@
             entry.occurrences.insert(*occurrence, states);
         }
         self.jobs.insert(arrival.id.clone(), entry);
+        self.assign_seen_runs(&arrival.id);
+        self.apply_unknown_ends(&arrival.id, self.last_owned);
         self.complete_if_done(&arrival.id);
         self.fail_if_exhausted(&arrival.id, self.last_owned);
         true
@@ -618,7 +620,7 @@
                 || (!w.listed
                     && (w.leases_expired(owned_at)
                         || (w.last_answer_at == 0 && inherited_expired)));
-            !(removable && w.runs.is_empty() && !w.listed)
+            !(removable && w.runs.is_empty() && w.unknown_ends.is_empty() && !w.listed)
         });
     }
 
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -4,7 +4,7 @@
 use crate::job::{State, TaskId};
 use crate::pace;
 use crate::place;
-use crate::worker::{EndedRun, ExecutorReport, Phase, PresentRun, RunOutcome, Slot};
+use crate::worker::{EndedRun, ExecutorReport, Phase, PresentRun, Resources, RunOutcome, Slot};
 
 /// Most ends that an executor reports in one answer; a full answer may omit further ends.
 const MAX_ENDS_PER_POLL: usize = 500;
@@ -62,6 +62,7 @@
                 }
                 self.handle_end(id, end, sent, now);
                 self.await_durability(id, end);
+                self.keep_unknown_end(id, end, now);
             }
         }
         if let Some(worker) = self.workers.get_mut(id) {
@@ -95,6 +96,41 @@
         }
     }
 
+    /// Keeps the end of a run whose job is not known, which may be read later.
+    fn keep_unknown_end(&mut self, id: &str, end: &EndedRun, now: u64) {
+        let job = &end.task.job;
+        let is_unknown = !self.jobs.contains_key(job) && !self.ended_jobs.contains(job);
+        if let Some(worker) = self.workers.get_mut(id).filter(|_| is_unknown) {
+            worker.unknown_ends.insert(end.sequence, (end.clone(), now));
+        }
+    }
+
+    /// Handles the ends of a job's runs that were seen before the job was read.
+    pub(super) fn apply_unknown_ends(&mut self, job: &str, now: u64) {
+        let has_unknown = self.workers.iter().filter(|(_, w)| !w.unknown_ends.is_empty());
+        let ids: Vec<String> = has_unknown.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let Some(worker) = self.workers.get_mut(&id) else { continue };
+            let is_of_job = |(_, (end, _)): &(&u64, &(EndedRun, u64))| end.task.job == job;
+            let ends: Vec<EndedRun> =
+                worker.unknown_ends.iter().filter(is_of_job).map(|(_, (e, _))| e.clone()).collect();
+            worker.unknown_ends.retain(|_, (end, _)| end.task.job != job);
+            for end in ends {
+                self.handle_end(&id, &end, now, now);
+                self.await_durability(&id, &end);
+            }
+        }
+    }
+
+    /// Acknowledges the ends of unknown jobs that were seen before `read_at`, the time of a read that
+    /// has shown all jobs.
+    pub fn settle_unknown_ends(&mut self, read_at: u64) {
+        for worker in self.workers.values_mut() {
+            worker.unknown_ends.retain(|_, (_, seen_at)| *seen_at >= read_at);
+            worker.settle_ends();
+        }
+    }
+
     /// Handles the end of a run.
     fn handle_end(&mut self, id: &str, end: &EndedRun, sent: u64, now: u64) {
         let task = &end.task;
@@ -197,40 +233,14 @@
     /// ended, which its answer may be older than.
     fn adopt_run(&mut self, id: &str, run: &PresentRun, now: u64) -> bool {
         let task = &run.task;
-        // The resources of a run of an unknown job are unknown too: they may be the whole executor,
-        // whose capacity may change or not be known yet.
-        let mut unknown_size = true;
         let worker = self.workers.get(id).filter(|w| !w.dead);
-        let Some(mut resources) = worker.map(|w| w.registration.capacity) else { return false };
+        let Some(capacity) = worker.map(|w| w.registration.capacity) else { return false };
         let long_running = self.is_long_running(task);
         let charge = self.charge(task);
-        let entry =
-            self.jobs.get_mut(&task.job).filter(|entry| task.occurrence >= entry.first_open);
-        if let Some(entry) = entry {
-            if let Some(spec) = entry.job.steps.get(task.step) {
-                resources = place::required_resources(spec);
-                unknown_size = false;
-            }
-            let job = &entry.job;
-            let step = entry
-                .occurrences
-                .entry(task.occurrence)
-                .or_insert_with(|| super::new_steps(job))
-                .get_mut(task.step);
-            if let Some(step) = step
-                && let Some(state) = step.tasks.get_mut(task.index as usize)
-            {
-                state.last_run = state.last_run.max(run.run);
-                if !state.done && state.worker.is_none() {
-                    state.worker = Some(id.to_owned());
-                    step.open_count -= 1;
-                    if entry.state == State::Queued {
-                        entry.state = State::Running;
-                        self.dirty.insert(task.job.clone());
-                    }
-                }
-            }
-        }
+        let known = self.assign_run(id, task, run.run);
+        // The resources of a run of an unknown job are unknown too: they may be the whole executor,
+        // whose capacity may change or not be known yet.
+        let (resources, unknown_size) = (known.unwrap_or(capacity), known.is_none());
         let Some(worker) = self.workers.get_mut(id) else { return false };
         let slot = Slot {
             run: run.run,
@@ -258,6 +268,52 @@
         true
     }
 
+    /// Assigns a task to the executor that has a run of it, and returns what the run needs; `None` if
+    /// its job is unknown.
+    fn assign_run(&mut self, id: &str, task: &TaskId, run: u64) -> Option<Resources> {
+        let entry =
+            self.jobs.get_mut(&task.job).filter(|entry| task.occurrence >= entry.first_open)?;
+        let resources = place::required_resources(entry.job.steps.get(task.step)?);
+        let job = &entry.job;
+        let steps =
+            entry.occurrences.entry(task.occurrence).or_insert_with(|| super::new_steps(job));
+        if let Some(step) = steps.get_mut(task.step)
+            && let Some(state) = step.tasks.get_mut(task.index as usize)
+        {
+            state.last_run = state.last_run.max(run);
+            if !state.done && state.worker.is_none() {
+                state.worker = Some(id.to_owned());
+                step.open_count -= 1;
+                if entry.state == State::Queued {
+                    entry.state = State::Running;
+                    self.dirty.insert(task.job.clone());
+                }
+            }
+        }
+        Some(resources)
+    }
+
+    /// Assigns the tasks of a job whose runs were seen before the job was read.
+    pub(super) fn assign_seen_runs(&mut self, job: &str) {
+        let mut seen: Vec<(String, TaskId)> = Vec::new();
+        for (id, worker) in self.workers.iter().filter(|(_, w)| w.unknown_sizes > 0) {
+            let runs = worker.runs.keys().filter(|task| task.job == job);
+            seen.extend(runs.map(|task| (id.clone(), task.clone())));
+        }
+        for (id, task) in seen {
+            let (charge, long_running) = (self.charge(&task), self.is_long_running(&task));
+            let slot = self.workers.get_mut(&id).and_then(|worker| worker.remove_run(&task));
+            let Some(slot) = slot else { continue };
+            let known = self.assign_run(&id, &task, slot.run);
+            let resources = known.unwrap_or(slot.resources);
+            let slot =
+                Slot { resources, charge, long_running, unknown_size: known.is_none(), ..slot };
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.add_run(task, slot);
+            }
+        }
+    }
+
     /// Whether a task should run on the given executor.
     fn is_wanted(&mut self, id: &str, task: &TaskId) -> bool {
         let active = self.jobs.get(&task.job).is_some_and(|e| !e.state.is_final());
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -285,6 +285,9 @@
     pub pending_ends: BTreeMap<u64, String>,
     /// Ended runs of former holders that are not acknowledged yet, by sequence number.
     pub former_ends: BTreeMap<u64, (TaskId, u64)>,
+    /// Ended runs of jobs that are not known, by sequence number, with the times at which they were
+    /// seen in milliseconds.
+    pub unknown_ends: BTreeMap<u64, (EndedRun, u64)>,
     /// Time of the last answer, in milliseconds; 0 before the first.
     pub last_answer_at: u64,
     /// Clock of the executor at the last answer, in milliseconds.
@@ -330,6 +333,7 @@
             last_acknowledged_end: 0,
             pending_ends: BTreeMap::new(),
             former_ends: BTreeMap::new(),
+            unknown_ends: BTreeMap::new(),
             last_answer_at: 0,
             clock: 0,
             first_clock: 0,
@@ -470,7 +474,8 @@
 
     /// Updates the sequence number up to which all results are durable.
     pub fn settle_ends(&mut self) {
-        let first_pending = self.pending_ends.first_key_value().map(|(sequence, _)| *sequence);
+        let first_pending = self.pending_ends.keys().next().into_iter();
+        let first_pending = first_pending.chain(self.unknown_ends.keys().next()).min();
         let durable = first_pending.map_or(self.last_seen_end, |sequence| sequence - 1);
         self.last_durable_end = self.last_durable_end.max(durable);
     }
--- a/crates/jobs/tests/former.rs
+++ b/crates/jobs/tests/former.rs
@@ -276,6 +276,26 @@
     assert_eq!(starts(&cell.tick(210, 0)), [], "run 1 is done");
 }
 
+/// Guards against a second run beside one that was seen before its job was read, as a part of the table
+/// was new to the successor.
+#[test]
+fn a_run_that_is_seen_before_its_job_is_not_started_again() {
+    let mut cell = cell(2);
+    for id in ["a", "b"] {
+        cell.inherit(executor(id));
+        cell.register(executor(id));
+    }
+    cell.handle_poll("a", &report(100, &[0]), 50, 100);
+    cell.handle_poll("b", &report(100, &[]), 50, 100);
+    cell.admit(arrival(1, true));
+    assert_eq!(starts(&cell.tick(110, 0)), [], "run 1 may be at work");
+    cell.handle_stop_answer("a", &task(0), 1, true, 120);
+    let stopped = EndedRun { outcome: RunOutcome::Stopped, ..done(1, task(0), 1) };
+    let answer = ExecutorReport { ended: vec![stopped], ..report(200, &[]) };
+    cell.handle_poll("a", &answer, 150, 200);
+    assert_eq!(starts(&cell.tick(210, 0)).len(), 1, "run 1 has ended");
+}
+
 /// Guards against a second run while a full answer omits the end of the first.
 #[test]
 fn a_run_whose_end_a_full_answer_omits_is_not_started_again() {
