Keep the record of an order when its move is given up

What users would see: after a change of the holder of the duties, a machine that the former holder had just ordered into another pool is ordered again, for a maintenance or another move, 1.7 s after that order; the platform allows the orders of two holders only 3 s apart.

Cause: a move that is given up lost its row, and with it the time and epoch of the order. The next round then took the machine for one without a recent order. The row of a move that begins over an earlier one lost them in the same way.

Ruled out: the wait between two holders itself, which works for as long as the row is there.

The row of a given-up move that has an order on record now stays, as done and without a pool, so that the machine counts as arriving nowhere, as before. A move that begins keeps the record of the last order. A move whose order by a former holder may still be carried out is given up only after the time between two holders, as its executor would lose the tasks that it gets meanwhile; moves without an order, and those whose executor has ended, are given up at once as before.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -322,6 +322,12 @@
         Duty { stage: Stage::Down.to_string(), emptied: true, ordered_at: at, epoch, ..duty }
     }
 
+    /// Returns a duty with the last order on record in its row, which a successor has to know.
+    fn keep_order(&self, place: &Place, duty: Duty) -> Duty {
+        let former = self.duty(place).unwrap_or_default();
+        Duty { ordered_at: former.ordered_at, epoch: former.epoch, ..duty }
+    }
+
     /// Returns whether no tasks run on a machine: it has no executor or is on standby.
     fn runs_no_tasks(&self, machine: &Machine) -> bool {
         let standby = |pool: &str| {
--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -297,6 +297,7 @@
                     age: decided_at.map_or(0, |at| clock::now().saturating_sub(at)),
                     order_age: (duty.stage() == Stage::Down)
                         .then(|| self.ctx.table_now().saturating_sub(duty.ordered_at)),
+                    recently_ordered: self.is_recently_ordered(name),
                 };
                 match relocation.next_action() {
                     Action::Wait => {}
@@ -306,8 +307,12 @@
             }
         }
         if !given_up.is_empty() {
-            let removed = given_up.iter().map(|name| self.change(keys::pool_move(name), None));
-            let written = self.ctx.write_duties(removed.collect()).await;
+            let ends = given_up.iter().map(|name| {
+                let place = keys::pool_move(name);
+                let record = self.duty(&place).and_then(end_of_move);
+                self.change(place, record)
+            });
+            let written = self.ctx.write_duties(ends.collect()).await;
             for name in given_up.iter().filter(|name| written.contains(&keys::pool_move(name).key))
             {
                 let arriving = self.machines.borrow().get(name).is_some_and(|m| !m.up);
@@ -336,8 +341,9 @@
                 }
                 direct.push((name.clone(), pool.clone()));
             } else if let Some(machine) = self.machines.borrow().get(name) {
-                let next = new_duty(machine, 0, pool, Stage::Emptying);
-                changes.push(self.change(keys::pool_move(name), Some(next)));
+                let place = keys::pool_move(name);
+                let next = self.keep_order(&place, new_duty(machine, 0, pool, Stage::Emptying));
+                changes.push(self.change(place, Some(next)));
             }
             self.moving.borrow_mut().insert(name.clone(), (pool.clone(), now));
         }
@@ -413,3 +419,10 @@
         false
     }
 }
+
+/// Returns the row of a move that is given up: `None`, or the record of its order for a successor.
+fn end_of_move(duty: Duty) -> Option<Duty> {
+    // Without a pool, the machine counts as arriving nowhere.
+    let done = Duty { stage: Stage::Done.to_string(), pool: String::new(), ..duty };
+    Some(done).filter(Duty::may_be_carried_out)
+}
--- a/crates/jobs/src/relocate.rs
+++ b/crates/jobs/src/relocate.rs
@@ -24,6 +24,8 @@
     pub age: u64,
     /// Time since the order was recorded, just before it was sent, in milliseconds; `None` before.
     pub order_age: Option<u64>,
+    /// Whether an order of a former holder for the machine may still be on its way.
+    pub recently_ordered: bool,
 }
 
 /// Next action for a [`Relocation`].
@@ -50,6 +52,7 @@
     ///     emptied: false,
     ///     age: 100,
     ///     order_age: None,
+    ///     recently_ordered: false,
     /// };
     /// assert_eq!(emptying.next_action(), Action::Wait);
     /// assert_eq!(Relocation { emptied: true, ..emptying }.next_action(), Action::Order);
@@ -57,6 +60,11 @@
     /// ```
     pub fn next_action(self) -> Action {
         let too_slow = self.age > EMPTYING_TIMEOUT_MS && !self.emptied;
+        // Tasks that an executor gets before the order is carried out would end with it.
+        let inherited_order = !self.is_own && self.recently_ordered && self.order_age.is_some();
+        if inherited_order && !self.executor_ended {
+            return Action::Wait;
+        }
         if self.executor_ended || !self.is_own || too_slow {
             return Action::GiveUp;
         }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -692,6 +692,7 @@
         emptied: true,
         age: 2_900,
         order_age: Some(100),
+        recently_ordered: false,
     };
     assert_eq!(ordered.next_action(), Action::Wait);
     let timed_out = Relocation { order_age: Some(1_700), ..ordered };
@@ -707,6 +708,26 @@
         emptied: true,
         age: 0,
         order_age: Some(5_000),
+        recently_ordered: false,
     };
     assert_eq!(inherited.next_action(), Action::GiveUp);
 }
+
+/// Guards against tasks that end with their executor, as it gets them while the order of a former
+/// holder is on its way.
+#[test]
+fn a_move_is_not_given_up_while_the_order_of_a_former_holder_may_be_carried_out() {
+    let ordered = Relocation {
+        is_own: false,
+        executor_ended: false,
+        emptied: true,
+        age: 0,
+        order_age: Some(200),
+        recently_ordered: true,
+    };
+    assert_eq!(ordered.next_action(), Action::Wait);
+    let carried_out = Relocation { executor_ended: true, ..ordered };
+    assert_eq!(carried_out.next_action(), Action::GiveUp);
+    let without_order = Relocation { order_age: None, ..ordered };
+    assert_eq!(without_order.next_action(), Action::GiveUp);
+}
