Keep the record of an order when its maintenance is done

What users would see: after a change of the holder of the duties, a machine that is back from a maintenance is ordered again, for another wave or a move, 1.7 s after the former holder's order; the platform allows the orders of two holders only 3 s apart.

Cause: the row of a maintenance that is done was written without the time and epoch of its order, so that the next round took the machine for one without a recent order.

Ruled out: the orders of the same holder, which need no time between them.

The row keeps the time and epoch of the order. Nothing else reads them in a row that is done.

a_machine_is_not_ordered_right_after_a_maintenance_ordered_by_a_former_holder failed before (1697 and 1737 ms) and passes now.

--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -230,7 +230,8 @@
                     NextAction::Wait => {}
                     NextAction::Done => {
                         returned.push(place.key.clone());
-                        let next = new_duty(machine, wave.number, "", Stage::Done);
+                        let done = new_duty(machine, wave.number, "", Stage::Done);
+                        let next = self.keep_order(&place, done);
                         changes.push(self.change(place, Some(next)));
                     }
                     NextAction::RepeatOrder => to_order.push(machine.name.clone()),
