Count the time between two holders from the end of an order's record

What users would see: while the table is slow, a machine is ordered by a new holder of the duties 2.2 to 2.3 s after the former holder's order; the platform allows the orders of two holders only 3 s apart.

Cause: the time on record is taken before the record is written, and the order goes out only after that, up to the timeout of the write later, and up to the timeout of the call later still. A successor counted from the time on record.

Ruled out: a record after the order, which a successor would miss if the holder ends in between.

An order is sent only while its record is younger than 1.3 s, longer than the timeout of the write (1 s), so that a part of the table that does not answer holds up no orders of the others for good. Its call ends 2.3 s after the time on record at the latest, which leaves the call 1 s at least and, after a usual write, its own timeout of 1.5 s. A successor counts the time between two holders from those 2.3 s.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -25,7 +25,7 @@
 use crate::keys;
 use crate::metrics::Metrics;
 use crate::owner::{self, Tenure};
-use crate::ports::{Machine, Place};
+use crate::ports::{Machine, MachineError, Place};
 use crate::rows::{Duty, PoolState};
 use crate::supervise;
 
@@ -38,6 +38,13 @@
 ///
 /// It is shorter than the failure timeout after which another process claims the lease.
 const ORDER_VALIDITY_MS: u64 = 1_500;
+/// Age of an order's record up to which the order is sent, in milliseconds; longer than the timeout of
+/// the record's write.
+const RECORD_VALIDITY_MS: u64 = 1_300;
+/// Time after which no order is on its way any more, in milliseconds after the time on its record.
+///
+/// The time between the orders of two holders begins after it.
+const ORDER_TIMEOUT_MS: u64 = 2_300;
 /// Minimum time between two log lines about the phases of a round, in milliseconds.
 const ROUND_LOG_INTERVAL_MS: u64 = 1_000;
 
@@ -177,6 +184,14 @@
         !self.lost.get() && now < self.confirmed_at.get() + ORDER_VALIDITY_MS
     }
 
+    /// Returns how long an order may take that was recorded at a time, in milliseconds; `None` if the
+    /// lease was not confirmed recently or the record is too old.
+    fn order_timeout(&self, recorded_at: u64) -> Option<Duration> {
+        let age = clock::now().saturating_sub(recorded_at);
+        let is_valid = self.may_order() && age < RECORD_VALIDITY_MS;
+        is_valid.then(|| Duration::from_millis(ORDER_TIMEOUT_MS - age))
+    }
+
     async fn run(self: Rc<Self>) {
         self.ctx.is_holder.set(true);
         self.claim_guards().await;
@@ -294,7 +309,7 @@
     fn update_reserved(&self) {
         let duties = self.ctx.duties.borrow();
         let now = self.ctx.table_now();
-        let handover = self.ctx.settings.bounds.handover;
+        let handover = ORDER_TIMEOUT_MS + self.ctx.settings.bounds.handover;
         let mut reserved = ReservedMachines::default();
         reserved.with_duty.extend(duties.in_progress().map(|(.., duty)| duty.machine.clone()));
         for duty in duties.values() {
@@ -352,3 +367,12 @@
         epoch: 0,
     }
 }
+
+/// Waits for the answer to an order, up to a timeout.
+async fn in_time(
+    timeout: Duration,
+    order: impl Future<Output = Result<(), MachineError>>,
+) -> Result<(), MachineError> {
+    let unknown = || MachineError::Unknown { detail: "no response in time".to_owned() };
+    tokio::time::timeout(timeout, order).await.unwrap_or_else(|_| Err(unknown()))
+}
--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -8,7 +8,7 @@
 use jobs::share::{self, Demand, MachineMove};
 use jobs::wave::Stage;
 
-use super::{Inner, new_duty};
+use super::{Inner, in_time, new_duty};
 use crate::clock;
 use crate::follow::{decode_rows, read_all};
 use crate::keys;
@@ -355,12 +355,13 @@
     ///
     /// `executor_ended` states whether accepted orders end the machines' executors.
     async fn send_move_orders(&self, moves: &[(String, String)], executor_ended: bool) {
+        let recorded_at = clock::now();
         let recorded = self.record_move_orders(moves).await;
         let recorded =
             moves.iter().filter(|(name, _)| recorded.contains(&keys::pool_move(name).key));
         let send = |(name, pool): &(String, String)| {
             let (name, pool) = (name.clone(), pool.clone());
-            async move { self.send_move_order(&name, &pool).await.then_some(name) }
+            async move { self.send_move_order(&name, &pool, recorded_at).await.then_some(name) }
         };
         let accepted = join_all(recorded.map(send)).await;
         let done = accepted.into_iter().flatten().filter_map(|name| {
@@ -389,12 +390,11 @@
     }
 
     /// Orders a machine into a pool; returns whether the order was accepted.
-    async fn send_move_order(&self, name: &str, pool: &str) -> bool {
-        if !self.may_order() {
-            return false;
-        }
+    async fn send_move_order(&self, name: &str, pool: &str, recorded_at: u64) -> bool {
+        let Some(timeout) = self.order_timeout(recorded_at) else { return false };
         self.order_count.set(self.order_count.get() + 1);
-        let answer = self.ctx.ports.machines.move_to_pool(name, pool, self.tenure.epoch).await;
+        let order = self.ctx.ports.machines.move_to_pool(name, pool, self.tenure.epoch);
+        let answer = in_time(timeout, order).await;
         let text = answer.as_ref().err().map_or("taken".to_owned(), ToString::to_string);
         self.ctx.timeline.record(
             base::Event::MoveOrdered,
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -4,7 +4,7 @@
 use indexmap::{IndexMap, IndexSet};
 use jobs::wave::{self, ListedMachine, NextAction, Stage, Wave};
 
-use super::{Inner, new_duty};
+use super::{Inner, in_time, new_duty};
 use crate::clock;
 use crate::keys;
 use crate::ports::{Machine, MachineError, Transaction, TransactionError};
@@ -244,6 +244,7 @@
         }
         to_order.truncate(self.take_wave_orders(to_order.len()));
         let place = |name: &String| keys::maintenance(wave.number, name);
+        let recorded_at = clock::now();
         // As before each order, the row records its time and epoch for a successor.
         changes.extend(to_order.iter().filter_map(|name| {
             let next = self.with_order(self.duty(&place(name))?);
@@ -251,7 +252,8 @@
         }));
         let written = self.ctx.write_duties(changes).await;
         let recorded = to_order.iter().filter(|name| written.contains(&place(name).key));
-        join_all(recorded.map(|name| self.order_machine_down(name, wave.number))).await;
+        let orders = recorded.map(|name| self.order_machine_down(name, wave.number, recorded_at));
+        join_all(orders).await;
         for key in returned.iter().filter(|key| written.contains(*key)) {
             let duty = self.ctx.duties.borrow().get(key).map(|(_, duty)| duty.machine.clone());
             self.ctx.timeline.record(
@@ -296,6 +298,7 @@
         };
         let repeated: IndexSet<&String> =
             names.iter().filter(|name| may_be_carried_out(name)).collect();
+        let recorded_at = clock::now();
         let changes = {
             let machines = self.machines.borrow();
             let down = |m: &Machine| {
@@ -309,7 +312,7 @@
             names.iter().filter(|name| recorded.contains(&keys::maintenance(wave, name).key));
         let send = |name: &String| {
             let name = name.clone();
-            async move { self.order_machine_down(&name, wave).await.then_some(name) }
+            async move { self.order_machine_down(&name, wave, recorded_at).await.then_some(name) }
         };
         let accepted = join_all(recorded.map(send)).await;
         // The cells do not have to wait for the leases of executors that have certainly ended.
@@ -335,12 +338,11 @@
     }
 
     /// Orders a machine down; returns whether the order was accepted.
-    async fn order_machine_down(&self, name: &str, wave: u64) -> bool {
-        if !self.may_order() {
-            return false;
-        }
+    async fn order_machine_down(&self, name: &str, wave: u64, recorded_at: u64) -> bool {
+        let Some(timeout) = self.order_timeout(recorded_at) else { return false };
         self.order_count.set(self.order_count.get() + 1);
-        let answer = self.ctx.ports.machines.start_maintenance(name, wave, self.tenure.epoch).await;
+        let order = self.ctx.ports.machines.start_maintenance(name, wave, self.tenure.epoch);
+        let answer = in_time(timeout, order).await;
         let text = answer.as_ref().err().map_or("taken".to_owned(), ToString::to_string);
         self.ctx.timeline.record(
             base::Event::UpkeepOrdered,
