Read the duties again once they are taken

What users would see: a wave has two machines down where it allows one, after a change of the holder of the duties.

Cause: a process that takes the duties planned with the rows that it knew from the feed, which may be older than the last orders of the former holder. It did not count the machines that these took down.

Ruled out: the record of the order, which is in the table before the order is sent; and an order that the former holder records after the read, which it does not send, as its orders end before another process may claim.

The holder now reads all parts of the duties after its claim. Until a part is read, machines whose duties are there count as just ordered by the former holder, and waves with such machines order no machine down: how many are down is not known. Other moves and waves go on, so that one part out of service does not hold up all. A wave with machines in that part waits until it can be read; its machines there could not be ordered in that time in any case, as their orders can't be recorded.

--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -3,7 +3,8 @@
 //! One process at a time holds the lease on the duties. Each duty has a row with its stage. The
 //! holder of the machine's cell empties the executor and records that in the row; the holder of the
 //! duties then orders the machine down or into its new pool. It records the order in the row before
-//! sending it, so that a successor counts the machine as down.
+//! sending it, so that a successor counts the machine as down. The successor reads the rows after its
+//! claim; those it knows from before may lack the last orders.
 
 mod moves;
 mod wave;
@@ -12,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use indexmap::{IndexMap, IndexSet};
 use jobs::rate::OrderRate;
 use jobs::share::Rebalancer;
@@ -21,6 +22,7 @@
 use crate::clock;
 use crate::context::{Context, pause};
 use crate::duties::DutyChange;
+use crate::follow::read_all;
 use crate::guard::{self, ClaimError};
 use crate::keys;
 use crate::metrics::Metrics;
@@ -103,6 +105,8 @@
     /// Time of the last log line about the phases of a round, in milliseconds.
     round_logged_at: Cell<u64>,
     reserved: RefCell<ReservedMachines>,
+    /// Parts of the duties that were not read since this process took them.
+    unread: RefCell<IndexSet<String>>,
     /// Machines that move: the new pool, and the time of the decision or of the accepted order.
     moving: RefCell<IndexMap<String, (String, u64)>>,
 }
@@ -139,6 +143,7 @@
             order_count: Cell::new(0),
             round_logged_at: Cell::new(0),
             reserved: RefCell::default(),
+            unread: RefCell::new(keys::duty_parts().into_iter().collect()),
             moving: RefCell::default(),
         });
         let failed = Rc::clone(&inner);
@@ -195,6 +200,11 @@
     async fn run(self: Rc<Self>) {
         self.ctx.is_holder.set(true);
         self.claim_guards().await;
+        // A part that can't be read holds up only the orders that depend on it.
+        join(self.read_duties(), self.run_rounds()).await;
+    }
+
+    async fn run_rounds(&self) {
         while !self.lost.get() {
             let started = clock::now();
             if self.may_order()
@@ -224,6 +234,34 @@
         }
     }
 
+    /// Reads the duties as the former holder has left them.
+    async fn read_duties(&self) {
+        let parts = keys::duty_parts();
+        join_all(parts.iter().map(|part| self.read_part(part))).await;
+    }
+
+    async fn read_part(&self, part: &str) {
+        while !self.lost.get() {
+            match read_all(&self.ctx, Place::new(keys::DUTY_TABLE, part, "")).await {
+                Ok((rows, _)) => {
+                    rows.iter().for_each(|row| self.ctx.apply_duty(row));
+                    self.unread.borrow_mut().swap_remove(part);
+                    return;
+                }
+                Err(error) => {
+                    self.log_delay(&format!("duties in {part}: {error}"));
+                    pause(ROUND_INTERVAL_MS).await;
+                }
+            }
+        }
+    }
+
+    /// Returns whether the last orders of a former holder for a machine may be unknown.
+    fn is_unread(&self, machine: &str) -> bool {
+        let unread = self.unread.borrow();
+        !unread.is_empty() && unread.contains(&keys::pool_move(machine).part)
+    }
+
     async fn run_round(&self) -> Result<(), String> {
         let requested_at = clock::now();
         let machines = self.ctx.list_machines().await.map_err(|error| error.to_string())?;
@@ -312,6 +350,8 @@
         let handover = ORDER_TIMEOUT_MS + self.ctx.settings.bounds.handover;
         let mut reserved = ReservedMachines::default();
         reserved.with_duty.extend(duties.in_progress().map(|(.., duty)| duty.machine.clone()));
+        let machines = self.machines.borrow();
+        reserved.recently_ordered.extend(machines.keys().filter(|m| self.is_unread(m)).cloned());
         for duty in duties.values() {
             if duty.epoch != self.tenure.epoch && now < duty.ordered_at + handover {
                 reserved.recently_ordered.insert(duty.machine.clone());
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -20,7 +20,7 @@
     pub(super) async fn advance_wave(&self, wave: &Wave) -> Result<(), String> {
         self.check_ordered_machines(wave).await;
         let elapsed = self.elapsed(wave.number).await;
-        let steps = {
+        let mut steps = {
             let machines = self.machines.borrow();
             let moving = self.moving.borrow();
             let empty = |name: &str| {
@@ -62,6 +62,10 @@
             let has_long_running = |name: &str| long_running.contains(name);
             wave::plan_steps(wave, &stages, elapsed, &empty, &cost, &has_long_running)
         };
+        // How many machines of the wave are down may be unknown.
+        if wave.machines.iter().any(|name| self.is_unread(name)) {
+            steps.take_down.clear();
+        }
         let mut changes = Vec::new();
         {
             let machines = self.machines.borrow();
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -69,6 +69,8 @@
     claim_delay: Cell<u64>,
     /// Time that a transaction with duties takes, in milliseconds.
     duty_delay: Cell<u64>,
+    /// Part that can't be read.
+    unread_part: RefCell<Option<String>>,
     /// Whether leases and guard rows can't be read.
     hides_leases: Cell<bool>,
     /// Whether the feed of duties gets no answers.
@@ -169,7 +171,8 @@
     ) -> LocalBoxFuture<'a, Result<Page, ReadError>> {
         Box::pin(async move {
             let is_hidden = from.part == keys::LEASE_PART || from.table == "guards";
-            if is_hidden && self.0.hides_leases.get() {
+            let is_unread = self.0.unread_part.borrow().as_ref() == Some(&from.part);
+            if is_unread || (is_hidden && self.0.hides_leases.get()) {
                 return Err(ReadError::Unavailable { detail: "out of service".to_owned() });
             }
             let rows = self.0.rows.borrow();
@@ -739,33 +742,47 @@
     });
 }
 
+/// Makes another process the holder of the duties, which lives until the returned flag is set.
+fn hold_duties(world: &Rc<World>) -> Rc<Cell<bool>> {
+    let lease = Lease { holder: "b~1".to_owned(), term: 1 };
+    world.put(&keys::lease(keys::FLEET_CELL), rows::encode(&lease));
+    let released = Rc::new(Cell::new(false));
+    let (former, is_released) = (Rc::clone(world), Rc::clone(&released));
+    actix::spawn(async move {
+        for count in 1.. {
+            if is_released.get() {
+                break;
+            }
+            let heartbeat = Heartbeat {
+                count,
+                start_time: 1,
+                accepts_cells: true,
+                cpu: 10,
+                centre: "c".to_owned(),
+            };
+            former.put(&keys::heartbeat("b"), rows::encode(&heartbeat));
+            sleep(200).await;
+        }
+    });
+    released
+}
+
+/// Ends that holder and waits for the next one.
+async fn release_duties(world: &World, released: &Cell<bool>) {
+    let fleet = keys::lease(keys::FLEET_CELL);
+    released.set(true);
+    world.put(&fleet, rows::encode(&Lease { holder: String::new(), term: 1 }));
+    let is_taken = || world.get(&fleet).is_some_and(|lease: Lease| lease.term > 1);
+    wait_for("holder of the duties", is_taken).await;
+}
+
 /// Guards against more machines down than a wave allows, as a new holder of the duties plans with
 /// rows from before the last order of the former one.
 #[test]
 fn a_new_holder_of_the_duties_counts_the_machines_that_its_predecessor_has_ordered_down() {
     actix::System::new().block_on(async {
         let world = Rc::new(World::default());
-        let fleet = keys::lease(keys::FLEET_CELL);
-        let lease = |holder: &str| rows::encode(&Lease { holder: holder.to_owned(), term: 1 });
-        world.put(&fleet, lease("b~1"));
-        let released = Rc::new(Cell::new(false));
-        let (former, is_released) = (Rc::clone(&world), Rc::clone(&released));
-        actix::spawn(async move {
-            for count in 1.. {
-                if is_released.get() {
-                    break;
-                }
-                let heartbeat = Heartbeat {
-                    count,
-                    start_time: 1,
-                    accepts_cells: true,
-                    cpu: 10,
-                    centre: "c".to_owned(),
-                };
-                former.put(&keys::heartbeat("b"), rows::encode(&heartbeat));
-                sleep(200).await;
-            }
-        });
+        let released = hold_duties(&world);
         // The order of the former holder is not repeated within the test.
         let _node = start_as("a", HANDOVER_MS, &world);
         wait_for("poll", || world.polled_at.get() > 0).await;
@@ -793,15 +810,45 @@
             time_limit: 26_000,
         });
         world.put(&Place::new("instructions", "", &wave_key(1)), Vec::new());
-        released.set(true);
-        world.put(&fleet, lease(""));
-        let is_taken = || world.get(&fleet).is_some_and(|lease: Lease| lease.term > 1);
-        wait_for("holder of the duties", is_taken).await;
+        release_duties(&world, &released).await;
         sleep(1_500).await;
         assert_eq!(world.orders.get(), 0, "ordered a second machine of the wave down");
     });
 }
 
+/// Guards against duties that stop for all machines, as a new holder can't read those of some, and
+/// against orders for these, which the former holder may just have ordered.
+#[test]
+fn duties_that_a_new_holder_cannot_read_hold_up_no_others() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let released = hold_duties(&world);
+        let _node = start(&world);
+        wait_for("poll", || world.polled_at.get() > 0).await;
+        let (first, second) = (keys::maintenance(1, MACHINE), keys::maintenance(2, "m-2"));
+        assert_ne!(first.part, second.part);
+        let emptying =
+            |duty: Duty| Duty { stage: "emptying".to_owned(), ordered_at: 0, epoch: 0, ..duty };
+        let duty = emptying(ordered_now(1, &world.executor()));
+        world.put(&first, rows::encode(&Duty { emptied: false, ..duty }));
+        let duty = emptying(ordered_now(2, "executor-3"));
+        world.put(&second, rows::encode(&Duty { machine: "m-2".to_owned(), ..duty }));
+        let is_emptied = || world.get(&first).is_some_and(|duty: Duty| duty.emptied);
+        wait_for("empty executor", is_emptied).await;
+        *world.unread_part.borrow_mut() = Some(second.part.clone());
+        put_wave(&world);
+        put_wave_of(&world, 2, "m-2");
+        release_duties(&world, &released).await;
+        wait_for("order", || world.orders.get() > 0).await;
+        sleep(500).await;
+        let stage = world.get::<Duty>(&second).map(|duty| duty.stage);
+        assert_eq!(stage.as_deref(), Some("emptying"), "ordered though its last order is unknown");
+        let orders = world.orders.get();
+        *world.unread_part.borrow_mut() = None;
+        wait_for("order of the other machine", || world.orders.get() > orders).await;
+    });
+}
+
 /// Puts a job of some tasks.
 fn put_job(world: &World, tasks: usize) {
     let id = "5c0e7a21d94b36f8";
