--- a/crates/cells/src/fleet/moves.rs
+++ b/crates/cells/src/fleet/moves.rs
@@ -8,7 +8,7 @@
 use jobs::share::{self, Demand, MachineMove};
 use jobs::wave::Stage;
 
-use super::{Inner, new_duty};
+use super::{Inner, in_time, new_duty};
 use crate::clock;
 use crate::follow::{decode_rows, read_all};
 use crate::keys;
@@ -297,6 +297,7 @@
                     age: decided_at.map_or(0, |at| clock::now().saturating_sub(at)),
                     order_age: (duty.stage() == Stage::Down)
                         .then(|| self.ctx.table_now().saturating_sub(duty.ordered_at)),
+                    recently_ordered: self.is_recently_ordered(name),
                 };
                 match relocation.next_action() {
                     Action::Wait => {}
@@ -306,8 +307,12 @@
             }
         }
         if !given_up.is_empty() {
-            let removed = given_up.iter().map(|name| self.change(keys::pool_move(name), None));
-            let written = self.ctx.write_duties(removed.collect()).await;
+            let ends = given_up.iter().map(|name| {
+                let place = keys::pool_move(name);
+                let record = self.duty(&place).and_then(end_of_move);
+                self.change(place, record)
+            });
+            let written = self.ctx.write_duties(ends.collect()).await;
             for name in given_up.iter().filter(|name| written.contains(&keys::pool_move(name).key))
             {
                 let arriving = self.machines.borrow().get(name).is_some_and(|m| !m.up);
@@ -336,8 +341,9 @@
                 }
                 direct.push((name.clone(), pool.clone()));
             } else if let Some(machine) = self.machines.borrow().get(name) {
-                let next = new_duty(machine, 0, pool, Stage::Emptying);
-                changes.push(self.change(keys::pool_move(name), Some(next)));
+                let place = keys::pool_move(name);
+                let next = self.keep_order(&place, new_duty(machine, 0, pool, Stage::Emptying));
+                changes.push(self.change(place, Some(next)));
             }
             self.moving.borrow_mut().insert(name.clone(), (pool.clone(), now));
         }
@@ -349,12 +355,13 @@
     ///
     /// `executor_ended` states whether accepted orders end the machines' executors.
     async fn send_move_orders(&self, moves: &[(String, String)], executor_ended: bool) {
+        let recorded_at = clock::now();
         let recorded = self.record_move_orders(moves).await;
         let recorded =
             moves.iter().filter(|(name, _)| recorded.contains(&keys::pool_move(name).key));
         let send = |(name, pool): &(String, String)| {
             let (name, pool) = (name.clone(), pool.clone());
-            async move { self.send_move_order(&name, &pool).await.then_some(name) }
+            async move { self.send_move_order(&name, &pool, recorded_at).await.then_some(name) }
         };
         let accepted = join_all(recorded.map(send)).await;
         let done = accepted.into_iter().flatten().filter_map(|name| {
@@ -383,12 +390,11 @@
     }
 
     /// Orders a machine into a pool; returns whether the order was accepted.
-    async fn send_move_order(&self, name: &str, pool: &str) -> bool {
-        if !self.may_order() {
-            return false;
-        }
+    async fn send_move_order(&self, name: &str, pool: &str, recorded_at: u64) -> bool {
+        let Some(timeout) = self.order_timeout(recorded_at) else { return false };
         self.order_count.set(self.order_count.get() + 1);
-        let answer = self.ctx.ports.machines.move_to_pool(name, pool, self.tenure.epoch).await;
+        let order = self.ctx.ports.machines.move_to_pool(name, pool, self.tenure.epoch);
+        let answer = in_time(timeout, order).await;
         let text = answer.as_ref().err().map_or("taken".to_owned(), ToString::to_string);
         self.ctx.timeline.record(
             base::Event::MoveOrdered,
@@ -413,3 +419,10 @@
         false
     }
 }
+
+/// Returns the row of a move that is given up: `None`, or the record of its order for a successor.
+fn end_of_move(duty: Duty) -> Option<Duty> {
+    // Without a pool, the machine counts as arriving nowhere.
+    let done = Duty { stage: Stage::Done.to_string(), pool: String::new(), ..duty };
+    Some(done).filter(Duty::may_be_carried_out)
+}
--- a/crates/cells/src/fleet/wave.rs
+++ b/crates/cells/src/fleet/wave.rs
@@ -4,7 +4,7 @@
 use indexmap::{IndexMap, IndexSet};
 use jobs::wave::{self, ListedMachine, NextAction, Stage, Wave};
 
-use super::{Inner, new_duty};
+use super::{Inner, in_time, new_duty};
 use crate::clock;
 use crate::keys;
 use crate::ports::{Machine, MachineError, Transaction, TransactionError};
@@ -20,7 +20,7 @@
     pub(super) async fn advance_wave(&self, wave: &Wave) -> Result<(), String> {
         self.check_ordered_machines(wave).await;
         let elapsed = self.elapsed(wave.number).await;
-        let steps = {
+        let mut steps = {
             let machines = self.machines.borrow();
             let moving = self.moving.borrow();
             let empty = |name: &str| {
@@ -62,6 +62,10 @@
             let has_long_running = |name: &str| long_running.contains(name);
             wave::plan_steps(wave, &stages, elapsed, &empty, &cost, &has_long_running)
         };
+        // How many machines of the wave are down may be unknown.
+        if wave.machines.iter().any(|name| self.is_unread(name)) {
+            steps.take_down.clear();
+        }
         let mut changes = Vec::new();
         {
             let machines = self.machines.borrow();
@@ -230,7 +234,8 @@
                     NextAction::Wait => {}
                     NextAction::Done => {
                         returned.push(place.key.clone());
-                        let next = new_duty(machine, wave.number, "", Stage::Done);
+                        let done = new_duty(machine, wave.number, "", Stage::Done);
+                        let next = self.keep_order(&place, done);
                         changes.push(self.change(place, Some(next)));
                     }
                     NextAction::RepeatOrder => to_order.push(machine.name.clone()),
@@ -243,6 +248,7 @@
         }
         to_order.truncate(self.take_wave_orders(to_order.len()));
         let place = |name: &String| keys::maintenance(wave.number, name);
+        let recorded_at = clock::now();
         // As before each order, the row records its time and epoch for a successor.
         changes.extend(to_order.iter().filter_map(|name| {
             let next = self.with_order(self.duty(&place(name))?);
@@ -250,7 +256,8 @@
         }));
         let written = self.ctx.write_duties(changes).await;
         let recorded = to_order.iter().filter(|name| written.contains(&place(name).key));
-        join_all(recorded.map(|name| self.order_machine_down(name, wave.number))).await;
+        let orders = recorded.map(|name| self.order_machine_down(name, wave.number, recorded_at));
+        join_all(orders).await;
         for key in returned.iter().filter(|key| written.contains(*key)) {
             let duty = self.ctx.duties.borrow().get(key).map(|(_, duty)| duty.machine.clone());
             self.ctx.timeline.record(
@@ -295,6 +302,7 @@
         };
         let repeated: IndexSet<&String> =
             names.iter().filter(|name| may_be_carried_out(name)).collect();
+        let recorded_at = clock::now();
         let changes = {
             let machines = self.machines.borrow();
             let down = |m: &Machine| {
@@ -308,7 +316,7 @@
             names.iter().filter(|name| recorded.contains(&keys::maintenance(wave, name).key));
         let send = |name: &String| {
             let name = name.clone();
-            async move { self.order_machine_down(&name, wave).await.then_some(name) }
+            async move { self.order_machine_down(&name, wave, recorded_at).await.then_some(name) }
         };
         let accepted = join_all(recorded.map(send)).await;
         // The cells do not have to wait for the leases of executors that have certainly ended.
@@ -334,12 +342,11 @@
     }
 
     /// Orders a machine down; returns whether the order was accepted.
-    async fn order_machine_down(&self, name: &str, wave: u64) -> bool {
-        if !self.may_order() {
-            return false;
-        }
+    async fn order_machine_down(&self, name: &str, wave: u64, recorded_at: u64) -> bool {
+        let Some(timeout) = self.order_timeout(recorded_at) else { return false };
         self.order_count.set(self.order_count.get() + 1);
-        let answer = self.ctx.ports.machines.start_maintenance(name, wave, self.tenure.epoch).await;
+        let order = self.ctx.ports.machines.start_maintenance(name, wave, self.tenure.epoch);
+        let answer = in_time(timeout, order).await;
         let text = answer.as_ref().err().map_or("taken".to_owned(), ToString::to_string);
         self.ctx.timeline.record(
             base::Event::UpkeepOrdered,
