Show a stuck start and leases counted from the claim

A task never starts again if the answer to its start arrives after the end of its executor was seen and the executor does not restart: the run then counts as begun there, so that neither the wait for starts in doubt nor the release of absent runs applies.

A new holder counts the leases of its predecessor from its claim of the lease. The predecessor may confirm itself by guard rows until these are claimed, which took 9.8 s in the test; the new holder then starts inherited tasks while an executor of the predecessor has not answered.

--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -14,7 +14,7 @@
     MachineError, Machines, OrderError, Page, Permissions, Place, PollRequest, ReadError, Row,
     StartOrder, Store, Transaction, TransactionError,
 };
-use cells::rows::{self, Duty, Heartbeat, Lease};
+use cells::rows::{self, Duty, Fence, Heartbeat, Lease, Roster};
 use cells::{Bounds, Metrics, Node, Ports, Settings, clock, keys};
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
@@ -73,6 +73,10 @@
     hides_leases: Cell<bool>,
     /// Whether the feed of duties gets no answers.
     holds_duties: Cell<bool>,
+    /// Whether guard rows can't be read.
+    hides_guards: Cell<bool>,
+    /// Executor that does not answer polls.
+    silent: RefCell<Option<String>>,
 }
 
 impl World {
@@ -172,6 +176,9 @@
             if is_hidden && self.0.hides_leases.get() {
                 return Err(ReadError::Unavailable { detail: "out of service".to_owned() });
             }
+            if from.table == "guards" && self.0.hides_guards.get() {
+                return Err(ReadError::Unavailable { detail: "out of service".to_owned() });
+            }
             let rows = self.0.rows.borrow();
             let in_part = rows.iter().filter(|(place, _)| {
                 place.table == from.table && place.part == from.part && place.key >= from.key
@@ -284,6 +291,9 @@
         _: &'a PollRequest,
     ) -> LocalBoxFuture<'a, Result<ExecutorReport, OrderError>> {
         Box::pin(async move {
+            if self.0.silent.borrow().as_ref() == Some(&to.id) {
+                return Err(OrderError::Unanswered { detail: "no route".to_owned() });
+            }
             if to.id == self.0.executor() {
                 self.0.polled_at.set(clock::now());
             }
@@ -667,6 +677,12 @@
     });
 }
 
+/// Time for which a holder sends orders after its last confirmation, in milliseconds.
+const ORDER_VALIDITY_MS: u64 = 3_500;
+/// Time from a holder's last confirmation until all leases that it has granted are over, in
+/// milliseconds.
+const FORMER_LEASES_MS: u64 = 9_800;
+
 /// Time between the orders of two holders for a machine in the tests about it, in milliseconds.
 const HANDOVER_MS: u64 = 3_000;
 
@@ -872,3 +888,33 @@
         assert!(!is_emptied, "reported as empty by a holder that may have been replaced");
     });
 }
+
+/// Guards against a task that runs twice: its former holder went on by its guard row long after the
+/// lease was claimed, and the new holder counts the former leases from the claim on.
+#[test]
+fn leases_of_a_former_holder_count_from_the_claim_of_the_guard_rows() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let lease = Lease { holder: "b~1".to_owned(), term: 1 };
+        world.put(&keys::lease(POOL), rows::encode(&lease));
+        let epoch = world.version.get();
+        (0..3).for_each(|n| world.put(&keys::guard(n, POOL), rows::encode(&epoch)));
+        let workers = IndexMap::from([("executor-3".to_owned(), "h:1".to_owned())]);
+        world.put(&keys::roster(0, POOL), rows::encode(&Roster { workers }));
+        world.silent.replace(Some("executor-3".to_owned()));
+        put_job(&world, 1);
+        let part = keys::part("q", "5c0e7a21d94b36f8");
+        let fence = Fence { epoch, startable_through: u64::MAX, ..Fence::default() };
+        world.put(&keys::fence(&part, POOL), rows::encode(&fence));
+        world.hides_guards.set(true);
+        let _node = start(&world);
+        let is_claimed =
+            || world.get(&keys::lease(POOL)).is_some_and(|lease: Lease| lease.term == 2);
+        wait_for("claim", is_claimed).await;
+        sleep(FORMER_LEASES_MS).await;
+        world.hides_guards.set(false);
+        sleep(ORDER_VALIDITY_MS).await;
+        assert!(world.polled_at.get() > 0, "the cell is not run");
+        assert!(world.starts.borrow().is_empty(), "the former holder may still send orders");
+    });
+}
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -578,3 +578,32 @@
     assert_eq!(cell.job_count(), 0, "seed {seed}: jobs are left");
     (restarts, completed)
 }
+
+/// Guards against a task that never starts again, as the answer to its start arrived after the end of
+/// its executor, which does not restart.
+#[test]
+fn a_start_answered_after_the_end_of_its_executor_is_released() {
+    let mut cell = cell(1);
+    cell.register(executor("a~100"));
+    cell.handle_poll("a~100", &report(1_000, &[]), 0, 1);
+    cell.handle_poll("a~100", &report(61_000, &[]), 60_000, 60_001);
+    cell.admit(arrival("aa", 1, false));
+    cell.confirm_ownership(60_010);
+    assert_eq!(starts(&cell.tick(60_010, 0)), [("a~100", 1)]);
+    cell.register(executor("b~100"));
+    cell.handle_no_answer("a~100");
+    cell.handle_poll("b~100", &report(61_400, &[]), 60_400, 60_410);
+    let live = std::iter::once("b~100".to_owned()).collect();
+    assert_eq!(cell.mark_missing_dead(&live, 60_400, 60_420), ["a~100"]);
+    cell.unlist("a~100");
+    let outcome = StartOutcome::Running(61_020);
+    cell.handle_start_outcome("a~100", &task("aa"), 1, outcome, 60_500);
+    let restarted = (60_500..120_000).step_by(100).any(|now| {
+        let (_, flush) = cell.take_changes();
+        cell.flush_done(&flush);
+        cell.confirm_ownership(now);
+        cell.handle_poll("b~100", &report(now + 1_000, &[]), now - 5, now);
+        !starts(&cell.tick(now, 0)).is_empty()
+    });
+    assert!(restarted, "the task must start again");
+}
