Release a run whose start was answered after its executor had ended

A task never started again: its start was answered late, after the list of machines had shown that its executor had ended, and the clock in the answer proved that the run had begun on that incarnation. The run was then neither in doubt nor absent, on an executor that is never polled again. Its worker's entry and its organisation's charge stayed as well.

Such a run is marked as absent, like one that a late answer to a poll shows on an ended executor; there, only the run that the answer names.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -5,8 +5,9 @@
 //!
 //! The scheduler is a state machine without I/O. Callers pass in events and the current time, and
 //! receive [`Order`]s to send and [`JobChange`]s to write. A run that may still be active keeps its
-//! resources, and its task does not start again, until an executor reports the end of the run or
-//! the lease of its executor has certainly expired.
+//! resources, and its task does not start again, until an executor reports the end of the run, the
+//! lease of its executor has certainly expired, or the run has vanished and the lease of the cell
+//! was confirmed after that.
 
 mod advice;
 mod assign;
@@ -636,7 +637,7 @@
                 && self.inherited_workers.iter().all(settled))
     }
 
-    /// Marks an incarnation of an executor as dead and releases its runs, as an executor of another
+    /// Marks an incarnation of an executor as dead and its runs as absent, as an executor of another
     /// name has replaced it.
     ///
     /// Unless the executor was about to leave, its end counts as a crash, and the runs that had just
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -1,6 +1,6 @@
 //! Handling of the answers to orders.
 
-use super::{Cell, ReleaseReason};
+use super::{Absence, Cell, ReleaseReason};
 use crate::job::TaskId;
 use crate::worker::{Phase, Slot};
 
@@ -45,7 +45,7 @@
     Refused(Refusal),
     /// The order was not sent.
     Unsent,
-    /// The order was not sent, as the cell had released the run before.
+    /// The order was not sent, as the cell had released the run or found it absent before.
     Withdrawn,
     /// The incarnation no longer exists.
     Gone,
@@ -57,8 +57,8 @@
     /// Handles a start order that is about to go out, and returns whether it is still wanted.
     ///
     /// Starts queue at the holder for a permit of their executor. A run whose start has not gone out
-    /// can't be the cause of a crash. A run that the cell has released, or whose executor has ended,
-    /// must not begin any more: its task may have started elsewhere.
+    /// can't be the cause of a crash. A run that the cell has released, or found absent, must not begin
+    /// any more: its task may have started elsewhere.
     pub fn handle_start_sent(&mut self, id: &str, task: &TaskId, run: u64) -> bool {
         let slot = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(task));
         let slot = slot.filter(|slot| slot.run == run && slot.absence.is_none());
@@ -96,6 +96,11 @@
                     }
                     worker.record_answer(clock, now);
                 }
+                if worker.dead && own && worker.runs.get(task).is_some_and(|slot| slot.run == run) {
+                    // The order has reached the incarnation, which has ended since.
+                    let reason = ReleaseReason::Replaced;
+                    self.mark_absent(id, task, Absence { reason, requested: now, since: now });
+                }
                 self.clear_runs(id);
                 let unwanted = self.jobs.get(&task.job).is_none_or(|e| e.state.is_final());
                 if unwanted {
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -197,8 +197,10 @@
         let known = worker.runs.get(task).is_some_and(|slot| slot.run == run.run);
         if worker.dead {
             // The answer is older than the end of the executor.
-            let reason = ReleaseReason::Replaced;
-            self.mark_absent(id, task, Absence { reason, requested: now, since: now });
+            if known {
+                let reason = ReleaseReason::Replaced;
+                self.mark_absent(id, task, Absence { reason, requested: now, since: now });
+            }
             return;
         }
         if !known && !self.adopt_run(id, run, now) {
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -79,8 +79,8 @@
     /// Takes an executor into use again that has answered although the list of machines did not name
     /// it.
     ///
-    /// Its runs were released, so that those of tasks that have started elsewhere since are stopped
-    /// when its answer shows them.
+    /// Of its runs that an answer shows, those still waiting for a confirmation of the lease go on;
+    /// the others were released, and are stopped, as their tasks may have started elsewhere.
     pub(super) fn revive(&mut self, id: &str) {
         let Some(worker) = self.workers.get_mut(id).filter(|w| w.dead && w.is_polled()) else {
             return;
@@ -199,11 +199,11 @@
         let mut expired: Vec<(String, TaskId)> = Vec::new();
         for (id, worker) in self.workers.iter().filter(|(_, w)| !w.runs.is_empty()) {
             let is_unread = worker.dead || !worker.joined || worker.leases_expired(owned_at);
-            // An executor that has answered a later holder may have ended since.
-            let unread_since = if worker.dead { worker.dead_since } else { 0 };
+            // Until then no later holder can have read the run or its end from the executor.
+            let dead_since = if worker.dead { worker.dead_since } else { 0 };
             let is_over = |slot: &Slot| {
                 slot.unverified_since.is_some_and(|since| {
-                    owned_at > (since + RESTART_WAIT_MS).max(unread_since).max(slot.phase_since)
+                    owned_at > (since + RESTART_WAIT_MS).max(dead_since).max(slot.phase_since)
                 })
             };
             if is_unread && worker.may_restart() {
