Count a former holder's leases from the claim of the guard rows

A new holder starts inherited tasks, whatever executors have not answered, once the leases that its predecessor may have granted are over, and counted these from its claim of the lease.

They count from the first claim of the guard rows.

cells/tests/fleet: leases_of_a_former_holder_count_from_the_claim_of_the_ guard_rows failed before and passes.

--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -139,6 +139,8 @@
     taken_at: u64,
     /// Time at which the lease was last confirmed, in milliseconds.
     confirmed_at: Cell<u64>,
+    /// Whether the guard rows have been claimed.
+    guarded: Cell<bool>,
     /// Whether the lease is being read for runs that wait to be released.
     confirming: Cell<bool>,
     lost: Cell<bool>,
@@ -199,6 +201,7 @@
             exchange: RefCell::new(Exchange::new(&tenure.cell, tenure.epoch)),
             taken_at: now,
             confirmed_at: Cell::new(confirmed_at),
+            guarded: Cell::new(false),
             confirming: Cell::new(false),
             lost: Cell::new(false),
             wake: Notify::new(),
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -515,6 +515,10 @@
     pub(super) async fn load_roster(&self) -> Result<(), WriteError> {
         let (cell, epoch) = (&self.tenure.cell, self.tenure.epoch);
         let guards = guard::claim(&self.ctx, cell, epoch).await?;
+        if !self.guarded.replace(true) {
+            // A former holder may have confirmed itself by a guard row until now.
+            self.cell.borrow_mut().succeed_former(clock::now());
+        }
         let lists = guards.into_iter().enumerate().map(|(n, guard)| self.read_roster(n, guard));
         let lists = try_join_all(lists).await?;
         for (id, address) in lists.iter().flat_map(|list| &list.roster.workers) {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -571,6 +571,13 @@
         self.workers.get(id).is_none_or(|w| w.dead || is_empty(w))
     }
 
+    /// Records that former holders could not confirm their leases after `at`.
+    ///
+    /// Leases that they granted are counted from then on.
+    pub fn succeed_former(&mut self, at: u64) {
+        self.acquired = self.acquired.max(at);
+    }
+
     /// Records that this holder certainly still held the cell at `at`.
     pub fn confirm_ownership(&mut self, at: u64) {
         self.last_owned = self.last_owned.max(at);
