Drain executors with ends of jobs whose writes are rejected

An executor counts as drained once the ends seen are durable.

Ends of held jobs are left out, as are those of jobs that have left.

jobs/tests/cell: an_executor_with_an_end_of_a_job_whose_write_is_rejected_ is_drained fails without the change and passes.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -566,8 +566,11 @@
     ///
     /// True for an unknown or dead executor, false for one that has not answered this holder yet.
     pub fn is_drained(&self, id: &str) -> bool {
-        let is_empty =
-            |w: &Worker| w.joined && w.runs.is_empty() && w.last_durable_end >= w.last_seen_end;
+        // Ends of a job whose changes the table rejects may never be durable.
+        let is_held = |job: &String| self.jobs.get(job).is_none_or(|entry| entry.held);
+        let has_results =
+            |w: &Worker| w.unknown_ends.is_empty() && w.pending_ends.values().all(is_held);
+        let is_empty = |w: &Worker| w.joined && w.runs.is_empty() && has_results(w);
         self.workers.get(id).is_none_or(|w| w.dead || is_empty(w))
     }
 
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1390,6 +1390,24 @@
     assert_eq!(starts(&cell.tick(1_100, 0)).len(), 1);
 }
 
+/// Guards against a machine that is never emptied, as the table rejects the change of a job whose run
+/// has ended there.
+#[test]
+fn an_executor_with_an_end_of_a_job_whose_write_is_rejected_is_drained() {
+    let mut cell = cell(1, &[]);
+    join(&mut cell, "a", 4_000, 1);
+    admit(&mut cell, "bad", step(1, 1_000));
+    assert_eq!(start_all(&mut cell, 2).len(), 1);
+    let first = TaskId { job: "bad".to_owned(), occurrence: 0, step: 0, index: 0 };
+    let mut answer = poll_answer(100);
+    answer.ended = vec![end(1, first, 1, RunOutcome::Failed)];
+    cell.handle_poll("a", &answer, 90, 100);
+    let (_, flush) = cell.take_changes();
+    assert!(!cell.is_drained("a"), "its end is being written");
+    cell.flush_partly(&flush, &IndexSet::from(["bad".to_owned()]));
+    assert!(cell.is_drained("a"));
+}
+
 /// Guards against a machine that goes down with the only record of a run that is done, so that its
 /// task is done again.
 #[test]
