Test the handling of absent runs in five more places

Five mutations of the scheduler's handling of absent runs passed all tests: handle_start_sent without the check for an absence, pass_on_runs with absent runs, handle_present that keeps the absence of a run that it shows, order_stop for absent runs, and a release at a confirmation at the very time of the evidence.

No product code changes.

--- a/crates/jobs/tests/former.rs
+++ b/crates/jobs/tests/former.rs
@@ -4,7 +4,7 @@
 //! vanished without an end is therefore released only once the ownership is confirmed after that.
 
 use indexmap::IndexSet;
-use jobs::cell::{Arrival, Order, Refusal, StartOutcome};
+use jobs::cell::{Arrival, Order, Refusal, ReleaseReason, StartOutcome};
 use jobs::worker::{EndedRun, PresentRun};
 use jobs::{
     Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources, RunOutcome,
@@ -124,6 +124,13 @@
     cell
 }
 
+/// Executors and reasons of the releases that a tick at `now` makes after a confirmation at `owned_at`.
+fn releases(cell: &mut Cell, owned_at: u64, now: u64) -> Vec<(String, ReleaseReason)> {
+    cell.confirm_ownership(owned_at);
+    cell.tick(now, 0);
+    cell.take_releases().into_iter().map(|release| (release.executor, release.reason)).collect()
+}
+
 /// Whether the first task is started. One whose start was not carried out may start at any time.
 fn restarts(orders: &[Order]) -> bool {
     starts(orders).iter().any(|(_, index, _)| *index == 0)
@@ -230,6 +237,58 @@
     assert_waits_for_confirmation(cell, "b", VANISHED_MS);
 }
 
+/// Guards against a start that goes out again after its executor has ended.
+#[test]
+fn a_start_on_an_ended_executor_is_not_sent_again() {
+    let mut cell = holder("a", "b", 1);
+    assert!(cell.handle_start_sent("a", &task(0), 1));
+    cell.mark_ended("a", VANISHED_MS);
+    assert!(!cell.handle_start_sent("a", &task(0), 1));
+}
+
+/// Guards against a restart that waits for the next incarnation, which is taken to have the run.
+#[test]
+fn an_absent_run_is_not_passed_on_to_the_next_incarnation() {
+    let mut cell = started("a~100", "b~100");
+    cell.register(executor("a~200"));
+    cell.mark_restarted("a~100", VANISHED_MS);
+    cell.handle_poll("a~200", &report(VANISHED_MS + 20, &[]), VANISHED_MS + 10, VANISHED_MS + 20);
+    let released = releases(&mut cell, VANISHED_MS + 30, VANISHED_MS + 40);
+    assert_eq!(released, [("a~100".to_owned(), ReleaseReason::Restarted)]);
+}
+
+/// Guards against a second run beside one that an executor shows after the list had lacked it.
+#[test]
+fn a_run_that_a_revived_executor_shows_is_not_released() {
+    let mut cell = started("a", "b");
+    cell.handle_no_answer("a");
+    let live = IndexSet::from(["b".to_owned()]);
+    assert_eq!(cell.mark_missing_dead(&live, VANISHED_MS - 10, VANISHED_MS), ["a"]);
+    cell.handle_poll("a", &report(VANISHED_MS + 20, &[0]), VANISHED_MS + 10, VANISHED_MS + 20);
+    assert_eq!(releases(&mut cell, VANISHED_MS + 30, VANISHED_MS + 40), []);
+}
+
+/// Guards against stops to an executor that has ended, when the job is cancelled.
+#[test]
+fn a_cancelled_run_on_an_ended_executor_is_not_stopped() {
+    let mut cell = started("a", "b");
+    cell.mark_ended("a", VANISHED_MS);
+    cell.cancel("aa", VANISHED_MS + 10);
+    let orders = cell.tick(VANISHED_MS + 20, 0);
+    let stopped = orders.iter().any(|order| matches!(order, Order::Stop { .. }));
+    assert!(!stopped, "{orders:?}");
+}
+
+/// Guards against a second run after a confirmation that is not later than the evidence.
+#[test]
+fn a_confirmation_at_the_time_of_the_evidence_releases_nothing() {
+    let mut cell = started("a", "b");
+    cell.handle_poll("a", &report(VANISHED_MS, &[]), 60_600, VANISHED_MS);
+    assert_eq!(releases(&mut cell, VANISHED_MS, VANISHED_MS + 10), []);
+    let released = releases(&mut cell, VANISHED_MS + 1, VANISHED_MS + 20);
+    assert_eq!(released, [("a".to_owned(), ReleaseReason::Missing)]);
+}
+
 /// A successor that inherits the executors `a` and `b` and the job.
 fn successor() -> Cell {
     let mut cell = cell(2);
