review: case 6, tasks run twice after a holder with many small tasks is killed

Cause: a new holder takes an executor as read after its first answer, which lists 500 ends at most; tasks whose ends follow in later answers start again. Change: a script with stand-ins of its own that shows it, and nothing outside review/.

--- /dev/null
+++ b/review/cases-2.rs
@@ -0,0 +1,343 @@
+//! Scripts of cases 6 to 10; the argument names the case and the folder of its record.
+
+#[path = "world-2.rs"]
+mod world;
+
+use std::path::Path;
+
+use world::*;
+
+const HOST: &str = "pule25.example";
+const PREFIX: &str = "/puxa400/";
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let (case, folder) = (arguments[1].as_str(), Path::new(&arguments[2]));
+    let record = Record::new();
+    watch(114_000);
+    let code = match case {
+        "many-ends" => many_ends(&record),
+        "moved-queue" => moved_queue(&record),
+        "crashes" => crashes(&record),
+        "cancels" => cancels(&record),
+        "late-job" => late_job(&record),
+        _ => 2,
+    };
+    record.say(match code {
+        0 => "the rule held",
+        1 => "the rule was broken",
+        _ => "the case could not run",
+    });
+    record.write(&folder.join("record.txt"));
+    std::process::exit(code);
+}
+
+/// Waits until a condition holds.
+fn until(limit_ms: u64, mut condition: impl FnMut() -> bool) -> bool {
+    for _ in 0..limit_ms / 20 {
+        if condition() {
+            return true;
+        }
+        sleep(20);
+    }
+    false
+}
+
+/// Hands a job in, again after no answer or a 502, 503, 504 or 429, and returns whether it was accepted.
+fn submit(record: &Record, nodes: &Nodes, path: &str, body: &str) -> bool {
+    for attempt in 0..20 {
+        let address = &nodes.addresses[attempt % nodes.addresses.len()];
+        let answer = call(address, "POST", HOST, path, body, 3_000);
+        record.add(format!("POST {path} to {}: {:?}", nodes.names[attempt % nodes.names.len()], answer.as_ref().map(|a| a.0)));
+        if answer.is_some_and(|(status, _)| status == 200) {
+            return true;
+        }
+        sleep(200);
+    }
+    false
+}
+
+fn state(nodes: &Nodes, n: usize, path: &str) -> String {
+    let answer = call(&nodes.addresses[n], "GET", HOST, path, "", 3_000);
+    match answer {
+        Some((200, body)) => Json::parse(&body).map_or(body, |json| json.get("state").text().to_owned()),
+        Some((status, _)) => status.to_string(),
+        None => "no answer".to_owned(),
+    }
+}
+
+/// Hands in jobs of one step over eight connections at a time; returns how many were accepted.
+fn submit_all(record: &Record, nodes: &Nodes, jobs: u64, spec: &str, step: &str) -> usize {
+    let body = format!("{{\"taskSpec\":{},\"steps\":[{{{step}}}]}}", quote(spec));
+    std::thread::scope(|scope| {
+        let lane = |lane: u64| {
+            let body = &body;
+            scope.spawn(move || {
+                let numbers = (0..jobs).filter(|n| n % 8 == lane);
+                numbers.filter(|n| submit(record, nodes, &format!("{PREFIX}{n:016x}"), body)).count()
+            })
+        };
+        let lanes: Vec<_> = (0..8).map(lane).collect();
+        lanes.into_iter().map(|lane| lane.join().unwrap_or(0)).sum()
+    })
+}
+
+/// The process that holds a pool is killed while its executors run many small tasks.
+fn many_ends(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let fleet = Fleet::spawn(record, &store, &[("filler", 8)], 32_000, 65_536);
+    store.write("op", "config", &config(1, &[route("q1", HOST, PREFIX, "filler", 3)], &["filler"]));
+    let Some(mut nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || nodes.holder(&store, "filler").is_some()) {
+        return 2;
+    }
+    sleep(3_000);
+    let step = "\"count\":32,\"cpu\":20,\"memoryRequestMb\":20,\"estimatedMs\":1500";
+    let accepted = submit_all(record, &nodes, 100, "ms=1500", step);
+    record.say(format!("{accepted} jobs of 32 tasks are accepted"));
+    if accepted < 100 || !until(10_000, || fleet.all_runs().len() >= 3_200) {
+        record.say(format!("{} starts only", fleet.all_runs().len()));
+        return 2;
+    }
+    record.say("3200 tasks have started");
+    if !calm() {
+        let Some(holder) = nodes.holder(&store, "filler") else { return 2 };
+        record.say(format!("{} holds the pool and is killed", nodes.names[holder]));
+        nodes.kill(holder);
+        sleep(4_000);
+        let _ = nodes.start(holder);
+    }
+    let states = || (0..100_u64).filter(|n| state(&nodes, 1, &format!("{PREFIX}{n:016x}")) == "completed").count();
+    let mut completed = 0;
+    until(25_000, || {
+        completed = states();
+        completed == 100
+    });
+    sleep(2_000);
+    record.say(format!("{completed} jobs are completed"));
+    let runs = fleet.all_runs();
+    for run in &runs {
+        record.add(format!("{run:?}"));
+    }
+    record.say(format!("{} runs of 3200 tasks", runs.len()));
+    let breaks = twice(&runs);
+    record.say(format!("TWICE was broken {} times", breaks.len()));
+    breaks.iter().take(5).for_each(|text| record.say(text.clone()));
+    fleet.stop();
+    i32::from(!breaks.is_empty())
+}
+
+/// Jobs of a queue wait when the operator moves the queue to another service.
+fn moved_queue(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let fleet = Fleet::spawn(record, &store, &[("filler", 8), ("cip", 4)], 32_000, 65_536);
+    let routes = |service: &str| [route("q1", HOST, "/puxa400/", service, 3), route("q2", HOST, "/dewu524/", "cip", 3)];
+    store.write("op", "config", &config(4, &routes("filler"), &["filler", "cip"]));
+    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || nodes.holder(&store, "filler").is_some() && nodes.holder(&store, "cip").is_some()) {
+        return 2;
+    }
+    sleep(3_000);
+    // Tasks that last take all machines; each of the jobs after them needs a machine of its own.
+    let lasting = |count: u32| {
+        format!("{{\"taskSpec\":\"lasting\",\"steps\":[{{\"count\":{count},\"cpu\":32000,\"memoryRequestMb\":1024,\"estimatedMs\":1000,\"longRunning\":true}}]}}")
+    };
+    if !submit(record, &nodes, "/puxa400/00000000000000ff", &lasting(12)) {
+        return 2;
+    }
+    let mut accepted = 0;
+    for n in 0..24 {
+        accepted += usize::from(submit(record, &nodes, &format!("/puxa400/{n:016x}"), &lasting(1)));
+    }
+    record.say(format!("{accepted} jobs are accepted beside the first"));
+    sleep(8_000);
+    if !calm() {
+        store.write("op", "config", &config(9, &routes("cip"), &["filler", "cip"]));
+        record.say("a configuration moves the queue to another service");
+    }
+    sleep(6_000);
+    let mut broken = false;
+    for n in 0..nodes.names.len() {
+        let runs = fleet.all_runs();
+        let unbegun = (0..24).filter(|job| !runs.iter().any(|r| r.task.starts_with(&format!("{job:016x}.")))).count();
+        let answer = call(&nodes.addresses[n], "GET", HOST, "/puxa400/", "", 3_000);
+        let pending = answer.as_ref().filter(|a| a.0 == 200).and_then(|a| Json::parse(&a.1)).map(|json| json.get("pending").number());
+        record.say(format!("{}: {answer:?}; {unbegun} jobs that were accepted over five seconds before have not begun", nodes.names[n]));
+        broken |= pending.is_some_and(|pending| (pending as usize) * 2 < unbegun);
+    }
+    fleet.stop();
+    i32::from(broken)
+}
+
+/// Executors crash one after the other while jobs run.
+fn crashes(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let fleet = Fleet::spawn(record, &store, &[("filler", 8)], 32_000, 65_536);
+    store.write("op", "config", &config(1, &[route("q1", HOST, "/puxa400/", "filler", 3)], &["filler"]));
+    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || nodes.holder(&store, "filler").is_some()) {
+        return 2;
+    }
+    sleep(3_000);
+    let accepted = std::sync::Mutex::new(Vec::new());
+    let over = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for n in 0..110_u64 {
+                let path = format!("/puxa400/{:016x}", n + 0x5c0e_0000);
+                let body = "{\"taskSpec\":\"ms=400\",\"steps\":[{\"count\":40,\"cpu\":2300,\"memoryRequestMb\":600,\"estimatedMs\":400}]}";
+                let answer = call(&nodes.addresses[(n % 6) as usize], "POST", HOST, &path, body, 3_000);
+                record.add(format!("POST {path}: {:?}", answer.as_ref().map(|a| a.0)));
+                if answer.is_some_and(|a| a.0 == 200) {
+                    lock(&accepted).push(path);
+                }
+                sleep(250);
+            }
+            over.store(true, std::sync::atomic::Ordering::SeqCst);
+        });
+        let mut random = u64::from(std::process::id()) * 2_654_435_761 + 12_345;
+        let mut count = 0;
+        sleep(2_000);
+        while !calm() && count < 40 && !over.load(std::sync::atomic::Ordering::SeqCst) {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let rack = (random >> 33) as usize % 2;
+            fleet.machines[rack * 4..rack * 4 + 4].iter().for_each(|machine| fleet.crash(machine, 400));
+            count += 1;
+            sleep(700);
+        }
+        record.say(format!("{count} times a rack has crashed"));
+    });
+    sleep(14_000);
+    let runs = fleet.all_runs();
+    let (mut broken, mut completed) = (0, 0);
+    for path in lock(&accepted).iter() {
+        let shown = state(&nodes, 1, path);
+        let id = path.rsplit('/').next().unwrap_or_default();
+        let of_job = runs.iter().filter(|r| r.task.starts_with(id));
+        let failed = of_job.clone().filter(|r| r.ended.is_some_and(|e| e.1 == "failed")).count();
+        let crashed = of_job.filter(|r| r.crashed).count();
+        completed += usize::from(shown == "completed");
+        record.add(format!("{path} is {shown}; {failed} of its runs ended failed, {crashed} ended with their executor"));
+        if shown == "failed" && failed == 0 {
+            record.say(format!("{path} is shown as failed; none of its runs ended failed, {crashed} ended with their executor"));
+            broken += 1;
+        }
+    }
+    record.say(format!("{} jobs accepted, {completed} completed, {broken} shown as failed without a failed run", lock(&accepted).len()));
+    fleet.stop();
+    for line in nodes.log_lines("E2208") {
+        record.add(line);
+    }
+    i32::from(broken > 0)
+}
+
+/// Many jobs are cancelled at once.
+fn cancels(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let fleet = Fleet::spawn(record, &store, &[("filler", 8)], 32_000, 65_536);
+    store.write("op", "config", &config(1, &[route("q1", HOST, PREFIX, "filler", 3)], &["filler"]));
+    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || nodes.holder(&store, "filler").is_some()) {
+        return 2;
+    }
+    sleep(3_000);
+    let jobs = 100_u64;
+    let step = "\"count\":32,\"cpu\":40,\"memoryRequestMb\":40,\"estimatedMs\":60000";
+    let accepted = submit_all(record, &nodes, jobs, "ms=60000", step);
+    if accepted < 100 || !until(15_000, || fleet.all_runs().len() >= 3_200) {
+        record.say(format!("{} starts only", fleet.all_runs().len()));
+        return 2;
+    }
+    record.say("100 jobs are accepted, their 3200 tasks have started");
+    sleep(2_000);
+    // Without the disruption, the client cancels one job.
+    let cancelled = if calm() { 1 } else { jobs };
+    let acked: Vec<(u64, Option<u64>)> = std::thread::scope(|scope| {
+        let lane = |lane: u64| {
+            let nodes = &nodes;
+            scope.spawn(move || {
+                let numbers = (0..cancelled).filter(|n| n % 8 == lane);
+                let cancel = |n: u64| {
+                    let address = &nodes.addresses[(n % 6) as usize];
+                    let answer = call(address, "DELETE", HOST, &format!("{PREFIX}{n:016x}"), "", 3_000);
+                    record.add(format!("DELETE {PREFIX}{n:016x}: {:?}", answer.as_ref().map(|a| a.0)));
+                    (n, answer.filter(|a| a.0 == 200 || a.0 == 410).map(|_| record.now()))
+                };
+                numbers.map(cancel).collect::<Vec<_>>()
+            })
+        };
+        let lanes: Vec<_> = (0..8).map(lane).collect();
+        lanes.into_iter().flat_map(|lane| lane.join().unwrap_or_default()).collect()
+    });
+    let last = record.now();
+    record.say(format!("{} cancels are acknowledged", acked.iter().filter(|a| a.1.is_some()).count()));
+    for _ in 0..16 {
+        sleep(500);
+        let at_work = fleet.all_runs().iter().filter(|r| r.ended.is_none()).count();
+        record.say(format!("{} ms after the last answer: {at_work} tasks at work", record.now() - last));
+    }
+    let (runs, now) = (fleet.all_runs(), record.now());
+    let mut late = 0;
+    for (job, at) in acked {
+        let Some(at) = at else { continue };
+        let id = format!("{job:016x}.");
+        // `cancel_ms` is 3,000 and `stopTimeoutMs` is 900.
+        for run in runs.iter().filter(|run| run.task.starts_with(&id)) {
+            let until = run.ended.map_or(now, |end| end.0);
+            if until > at + 3_900 {
+                late += 1;
+                record.add(format!("{} ran on for {} ms after the cancel was acknowledged: {run:?}", run.task, until - at));
+            }
+        }
+    }
+    record.say(format!("{late} of 3200 tasks ran on for longer than 3900 ms after their cancel was acknowledged"));
+    fleet.stop();
+    i32::from(late > 0)
+}
+
+/// A process stands still with a job that it has yet to read, and the client cancels the job elsewhere.
+fn late_job(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let fleet = Fleet::spawn(record, &store, &[("filler", 8)], 32_000, 65_536);
+    store.write("op", "config", &config(1, &[route("q1", HOST, "/puxa400/", "filler", 3)], &["filler"]));
+    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    let holders = |nodes: &Nodes| Some((nodes.holder(&store, "filler")?, nodes.holder(&store, "!fleet")?));
+    if !until(15_000, || holders(&nodes).is_some()) {
+        return 2;
+    }
+    sleep(4_000);
+    let Some((holder, duties)) = holders(&nodes) else { return 2 };
+    let free: Vec<usize> = (0..6).filter(|n| *n != holder && *n != duties).collect();
+    let (frozen, other) = (free[0], free[1]);
+    let Some(pid) = nodes.pid(frozen) else { return 2 };
+    let signal = |name: &str| {
+        let _ = std::process::Command::new("kill").args([name, &pid.to_string()]).status();
+        record.say(format!("{name} to {}, which holds no lease", nodes.names[frozen]));
+    };
+    let path = "/puxa400/5c0e7a21d94b36f8";
+    let body = "{\"taskSpec\":\"ms=500\",\"steps\":[{\"count\":4,\"cpu\":2300,\"memoryRequestMb\":600,\"estimatedMs\":500}]}";
+    if !calm() {
+        signal("-STOP");
+    }
+    let stopped = record.now();
+    let answer = call(&nodes.addresses[frozen], "POST", HOST, path, body, 300);
+    record.say(format!("POST to {}: {:?}, then the client leaves", nodes.names[frozen], answer.map(|a| a.0)));
+    let answer = call(&nodes.addresses[other], "DELETE", HOST, path, "", 3_000);
+    let acked = record.now();
+    record.say(format!("DELETE to {}: {:?}", nodes.names[other], answer.as_ref().map(|a| a.0)));
+    if !answer.is_some_and(|a| a.0 == 200 || a.0 == 410) {
+        return 2;
+    }
+    sleep((stopped + 4_000).saturating_sub(record.now()));
+    if !calm() {
+        signal("-CONT");
+    }
+    sleep(5_000);
+    let runs = fleet.all_runs();
+    for run in &runs {
+        record.say(format!("{} started {} ms after the cancel was answered: {run:?}", run.task, run.started as i64 - acked as i64));
+    }
+    record.say(format!("GET from {}: {}", nodes.names[other], state(&nodes, other, path)));
+    fleet.stop();
+    i32::from(runs.iter().any(|run| run.started > acked + 3_000))
+}
