review: case 7, a pool stands still as one of twenty jobs can never be done

Cause: failures of a job's own tasks exclude the executors on which they ran, for up to 16 s, all of a pool at a time.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -19,6 +19,8 @@
         "many-ends" => many_ends(&record),
         "moved-queue" => moved_queue(&record),
         "crashes" => crashes(&record),
+        "hopeless" => hopeless(&record),
+        "unbegun" => unbegun(&record),
         "cancels" => cancels(&record),
         "late-job" => late_job(&record),
         _ => 2,
@@ -341,3 +343,128 @@
     fleet.stop();
     i32::from(runs.iter().any(|run| run.started > acked + 3_000))
 }
+
+/// Jobs wait for the only executor with room, which refuses their starts.
+fn unbegun(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let fleet = Fleet::spawn(record, &store, &[("filler", 12)], 32_000, 65_536);
+    store.write("op", "config", &config(1, &[route("q1", HOST, PREFIX, "filler", 3)], &["filler"]));
+    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || nodes.holder(&store, "filler").is_some()) {
+        return 2;
+    }
+    sleep(3_000);
+    let lasting = "{\"taskSpec\":\"lasting\",\"steps\":[{\"count\":11,\"cpu\":32000,\"memoryRequestMb\":1024,\"estimatedMs\":1000,\"longRunning\":true}]}";
+    if !submit(record, &nodes, &format!("{PREFIX}00000000000000ff"), lasting) || !until(5_000, || fleet.all_runs().len() == 11) {
+        return 2;
+    }
+    sleep(1_000);
+    let busy: Vec<String> = fleet.all_runs().iter().map(|run| run.executor.clone()).collect();
+    let Some(free) = fleet.machines.iter().find(|m| !busy.contains(&m.executor())) else { return 2 };
+    let short = "\"count\":1,\"cpu\":32000,\"memoryRequestMb\":600,\"estimatedMs\":3000";
+    if submit_all(record, &nodes, 1, "ms=3000", short) != 1 || !until(2_000, || fleet.all_runs().len() == 12) {
+        return 2;
+    }
+    let full = record.now();
+    record.say(format!("tasks that last take 11 of 12 executors, and a task of three seconds takes {}", free.name));
+    let step = "\"count\":1,\"cpu\":1000,\"memoryRequestMb\":600,\"estimatedMs\":60000";
+    let accepted = submit_all(record, &nodes, 25, "ms=60000", step);
+    let last = record.now();
+    record.say(format!("{accepted} jobs are accepted, the first of them before"));
+    sleep((full + 2_500).saturating_sub(record.now()));
+    let began = record.now();
+    if !calm() {
+        fleet.set_unhealthy(free, true);
+    }
+    sleep((last + 5_300).saturating_sub(record.now()));
+    let mut broken = false;
+    for n in 0..nodes.names.len() {
+        let runs = fleet.all_runs();
+        let unbegun = (1..25).filter(|job| !runs.iter().any(|r| r.task.starts_with(&format!("{job:016x}.")))).count();
+        let answer = call(&nodes.addresses[n], "GET", HOST, PREFIX, "", 3_000);
+        let pending = answer.as_ref().filter(|a| a.0 == 200).and_then(|a| Json::parse(&a.1)).map(|json| json.get("pending").number());
+        record.say(format!("{}: {answer:?}; {unbegun} jobs that were accepted over five seconds before have not begun", nodes.names[n]));
+        broken |= pending.is_some_and(|pending| (pending as usize) * 2 < unbegun);
+    }
+    record.say(format!("job 1 is shown as {}", state(&nodes, 0, &format!("{PREFIX}{:016x}", 1))));
+    sleep((began + 6_400).saturating_sub(record.now()));
+    if !calm() {
+        fleet.set_unhealthy(free, false);
+    }
+    fleet.stop();
+    i32::from(broken)
+}
+
+/// One of twenty jobs of a queue can never be done.
+fn hopeless(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let pools = [("filler", 8), ("cip", 9), ("label", 11), ("changeover", 12), ("misc", 8)];
+    let fleet = Fleet::spawn(record, &store, &pools, 32_000, 65_536);
+    let names = pools.map(|pool| pool.0);
+    let prefix = |n: usize| if n == 0 { PREFIX.to_owned() } else { format!("/dewu52{n}/") };
+    let routes: Vec<String> =
+        (0..5).map(|n| route(&format!("q{n}"), HOST, &prefix(n), names[n], 3)).collect();
+    store.write("op", "config", &config(1, &routes, &names));
+    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || names.iter().all(|name| nodes.holder(&store, name).is_some())) {
+        return 2;
+    }
+    sleep(3_000);
+    // A sound job has two steps of four tasks; a hopeless one is as wide as the site's widest.
+    let job = |spec: &str, width: u64| {
+        let step = "\"cpu\":1000,\"memoryRequestMb\":600,\"estimatedMs\":500";
+        format!("{{\"taskSpec\":\"{spec}\",\"steps\":[{{\"count\":{width},{step}}},{{\"count\":4,{step},\"after\":[0]}}]}}")
+    };
+    let (mut sound, mut bad) = (Vec::new(), 0);
+    let start = record.now();
+    for n in 0..480_u64 {
+        sleep((start + n * 25).saturating_sub(record.now()));
+        let path = format!("{PREFIX}{n:016x}");
+        let is_hopeless = !calm() && n % 20 == 7;
+        let body = if is_hopeless { job("ms=500 fail=1000", 24) } else { job("ms=500", 4) };
+        let answer = call(&nodes.addresses[(n % 6) as usize], "POST", HOST, &path, &body, 3_000);
+        let kind = if is_hopeless { "hopeless" } else { "sound" };
+        record.add(format!("POST {path}, {kind}: {:?}", answer.as_ref().map(|a| a.0)));
+        if answer.is_some_and(|a| a.0 == 200) {
+            if is_hopeless { bad += 1 } else { sound.push(path) }
+        }
+    }
+    let over = record.now();
+    record.say(format!("{} sound jobs and {bad} hopeless ones are accepted; the traffic has ended", sound.len()));
+    // Since when a sound job has had nothing running, with room for it and over half of the pool free.
+    let mut idle_since: std::collections::HashMap<&str, u64> = std::collections::HashMap::new();
+    let mut broken = std::collections::BTreeMap::new();
+    let mut next = over;
+    while record.now() < over + 20_000 {
+        sleep(100);
+        let now = record.now();
+        let runs = fleet.all_runs();
+        let at_work = runs.iter().filter(|r| r.ended.is_none()).count();
+        let cores = 32 * fleet.size("filler");
+        let mut waiting = 0;
+        for path in &sound {
+            let id = path.rsplit('/').next().unwrap_or_default();
+            let of_job: Vec<&Run> = runs.iter().filter(|r| r.task.starts_with(id)).collect();
+            let done = of_job.iter().filter(|r| r.ended.is_some_and(|e| e.1 == "done")).count();
+            let working = of_job.iter().any(|r| r.ended.is_none());
+            if done >= 8 || working || at_work * 2 >= cores || cores < at_work + 8 {
+                idle_since.remove(path.as_str());
+                continue;
+            }
+            waiting += 1;
+            let since = *idle_since.entry(path).or_insert(now);
+            // `finish_s` is 14.
+            if now >= over + 14_000 && now >= since + 3_000 && !broken.contains_key(path) {
+                broken.insert(path.clone(), format!("{path} has had nothing running for {} ms, {done} of its 8 tasks are done", now - since));
+            }
+        }
+        if now >= next {
+            next += 1_000;
+            record.say(format!("{} ms after the traffic: {at_work} tasks at work on {cores} cores, {waiting} sound jobs have nothing running", now - over));
+        }
+    }
+    broken.values().take(5).for_each(|text| record.say(text.clone()));
+    record.say(format!("LOST was broken for {} of {} sound jobs", broken.len(), sound.len()));
+    fleet.stop();
+    i32::from(!broken.is_empty())
+}
--- a/review/world-2.rs
+++ b/review/world-2.rs
@@ -602,6 +602,15 @@
     /// State of the machine while it has no executor.
     away_as: Mutex<&'static str>,
     lives: AtomicU64,
+    /// Whether it is unhealthy and refuses starts.
+    unhealthy: AtomicBool,
+}
+
+impl Machine {
+    /// Id of its executor.
+    pub fn executor(&self) -> String {
+        lock(&self.life).id.clone()
+    }
 }
 
 /// Executors, their machines and the record of all runs.
@@ -657,6 +666,7 @@
                     away_until: AtomicU64::new(0),
                     away_as: Mutex::new("down"),
                     lives: AtomicU64::new(1),
+                    unhealthy: AtomicBool::new(false),
                 });
                 machines.push((machine, listener));
             }
@@ -768,6 +778,12 @@
         }
     }
 
+    /// Makes an executor unhealthy, or healthy again.
+    pub fn set_unhealthy(&self, machine: &Machine, unhealthy: bool) {
+        self.record.say(format!("{} is {}", machine.name, if unhealthy { "unhealthy" } else { "healthy" }));
+        machine.unhealthy.store(unhealthy, Ordering::SeqCst);
+    }
+
     /// Crashes an executor, which is back as a new incarnation after a time.
     pub fn crash(&self, machine: &Machine, away_ms: u64) {
         self.record.add(format!("{} crashes, back in {away_ms} ms", machine.name));
@@ -843,6 +859,11 @@
                 life.lease_end = life.lease_end.max(until);
             }
             match request.path.as_str() {
+                "/api/run-start" if machine.unhealthy.load(Ordering::SeqCst) => {
+                    let (task, run) = (body.get("task").text(), body.get("run").number());
+                    self.record.add(format!("{} refuses run {run} of {task} with 503", machine.name));
+                    return Some((503, format!("{{\"clockMs\":{clock}}}")));
+                }
                 "/api/run-start" => {
                     let (task, run) = (body.get("task").text().to_owned(), body.get("run").number());
                     if life.running.get(&task).is_some_and(|a| a.run == run) {
@@ -983,6 +1004,11 @@
         }
     }
 
+    /// Number of executors that a pool has now.
+    pub fn size(&self, pool: &str) -> usize {
+        self.machines.iter().filter(|m| *lock(&m.pool) == pool && lock(&m.life).up).count()
+    }
+
     pub fn stop(&self) {
         self.stop.store(true, Ordering::SeqCst);
     }
