review: trial of executors kept for tasks that last

Cause: an executor that is reserved for a task that lasts gets no small tasks that fit beside what runs. Change: a function of the cases' program, without a folder yet.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -20,6 +20,7 @@
         "moved-queue" => moved_queue(&record),
         "crashes" => crashes(&record),
         "hopeless" => hopeless(&record),
+        "reserved" => reserved(&record),
         "unbegun" => unbegun(&record),
         "cancels" => cancels(&record),
         "late-job" => late_job(&record),
@@ -468,3 +469,52 @@
     fleet.stop();
     i32::from(!broken.is_empty())
 }
+
+/// Tasks that last wait for room on executors that have room for small jobs.
+fn reserved(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let fleet = Fleet::spawn(record, &store, &[("filler", 8)], 32_000, 65_536);
+    store.write("op", "config", &config(1, &[route("q1", HOST, PREFIX, "filler", 3)], &["filler"]));
+    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || nodes.holder(&store, "filler").is_some()) {
+        return 2;
+    }
+    sleep(3_000);
+    let job = |id: u64, spec: &str, step: &str| {
+        let body = format!("{{\"taskSpec\":\"{spec}\",\"steps\":[{{{step}}}]}}");
+        submit(record, &nodes, &format!("{PREFIX}{id:016x}"), &body)
+    };
+    // Two tasks on each executor take 14 of 32 cores and 32,000 of 65,536 MB.
+    let wide = "\"count\":16,\"cpu\":7000,\"memoryRequestMb\":16000,\"estimatedMs\":40000,\"antiAffinity\":2";
+    if !job(1, "ms=40000", wide) || !until(3_000, || fleet.all_runs().len() == 16) {
+        return 2;
+    }
+    record.say("16 tasks take under half of each of the 8 executors");
+    let large = "\"count\":8,\"cpu\":4000,\"memoryRequestMb\":34000,\"estimatedMs\":1000,\"longRunning\":true,\"antiAffinity\":1";
+    if !calm() && !job(2, "lasting", large) {
+        return 2;
+    }
+    sleep(500);
+    let small = "\"count\":2,\"cpu\":1000,\"memoryRequestMb\":600,\"estimatedMs\":500";
+    let ids: Vec<u64> = (16..26).filter(|id| job(*id, "ms=500", small)).collect();
+    let over = record.now();
+    record.say(format!("{} small jobs are accepted; the traffic has ended", ids.len()));
+    let mut seen = 0;
+    while record.now() < over + 18_000 {
+        sleep(500);
+        let runs = fleet.all_runs();
+        let begun = |id: &u64| runs.iter().any(|r| r.task.starts_with(&format!("{id:016x}.")));
+        seen = ids.iter().filter(|id| begun(id)).count();
+        let at_work = runs.iter().filter(|r| r.ended.is_none()).count();
+        if (record.now() - over) % 2_000 < 500 {
+            record.say(format!("{} ms after the traffic: {at_work} tasks at work, {seen} small jobs have begun", record.now() - over));
+        }
+    }
+    for run in fleet.all_runs() {
+        record.add(format!("{run:?}"));
+    }
+    let shown = state(&nodes, 0, &format!("{PREFIX}{:016x}", 16));
+    record.say(format!("{} of {} small jobs have had nothing running all the while; the first is shown as {shown}", ids.len() - seen, ids.len()));
+    fleet.stop();
+    i32::from(seen < ids.len())
+}
