--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -1,4 +1,5 @@
-//! Scripts of cases 6 to 10; the argument names the case and the folder of its record.
+//! Scripts of cases 6 to 10, and `cancels` and `retired`, which the report names; the arguments are the case and
+//! the folder of its record.
 
 #[path = "world-2.rs"]
 mod world;
@@ -17,11 +18,10 @@
     watch(114_000);
     let code = match case {
         "many-ends" => many_ends(&record),
-        "moved-queue" => moved_queue(&record),
-        "crashes" => crashes(&record),
         "hopeless" => hopeless(&record),
         "reserved" => reserved(&record),
         "unbegun" => unbegun(&record),
+        "retired" => retired(&record),
         "cancels" => cancels(&record),
         "late-job" => late_job(&record),
         _ => 2,
@@ -51,7 +51,11 @@
     for attempt in 0..20 {
         let address = &nodes.addresses[attempt % nodes.addresses.len()];
         let answer = call(address, "POST", HOST, path, body, 3_000);
-        record.add(format!("POST {path} to {}: {:?}", nodes.names[attempt % nodes.names.len()], answer.as_ref().map(|a| a.0)));
+        record.add(format!(
+            "POST {path} to {}: {:?}",
+            nodes.names[attempt % nodes.names.len()],
+            answer.as_ref().map(|a| a.0)
+        ));
         if answer.is_some_and(|(status, _)| status == 200) {
             return true;
         }
@@ -63,7 +67,9 @@
 fn state(nodes: &Nodes, n: usize, path: &str) -> String {
     let answer = call(&nodes.addresses[n], "GET", HOST, path, "", 3_000);
     match answer {
-        Some((200, body)) => Json::parse(&body).map_or(body, |json| json.get("state").text().to_owned()),
+        Some((200, body)) => {
+            Json::parse(&body).map_or(body, |json| json.get("state").text().to_owned())
+        }
         Some((status, _)) => status.to_string(),
         None => "no answer".to_owned(),
     }
@@ -77,7 +83,9 @@
             let body = &body;
             scope.spawn(move || {
                 let numbers = (0..jobs).filter(|n| n % 8 == lane);
-                numbers.filter(|n| submit(record, nodes, &format!("{PREFIX}{n:016x}"), body)).count()
+                numbers
+                    .filter(|n| submit(record, nodes, &format!("{PREFIX}{n:016x}"), body))
+                    .count()
             })
         };
         let lanes: Vec<_> = (0..8).map(lane).collect();
@@ -110,7 +118,11 @@
         sleep(4_000);
         let _ = nodes.start(holder);
     }
-    let states = || (0..100_u64).filter(|n| state(&nodes, 1, &format!("{PREFIX}{n:016x}")) == "completed").count();
+    let states = || {
+        (0..100_u64)
+            .filter(|n| state(&nodes, 1, &format!("{PREFIX}{n:016x}")) == "completed")
+            .count()
+    };
     let mut completed = 0;
     until(25_000, || {
         completed = states();
@@ -130,110 +142,6 @@
     i32::from(!breaks.is_empty())
 }
 
-/// Jobs of a queue wait when the operator moves the queue to another service.
-fn moved_queue(record: &Record) -> i32 {
-    let store = Store::spawn("127.0.0.1:0");
-    let fleet = Fleet::spawn(record, &store, &[("filler", 8), ("cip", 4)], 32_000, 65_536);
-    let routes = |service: &str| [route("q1", HOST, "/puxa400/", service, 3), route("q2", HOST, "/dewu524/", "cip", 3)];
-    store.write("op", "config", &config(4, &routes("filler"), &["filler", "cip"]));
-    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
-    if !until(15_000, || nodes.holder(&store, "filler").is_some() && nodes.holder(&store, "cip").is_some()) {
-        return 2;
-    }
-    sleep(3_000);
-    // Tasks that last take all machines; each of the jobs after them needs a machine of its own.
-    let lasting = |count: u32| {
-        format!("{{\"taskSpec\":\"lasting\",\"steps\":[{{\"count\":{count},\"cpu\":32000,\"memoryRequestMb\":1024,\"estimatedMs\":1000,\"longRunning\":true}}]}}")
-    };
-    if !submit(record, &nodes, "/puxa400/00000000000000ff", &lasting(12)) {
-        return 2;
-    }
-    let mut accepted = 0;
-    for n in 0..24 {
-        accepted += usize::from(submit(record, &nodes, &format!("/puxa400/{n:016x}"), &lasting(1)));
-    }
-    record.say(format!("{accepted} jobs are accepted beside the first"));
-    sleep(8_000);
-    if !calm() {
-        store.write("op", "config", &config(9, &routes("cip"), &["filler", "cip"]));
-        record.say("a configuration moves the queue to another service");
-    }
-    sleep(6_000);
-    let mut broken = false;
-    for n in 0..nodes.names.len() {
-        let runs = fleet.all_runs();
-        let unbegun = (0..24).filter(|job| !runs.iter().any(|r| r.task.starts_with(&format!("{job:016x}.")))).count();
-        let answer = call(&nodes.addresses[n], "GET", HOST, "/puxa400/", "", 3_000);
-        let pending = answer.as_ref().filter(|a| a.0 == 200).and_then(|a| Json::parse(&a.1)).map(|json| json.get("pending").number());
-        record.say(format!("{}: {answer:?}; {unbegun} jobs that were accepted over five seconds before have not begun", nodes.names[n]));
-        broken |= pending.is_some_and(|pending| (pending as usize) * 2 < unbegun);
-    }
-    fleet.stop();
-    i32::from(broken)
-}
-
-/// Executors crash one after the other while jobs run.
-fn crashes(record: &Record) -> i32 {
-    let store = Store::spawn("127.0.0.1:0");
-    let fleet = Fleet::spawn(record, &store, &[("filler", 8)], 32_000, 65_536);
-    store.write("op", "config", &config(1, &[route("q1", HOST, "/puxa400/", "filler", 3)], &["filler"]));
-    let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
-    if !until(15_000, || nodes.holder(&store, "filler").is_some()) {
-        return 2;
-    }
-    sleep(3_000);
-    let accepted = std::sync::Mutex::new(Vec::new());
-    let over = std::sync::atomic::AtomicBool::new(false);
-    std::thread::scope(|scope| {
-        scope.spawn(|| {
-            for n in 0..110_u64 {
-                let path = format!("/puxa400/{:016x}", n + 0x5c0e_0000);
-                let body = "{\"taskSpec\":\"ms=400\",\"steps\":[{\"count\":40,\"cpu\":2300,\"memoryRequestMb\":600,\"estimatedMs\":400}]}";
-                let answer = call(&nodes.addresses[(n % 6) as usize], "POST", HOST, &path, body, 3_000);
-                record.add(format!("POST {path}: {:?}", answer.as_ref().map(|a| a.0)));
-                if answer.is_some_and(|a| a.0 == 200) {
-                    lock(&accepted).push(path);
-                }
-                sleep(250);
-            }
-            over.store(true, std::sync::atomic::Ordering::SeqCst);
-        });
-        let mut random = u64::from(std::process::id()) * 2_654_435_761 + 12_345;
-        let mut count = 0;
-        sleep(2_000);
-        while !calm() && count < 40 && !over.load(std::sync::atomic::Ordering::SeqCst) {
-            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            let rack = (random >> 33) as usize % 2;
-            fleet.machines[rack * 4..rack * 4 + 4].iter().for_each(|machine| fleet.crash(machine, 400));
-            count += 1;
-            sleep(700);
-        }
-        record.say(format!("{count} times a rack has crashed"));
-    });
-    sleep(14_000);
-    let runs = fleet.all_runs();
-    let (mut broken, mut completed) = (0, 0);
-    for path in lock(&accepted).iter() {
-        let shown = state(&nodes, 1, path);
-        let id = path.rsplit('/').next().unwrap_or_default();
-        let of_job = runs.iter().filter(|r| r.task.starts_with(id));
-        let failed = of_job.clone().filter(|r| r.ended.is_some_and(|e| e.1 == "failed")).count();
-        let crashed = of_job.filter(|r| r.crashed).count();
-        completed += usize::from(shown == "completed");
-        record.add(format!("{path} is {shown}; {failed} of its runs ended failed, {crashed} ended with their executor"));
-        if shown == "failed" && failed == 0 {
-            record.say(format!("{path} is shown as failed; none of its runs ended failed, {crashed} ended with their executor"));
-            broken += 1;
-        }
-    }
-    record.say(format!("{} jobs accepted, {completed} completed, {broken} shown as failed without a failed run", lock(&accepted).len()));
-    fleet.stop();
-    for line in nodes.log_lines("E2208") {
-        record.add(line);
-    }
-    i32::from(broken > 0)
-}
-
 /// Many jobs are cancelled at once.
 fn cancels(record: &Record) -> i32 {
     let store = Store::spawn("127.0.0.1:0");
@@ -262,8 +170,12 @@
                 let numbers = (0..cancelled).filter(|n| n % 8 == lane);
                 let cancel = |n: u64| {
                     let address = &nodes.addresses[(n % 6) as usize];
-                    let answer = call(address, "DELETE", HOST, &format!("{PREFIX}{n:016x}"), "", 3_000);
-                    record.add(format!("DELETE {PREFIX}{n:016x}: {:?}", answer.as_ref().map(|a| a.0)));
+                    let answer =
+                        call(address, "DELETE", HOST, &format!("{PREFIX}{n:016x}"), "", 3_000);
+                    record.add(format!(
+                        "DELETE {PREFIX}{n:016x}: {:?}",
+                        answer.as_ref().map(|a| a.0)
+                    ));
                     (n, answer.filter(|a| a.0 == 200 || a.0 == 410).map(|_| record.now()))
                 };
                 numbers.map(cancel).collect::<Vec<_>>()
@@ -273,11 +185,17 @@
         lanes.into_iter().flat_map(|lane| lane.join().unwrap_or_default()).collect()
     });
     let last = record.now();
-    record.say(format!("{} cancels are acknowledged", acked.iter().filter(|a| a.1.is_some()).count()));
+    record.say(format!(
+        "{} cancels are acknowledged",
+        acked.iter().filter(|a| a.1.is_some()).count()
+    ));
     for _ in 0..16 {
         sleep(500);
         let at_work = fleet.all_runs().iter().filter(|r| r.ended.is_none()).count();
-        record.say(format!("{} ms after the last answer: {at_work} tasks at work", record.now() - last));
+        record.say(format!(
+            "{} ms after the last answer: {at_work} tasks at work",
+            record.now() - last
+        ));
     }
     let (runs, now) = (fleet.all_runs(), record.now());
     let mut late = 0;
@@ -289,11 +207,17 @@
             let until = run.ended.map_or(now, |end| end.0);
             if until > at + 3_900 {
                 late += 1;
-                record.add(format!("{} ran on for {} ms after the cancel was acknowledged: {run:?}", run.task, until - at));
+                record.add(format!(
+                    "{} ran on for {} ms after the cancel was acknowledged: {run:?}",
+                    run.task,
+                    until - at
+                ));
             }
         }
     }
-    record.say(format!("{late} of 3200 tasks ran on for longer than 3900 ms after their cancel was acknowledged"));
+    record.say(format!(
+        "{late} of 3200 tasks ran on for longer than 3900 ms after their cancel was acknowledged"
+    ));
     fleet.stop();
     i32::from(late > 0)
 }
@@ -302,9 +226,14 @@
 fn late_job(record: &Record) -> i32 {
     let store = Store::spawn("127.0.0.1:0");
     let fleet = Fleet::spawn(record, &store, &[("filler", 8)], 32_000, 65_536);
-    store.write("op", "config", &config(1, &[route("q1", HOST, "/puxa400/", "filler", 3)], &["filler"]));
+    store.write(
+        "op",
+        "config",
+        &config(1, &[route("q1", HOST, "/puxa400/", "filler", 3)], &["filler"]),
+    );
     let Some(nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
-    let holders = |nodes: &Nodes| Some((nodes.holder(&store, "filler")?, nodes.holder(&store, "!fleet")?));
+    let holders =
+        |nodes: &Nodes| Some((nodes.holder(&store, "filler")?, nodes.holder(&store, "!fleet")?));
     if !until(15_000, || holders(&nodes).is_some()) {
         return 2;
     }
@@ -324,7 +253,11 @@
     }
     let stopped = record.now();
     let answer = call(&nodes.addresses[frozen], "POST", HOST, path, body, 300);
-    record.say(format!("POST to {}: {:?}, then the client leaves", nodes.names[frozen], answer.map(|a| a.0)));
+    record.say(format!(
+        "POST to {}: {:?}, then the client leaves",
+        nodes.names[frozen],
+        answer.map(|a| a.0)
+    ));
     let answer = call(&nodes.addresses[other], "DELETE", HOST, path, "", 3_000);
     let acked = record.now();
     record.say(format!("DELETE to {}: {:?}", nodes.names[other], answer.as_ref().map(|a| a.0)));
@@ -338,7 +271,11 @@
     sleep(5_000);
     let runs = fleet.all_runs();
     for run in &runs {
-        record.say(format!("{} started {} ms after the cancel was answered: {run:?}", run.task, run.started as i64 - acked as i64));
+        record.say(format!(
+            "{} started {} ms after the cancel was answered: {run:?}",
+            run.task,
+            run.started as i64 - acked as i64
+        ));
     }
     record.say(format!("GET from {}: {}", nodes.names[other], state(&nodes, other, path)));
     fleet.stop();
@@ -356,18 +293,27 @@
     }
     sleep(3_000);
     let lasting = "{\"taskSpec\":\"lasting\",\"steps\":[{\"count\":11,\"cpu\":32000,\"memoryRequestMb\":1024,\"estimatedMs\":1000,\"longRunning\":true}]}";
-    if !submit(record, &nodes, &format!("{PREFIX}00000000000000ff"), lasting) || !until(5_000, || fleet.all_runs().len() == 11) {
+    if !submit(record, &nodes, &format!("{PREFIX}00000000000000ff"), lasting)
+        || !until(5_000, || fleet.all_runs().len() == 11)
+    {
         return 2;
     }
     sleep(1_000);
     let busy: Vec<String> = fleet.all_runs().iter().map(|run| run.executor.clone()).collect();
-    let Some(free) = fleet.machines.iter().find(|m| !busy.contains(&m.executor())) else { return 2 };
+    let Some(free) = fleet.machines.iter().find(|m| !busy.contains(&m.executor())) else {
+        return 2;
+    };
     let short = "\"count\":1,\"cpu\":32000,\"memoryRequestMb\":600,\"estimatedMs\":3000";
-    if submit_all(record, &nodes, 1, "ms=3000", short) != 1 || !until(2_000, || fleet.all_runs().len() == 12) {
+    if submit_all(record, &nodes, 1, "ms=3000", short) != 1
+        || !until(2_000, || fleet.all_runs().len() == 12)
+    {
         return 2;
     }
     let full = record.now();
-    record.say(format!("tasks that last take 11 of 12 executors, and a task of three seconds takes {}", free.name));
+    record.say(format!(
+        "tasks that last take 11 of 12 executors, and a task of three seconds takes {}",
+        free.name
+    ));
     let step = "\"count\":1,\"cpu\":1000,\"memoryRequestMb\":600,\"estimatedMs\":60000";
     let accepted = submit_all(record, &nodes, 25, "ms=60000", step);
     let last = record.now();
@@ -381,9 +327,15 @@
     let mut broken = false;
     for n in 0..nodes.names.len() {
         let runs = fleet.all_runs();
-        let unbegun = (1..25).filter(|job| !runs.iter().any(|r| r.task.starts_with(&format!("{job:016x}.")))).count();
+        let unbegun = (1..25)
+            .filter(|job| !runs.iter().any(|r| r.task.starts_with(&format!("{job:016x}."))))
+            .count();
         let answer = call(&nodes.addresses[n], "GET", HOST, PREFIX, "", 3_000);
-        let pending = answer.as_ref().filter(|a| a.0 == 200).and_then(|a| Json::parse(&a.1)).map(|json| json.get("pending").number());
+        let pending = answer
+            .as_ref()
+            .filter(|a| a.0 == 200)
+            .and_then(|a| Json::parse(&a.1))
+            .map(|json| json.get("pending").number());
         record.say(format!("{}: {answer:?}; {unbegun} jobs that were accepted over five seconds before have not begun", nodes.names[n]));
         broken |= pending.is_some_and(|pending| (pending as usize) * 2 < unbegun);
     }
@@ -414,7 +366,9 @@
     // A sound job has two steps of four tasks; a hopeless one is as wide as the site's widest.
     let job = |spec: &str, width: u64| {
         let step = "\"cpu\":1000,\"memoryRequestMb\":600,\"estimatedMs\":500";
-        format!("{{\"taskSpec\":\"{spec}\",\"steps\":[{{\"count\":{width},{step}}},{{\"count\":4,{step},\"after\":[0]}}]}}")
+        format!(
+            "{{\"taskSpec\":\"{spec}\",\"steps\":[{{\"count\":{width},{step}}},{{\"count\":4,{step},\"after\":[0]}}]}}"
+        )
     };
     let (mut sound, mut bad) = (Vec::new(), 0);
     let start = record.now();
@@ -431,7 +385,10 @@
         }
     }
     let over = record.now();
-    record.say(format!("{} sound jobs and {bad} hopeless ones are accepted; the traffic has ended", sound.len()));
+    record.say(format!(
+        "{} sound jobs and {bad} hopeless ones are accepted; the traffic has ended",
+        sound.len()
+    ));
     // Since when a sound job has had nothing running, with room for it and over half of the pool free.
     let mut idle_since: std::collections::HashMap<&str, u64> = std::collections::HashMap::new();
     let mut broken = std::collections::BTreeMap::new();
@@ -456,7 +413,13 @@
             let since = *idle_since.entry(path).or_insert(now);
             // `finish_s` is 14.
             if now >= over + 14_000 && now >= since + 3_000 && !broken.contains_key(path) {
-                broken.insert(path.clone(), format!("{path} has had nothing running for {} ms, {done} of its 8 tasks are done", now - since));
+                broken.insert(
+                    path.clone(),
+                    format!(
+                        "{path} has had nothing running for {} ms, {done} of its 8 tasks are done",
+                        now - since
+                    ),
+                );
             }
         }
         if now >= next {
@@ -507,14 +470,65 @@
         seen = ids.iter().filter(|id| begun(id)).count();
         let at_work = runs.iter().filter(|r| r.ended.is_none()).count();
         if (record.now() - over) % 2_000 < 500 {
-            record.say(format!("{} ms after the traffic: {at_work} tasks at work, {seen} small jobs have begun", record.now() - over));
+            record.say(format!(
+                "{} ms after the traffic: {at_work} tasks at work, {seen} small jobs have begun",
+                record.now() - over
+            ));
         }
     }
     for run in fleet.all_runs() {
         record.add(format!("{run:?}"));
     }
     let shown = state(&nodes, 0, &format!("{PREFIX}{:016x}", 16));
-    record.say(format!("{} of {} small jobs have had nothing running all the while; the first is shown as {shown}", ids.len() - seen, ids.len()));
+    record.say(format!(
+        "{} of {} small jobs have had nothing running all the while; the first is shown as {shown}",
+        ids.len() - seen,
+        ids.len()
+    ));
     fleet.stop();
     i32::from(seen < ids.len())
 }
+
+/// A service is taken out of the configuration, and its queue goes to another, while its cell has no holder.
+fn retired(record: &Record) -> i32 {
+    let store = Store::spawn("127.0.0.1:0");
+    let fleet = Fleet::spawn(record, &store, &[("filler", 8), ("cip", 8)], 32_000, 65_536);
+    let routes = |service: &str| {
+        [route("q1", HOST, PREFIX, service, 3), route("q2", HOST, "/dewu524/", "cip", 3)]
+    };
+    store.write("op", "config", &config(4, &routes("filler"), &["filler", "cip"]));
+    let Some(mut nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || {
+        nodes.holder(&store, "filler").is_some() && nodes.holder(&store, "cip").is_some()
+    }) {
+        return 2;
+    }
+    sleep(4_000);
+    let Some(holder) = nodes.holder(&store, "filler") else { return 2 };
+    if !calm() {
+        record.say(format!("{} holds the pool and is killed", nodes.names[holder]));
+        nodes.kill(holder);
+    }
+    let other = usize::from(holder == 0);
+    let body = "{\"taskSpec\":\"ms=500\",\"steps\":[{\"count\":4,\"cpu\":1000,\"memoryRequestMb\":600,\"estimatedMs\":500}]}";
+    let path = |n: &u64| format!("{PREFIX}{n:016x}");
+    let accepted = |n: &u64| {
+        let answer = call(&nodes.addresses[other], "POST", HOST, &path(n), body, 3_000);
+        answer.is_some_and(|answer| answer.0 == 200)
+    };
+    let ids: Vec<u64> = (0..10).filter(accepted).collect();
+    store.write("op", "config", &config(9, &routes("cip"), &["cip"]));
+    record.say(format!(
+        "{} jobs are accepted, then the service is taken out of the configuration",
+        ids.len()
+    ));
+    sleep(2_000);
+    if !calm() {
+        let _ = nodes.start(holder);
+    }
+    sleep(20_000);
+    let shown: Vec<String> = ids.iter().map(|n| state(&nodes, other, &path(n))).collect();
+    record.say(format!("the jobs are shown as {shown:?}; {} runs in all", fleet.all_runs().len()));
+    fleet.stop();
+    i32::from(shown.iter().any(|state| state != "completed"))
+}
