review: case 7, a pool with jobs of many queues is never ready for its next holder

Cause: Inner::recover_once claims and reads all parts that hold jobs of the cell at once, and begins anew at the first call that the store refuses with 429. With 60 queues and 2,400 jobs in 864 parts no attempt fits into the store's rates.

Change: the case many-parts becomes review/7. The hopeless job, the late job and the kept executors move on to 8, 9 and 10. The jobs whose starts were refused are no case any more, as there may be five; the trial stays as `cases unbegun`.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/review-2/cases ] && [ -x target/release/jtally-node ] || exit 2
-target/review-2/cases reserved review/9
+target/review-2/cases late-job review/9
--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -1,5 +1,5 @@
-//! Scripts of cases 6 to 10, and `cancels` and `retired`, which the report names; the arguments are the case and
-//! the folder of its record.
+//! Scripts of cases 6 to 10, and `unbegun`, `cancels` and `retired`, which the report names; the arguments are the
+//! case and the folder of its record.
 
 #[path = "world-2.rs"]
 mod world;
@@ -18,6 +18,7 @@
     watch(114_000);
     let code = match case {
         "many-ends" => many_ends(&record),
+        "many-parts" => many_parts(&record),
         "hopeless" => hopeless(&record),
         "reserved" => reserved(&record),
         "unbegun" => unbegun(&record),
@@ -532,3 +533,81 @@
     fleet.stop();
     i32::from(shown.iter().any(|state| state != "completed"))
 }
+
+/// The process that holds a pool is killed while the pool has jobs of many queues.
+fn many_parts(record: &Record) -> i32 {
+    const QUEUES: u64 = 60;
+    const JOBS: u64 = 2_400;
+    let store = Store::spawn("127.0.0.1:0");
+    store.limit_rates();
+    let fleet = Fleet::spawn(record, &store, &[("filler", 8)], 32_000, 65_536);
+    let prefix = |queue: u64| format!("/puxa{queue:03}/");
+    let routes: Vec<String> =
+        (0..QUEUES).map(|q| route(&format!("r-{q}"), HOST, &prefix(q), "filler", 3)).collect();
+    store.write("op", "config", &config(1, &routes, &["filler"]));
+    let Some(mut nodes) = Nodes::spawn(6, &store, &fleet.cloud) else { return 2 };
+    if !until(15_000, || nodes.holder(&store, "filler").is_some()) {
+        return 2;
+    }
+    sleep(3_000);
+    let step =
+        "\"count\":1,\"cpu\":20,\"memoryRequestMb\":20,\"estimatedMs\":1000,\"longRunning\":true";
+    let body = format!("{{\"taskSpec\":\"lasting\",\"steps\":[{{{step}}}]}}");
+    let accepted: usize = std::thread::scope(|scope| {
+        let lane = |lane: u64| {
+            let (nodes, body) = (&nodes, &body);
+            scope.spawn(move || {
+                let hand_in = |n: u64| {
+                    sleep(25);
+                    submit(record, nodes, &format!("{}{n:016x}", prefix(n % QUEUES)), body)
+                };
+                (0..JOBS).filter(|n| n % 8 == lane).filter(|n| hand_in(*n)).count()
+            })
+        };
+        let lanes: Vec<_> = (0..8).map(lane).collect();
+        lanes.into_iter().map(|lane| lane.join().unwrap_or(0)).sum()
+    });
+    let at_work = || fleet.all_runs().iter().filter(|r| r.ended.is_none()).count();
+    if accepted < 2_400 || !until(10_000, || at_work() == 2_400) {
+        record.say(format!("{accepted} jobs accepted, {} tasks at work", at_work()));
+        return 2;
+    }
+    let parts = store.parts("jobs.filler");
+    record.say(format!(
+        "2400 jobs of 60 queues run, one task that lasts each; their rows are in {parts} parts"
+    ));
+    let Some(holder) = nodes.holder(&store, "filler") else { return 2 };
+    if !calm() {
+        record.say(format!("{} holds the pool and is killed", nodes.names[holder]));
+        nodes.kill(holder);
+        sleep(3_500);
+        let _ = nodes.start(holder);
+    }
+    let start = record.now();
+    let refused = store.refused();
+    while record.now() < start + 30_000 {
+        sleep(3_000);
+        let holder = nodes.holder(&store, "filler").map_or("nobody", |n| nodes.names[n].as_str());
+        record.say(format!(
+            "{} ms later: {} tasks at work, {holder} holds the pool, {} calls of the store refused",
+            record.now() - start,
+            at_work(),
+            store.refused() - refused
+        ));
+    }
+    let now = record.now();
+    let mut last: std::collections::HashMap<String, u64> = std::collections::HashMap::new();
+    for run in fleet.all_runs() {
+        let ended = run.ended.map_or(u64::MAX, |end| end.0);
+        let latest = last.entry(run.task).or_default();
+        *latest = ended.max(*latest);
+    }
+    // Six seconds after its last run, and three more.
+    let lost = last.values().filter(|ended| **ended < now - 9_000).count();
+    record.say(format!("{lost} of 2400 tasks that last have not run for 9 s and more"));
+    let path = "/puxa000/00000000000ffff0";
+    let answer = call(&nodes.addresses[usize::from(holder == 0)], "POST", HOST, path, &body, 3_000);
+    record.say(format!("POST of one more job: {:?}", answer.map(|a| a.0)));
+    fleet.stop();
+    i32::from(lost > 0)
+}
--- a/review/world-2.rs
+++ b/review/world-2.rs
@@ -400,10 +400,17 @@
     version: u64,
 }
 
+/// Calls a second that the store answers, as on the sheet.
+const WRITES_PER_S: f64 = 600.0;
+const READS_PER_S: f64 = 2_000.0;
+
 /// The platform's store.
 #[derive(Clone)]
 pub struct Store {
     rows: Arc<Mutex<Rows>>,
+    /// Calls that may be made now, of writes and of reads, and when that was last counted; `None` for no limit.
+    allowed: Arc<Mutex<Option<[(f64, Instant); 2]>>>,
+    refused: Arc<AtomicU64>,
     start: Instant,
     pub address: String,
 }
@@ -428,12 +435,50 @@
     pub fn spawn(address: &str) -> Self {
         let listener = TcpListener::bind(address).expect("the store's address is free");
         let address = listener.local_addr().expect("an address").to_string();
-        let store = Self { rows: Arc::default(), start: Instant::now(), address };
+        let start = Instant::now();
+        let store = Self {
+            rows: Arc::default(),
+            allowed: Arc::default(),
+            refused: Arc::default(),
+            start,
+            address,
+        };
         let served = store.clone();
         serve(listener, 4_000, move |request| Some(served.handle(request)));
         store
     }
 
+    /// Refuses calls beyond the rates from now on.
+    pub fn limit_rates(&self) {
+        let now = Instant::now();
+        *lock(&self.allowed) = Some([(WRITES_PER_S, now), (READS_PER_S, now)]);
+    }
+
+    /// Number of calls that were refused as they were beyond the rates.
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::SeqCst)
+    }
+
+    /// Whether a call is within the rate, of which a second's worth may come at once.
+    fn is_allowed(&self, is_write: bool) -> bool {
+        let (kind, rate) = if is_write { (0, WRITES_PER_S) } else { (1, READS_PER_S) };
+        let mut allowed = lock(&self.allowed);
+        let Some(allowed) = allowed.as_mut() else { return true };
+        let (left, at) = allowed[kind];
+        let now = Instant::now();
+        let left = (left + now.duration_since(at).as_secs_f64() * rate).min(rate);
+        let is_allowed = left >= 1.0;
+        allowed[kind] = (if is_allowed { left - 1.0 } else { left }, now);
+        is_allowed
+    }
+
+    /// Number of the parts of a table.
+    pub fn parts(&self, table: &str) -> usize {
+        let rows = lock(&self.rows);
+        let keys = rows.rows.keys().filter(|k| k.0 == table);
+        keys.map(|k| &k.1).collect::<std::collections::BTreeSet<_>>().len()
+    }
+
     fn page(&self, version: u64, rows: &[String], more: bool) -> String {
         let now = self.start.elapsed().as_millis() + 1;
         format!(
@@ -468,6 +513,10 @@
     }
 
     fn handle(&self, request: &Request) -> Reply {
+        if !self.is_allowed(request.path == "/api/rows-tx") {
+            self.refused.fetch_add(1, Ordering::SeqCst);
+            return (429, "{}".to_owned());
+        }
         match request.path.as_str() {
             "/api/rows-tx" => self.apply(&request.body),
             "/api/rows-get" => {
