--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -373,7 +373,7 @@
     };
     let (mut sound, mut bad) = (Vec::new(), 0);
     let start = record.now();
-    for n in 0..480_u64 {
+    for n in 0..800_u64 {
         sleep((start + n * 25).saturating_sub(record.now()));
         let path = format!("{PREFIX}{n:016x}");
         let is_hopeless = !calm() && n % 20 == 7;
