review: the scripts say what TROUBLE=0 does

Cause: the variable was read only in the stand-ins' program (calm() in review/world-2.rs), so that no run.sh named it.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs the case once: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0 leaves
+# the disruption out.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/review-2/cases ] && [ -x target/release/jtally-node ] || exit 2
-target/review-2/cases many-parts review/7
+TROUBLE="${TROUBLE:-1}" target/review-2/cases many-parts review/7
