Let small tasks use room beside reservations for long-running tasks

Cause: `assign` removed every executor with a reservation for a long-running task from those that accept short tasks, whatever their size, however many executors were reserved and however long the tasks lasted that the reservations waited for. A task beyond its estimate counted as about to end, so that its executor stayed reserved.

Change: - A short task starts on a reserved executor if the wait for the reserved room is no longer even if the task never ends. Runs that started beside a reservation count as without end in that comparison, so that a stream of them can't put it off. - At most a quarter of the accepting executors is reserved at a time, at least one. - In a pool with less than half of each resource in use, a job without any run for 1.5 s may use reserved room and the allowance that is kept for a task without room.

--- a/crates/cells/src/owner/report.rs
+++ b/crates/cells/src/owner/report.rs
@@ -58,6 +58,8 @@
                 ("timely", &usage.timely),
                 ("late", &usage.late),
                 ("useless", &usage.useless),
+                ("reserved", &usage.reserved_executors),
+                ("idle_ms", &usage.longest_idle),
                 ("look_pause_ms", &self.busy_pause()),
                 ("write_round_ms", &self.slowest_write.replace(0)),
             ],
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -15,6 +15,9 @@
 
 /// Most starts in one pass; bounds the duration of a pass and the burst of calls to executors.
 const MAX_STARTS_PER_PASS: usize = 256;
+/// Time after which a job without any run may use room that is reserved, if the pool is mostly free,
+/// in milliseconds.
+const PASSED_OVER_MS: u64 = 1_500;
 
 /// State of one assignment pass.
 pub(super) struct Pass {
@@ -36,6 +39,14 @@
     pub short_ends: IndexMap<usize, Vec<ShortEnd>>,
     /// Resource needs that no executor could satisfy.
     unplaceable: Vec<Resources>,
+    /// The same without regard to reservations.
+    unplaceable_anywhere: Vec<Resources>,
+    /// Most executors that may be reserved.
+    pub max_reserved: usize,
+    /// Whether the present job may use what is reserved for long-running tasks.
+    pub ignores_reservations: bool,
+    /// Whether under half of the pool is in use.
+    is_mostly_free: bool,
     /// Executors compared so far, counted once per task.
     compared: usize,
     /// Whether only suspects of the job may start.
@@ -97,8 +108,13 @@
                 continue;
             }
             begin_due_occurrences(entry, wall + early);
-            if entry.occurrences.values().any(|steps| steps.iter().any(|step| step.open_count > 0))
-            {
+            let mut steps = entry.occurrences.values().flatten();
+            if steps.any(|step| step.open_count > 0) {
+                entry.idle_since =
+                    match entry.occurrences.values().flatten().any(StepState::has_runs) {
+                        true => None,
+                        false => entry.idle_since.or(Some(now)),
+                    };
                 let candidate = Candidate {
                     started: entry.state == State::Running,
                     critical_path: remaining_critical_path(entry),
@@ -145,6 +161,10 @@
             reservations: IndexMap::new(),
             short_ends: IndexMap::new(),
             unplaceable: Vec::new(),
+            unplaceable_anywhere: Vec::new(),
+            max_reserved: self.max_reserved(now),
+            ignores_reservations: false,
+            is_mostly_free: self.is_mostly_free(now),
             compared: 0,
             suspects_only: false,
             without_allowance,
@@ -158,15 +178,21 @@
             if pass.starts_left == 0 || no_executors {
                 break;
             }
-            if !self.jobs[item.job].candidate.long_running && !pass.reserved.is_empty() {
-                let reserved = std::mem::take(&mut pass.reserved);
-                pass.accepting.retain(|n| !reserved.contains_key(n));
+            let entry = &self.jobs[item.job];
+            pass.ignores_reservations = !pass.reserved.is_empty()
+                && pass.is_mostly_free
+                && entry.idle_since.is_some_and(|since| now >= since + PASSED_OVER_MS);
+            if pass.ignores_reservations {
+                std::mem::swap(&mut pass.unplaceable, &mut pass.unplaceable_anywhere);
             }
-            if self.jobs[item.job].suspects.is_empty() {
+            if entry.suspects.is_empty() {
                 self.assign_job(item.job, &mut pass);
             } else {
                 self.assign_suspects(item.job, &mut pass);
             }
+            if pass.ignores_reservations {
+                std::mem::swap(&mut pass.unplaceable, &mut pass.unplaceable_anywhere);
+            }
         }
         self.send_query(now);
         self.end_quota_pass(&pass.quota);
@@ -313,14 +339,14 @@
                     && let Some(worker) = self.reserve(job, task, &constraints, pass)
                 {
                     *task_counts.entry(worker).or_default() += 1;
-                    self.charge_quota(job, step, 1, pass);
+                    self.charge_reservation(job, step, pass);
                     continue;
                 }
                 return;
             };
             *task_counts.entry(worker.clone()).or_default() += 1;
             let run = self.jobs[job].occurrences[&occurrence][step].tasks[index as usize].last_run;
-            self.start_task(job, &worker, task, self.next_run(run), now);
+            self.start_task(job, &worker, task, self.next_run(run), pass);
             self.charge_quota(job, step, 1, pass);
             pass.starts_left -= 1;
         }
@@ -385,7 +411,7 @@
                 .checkpoint
                 .clone_from(&checkpoint);
             let task = TaskId { job: id.clone(), occurrence, step, index };
-            self.start_task(job, &worker, task, run, now);
+            self.start_task(job, &worker, task, run, pass);
             pass.starts_left = pass.starts_left.saturating_sub(1);
         }
     }
@@ -419,13 +445,20 @@
         let (_, entry) = self.jobs.get_index(job)?;
         let spec = &entry.job.steps[constraints.step];
         let need = place::required_resources(spec);
+        pass.compared += pass.accepting.len();
         let has_room = std::cell::Cell::new(false);
         let advice = entry
             .needs_advice()
             .then(|| &entry.occurrences[&constraints.occurrence][constraints.step].advice);
         let rate = |n: &usize| {
             let (id, worker) = self.workers.get_index(*n)?;
-            if !worker.has_room(need) {
+            let reserved = pass.reserved.get(n).copied();
+            let may_delay = spec.long_running || pass.ignores_reservations;
+            if !worker.has_room(need)
+                || reserved.is_some_and(|reserved| {
+                    !may_delay && self.delays_reservation(worker, need, reserved, pass.now)
+                })
+            {
                 return None;
             }
             has_room.set(true);
@@ -435,9 +468,9 @@
                 return None;
             }
             let score = place::score(spec, worker, constraints.rack)?;
-            Some((!constraints.avoid.contains(id), !pass.slow.contains(n), score, id))
+            let is_sound = !constraints.avoid.contains(id);
+            Some((is_sound, !pass.slow.contains(n), reserved.is_none(), score, id))
         };
-        pass.compared += pass.accepting.len();
         let best = pass.accepting.iter().filter_map(rate).max().map(|(.., id)| id.clone());
         if !has_room.get() {
             pass.unplaceable.retain(|failed| !failed.fits(need));
@@ -453,7 +486,10 @@
     }
 
     /// Orders the start of a run and reserves its resources on the executor.
-    fn start_task(&mut self, job: usize, worker: &str, task: TaskId, run: u64, now: u64) {
+    fn start_task(&mut self, job: usize, worker: &str, task: TaskId, run: u64, pass: &Pass) {
+        let now = pass.now;
+        let position = self.workers.get_index_of(worker);
+        let beside_reservation = position.is_some_and(|n| pass.reserved.contains_key(&n));
         let Some(lease_end) = self.grant_lease(worker, now) else { return };
         let Some((id, entry)) = self.jobs.get_index_mut(job) else { return };
         let resources = place::required_resources(&entry.job.steps[task.step]);
@@ -484,6 +520,7 @@
             resumed_from: checkpoint.clone(),
             long_running: entry.job.steps[task.step].long_running,
             unknown_size: false,
+            beside_reservation,
             start_clock: None,
             cleared: false,
             unverified_since: Some(now),
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -2,7 +2,7 @@
 
 use std::borrow::Cow;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::{Cell, JobEntry};
 use crate::admit::{ARRIVAL_WINDOW_MS, Amount, JobWork, Outlook, OutlookBuilder};
@@ -44,6 +44,11 @@
     pub useless: u64,
     /// Number of jobs that have started and not ended, without long-running ones.
     pub running_jobs: usize,
+    /// Number of executors on which room is reserved for long-running tasks.
+    pub reserved_executors: usize,
+    /// Longest time for which a job with open tasks, and without long-running ones, has had no run, in
+    /// milliseconds.
+    pub longest_idle: u64,
 }
 
 impl Cell {
@@ -208,7 +213,12 @@
     /// CPU in use, by the value that its results can still have.
     pub fn usage(&self, now: u64) -> Usage {
         let is_running = |e: &&JobEntry| e.state == State::Running && !e.candidate.long_running;
+        let idle = self.jobs.values().filter(|e| !e.state.is_final() && !e.candidate.long_running);
+        let idle_since = idle.filter_map(|e| e.idle_since).min();
+        let reserved: IndexSet<&String> = self.reservations.values().collect();
         let mut usage = Usage {
+            reserved_executors: reserved.len(),
+            longest_idle: idle_since.map_or(0, |since| now.saturating_sub(since)),
             running_jobs: self.jobs.values().filter(is_running).count(),
             ..Usage::default()
         };
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -156,6 +156,11 @@
     fn is_done(&self) -> bool {
         self.done_count == self.tasks.len()
     }
+
+    /// Whether a task that is not done has a run.
+    fn has_runs(&self) -> bool {
+        self.done_count + self.open_count < self.tasks.len()
+    }
 }
 
 /// Scheduling state of a job that has been admitted to the cell.
@@ -203,6 +208,8 @@
     quarantine_tried_at: u64,
     /// Time of the first assignment pass over it, in milliseconds.
     seen_at: Option<u64>,
+    /// Time since which it has had open tasks and no run, in milliseconds.
+    idle_since: Option<u64>,
 }
 
 /// A job to admit to a cell.
@@ -474,6 +481,7 @@
             crash_record: CrashRecord::default(),
             quarantine_tried_at: 0,
             seen_at: None,
+            idle_since: None,
             job: arrival.job,
         };
         for (occurrence, steps) in &arrival.progress.occurrences {
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -260,6 +260,7 @@
             resumed_from: "unknown".to_owned(),
             long_running,
             unknown_size,
+            beside_reservation: false,
             start_clock: None,
             cleared: false,
             unverified_since: None,
--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -145,6 +145,8 @@
 struct QuotaState {
     /// Amount that may be in use, and what is reserved in this pass.
     used: Resources,
+    /// Part of it that is kept for tasks that wait for room on a reserved executor.
+    reserved: Resources,
     /// Amount that the first task, or gang, needs which the grant kept from starting.
     next: Option<Resources>,
     /// Whether the next task waits for other tasks of the organisation to end.
@@ -401,7 +403,7 @@
     /// Whether `count` tasks of a step may start within the allowance of the job's organisation.
     ///
     /// If they may not, but could beside fewer tasks of the organisation, no other task of it starts
-    /// in this pass.
+    /// in this pass. A job that ignores reservations may use what is kept for tasks without room.
     pub(super) fn is_within_quota(
         &self,
         job: usize,
@@ -417,7 +419,11 @@
         }
         let spec = &entry.job.steps[step];
         let need = charged_resources(spec).times(count);
-        if quota.allowance.admits(state.used, need) {
+        let used = match pass.ignores_reservations {
+            true => state.used.minus(state.reserved),
+            false => state.used,
+        };
+        if quota.allowance.admits(used, need) {
             return true;
         }
         let placeable = |worker: &Worker| {
@@ -429,7 +435,10 @@
         let fits_grant = quota.allowance.admits(Resources::default(), need);
         if is_placeable && let Some(state) = pass.quota.0.get_mut(number) {
             state.next.get_or_insert(need);
-            state.closed = fits_grant;
+            // What is kept for tasks without room is used as soon as room is there, so that nothing is
+            // collected for this task.
+            let without_reserved = state.used.minus(state.reserved);
+            state.closed = fits_grant && !quota.allowance.admits(without_reserved, need);
         }
         false
     }
@@ -461,8 +470,17 @@
         fits
     }
 
-    /// Reserves the allowance for `count` tasks of a step that are started or get a reserved
-    /// executor.
+    /// Reserves the allowance for a task that gets a reserved executor.
+    pub(super) fn charge_reservation(&self, job: usize, step: usize, pass: &mut Pass) {
+        self.charge_quota(job, step, 1, pass);
+        let Some((_, entry)) = self.jobs.get_index(job) else { return };
+        let state = entry.organisation.and_then(|number| pass.quota.0.get_mut(number));
+        let Some(state) = state else { return };
+        let need = charged_resources(&entry.job.steps[step]);
+        state.reserved = combine(state.reserved, need, u64::saturating_add);
+    }
+
+    /// Reserves the allowance for `count` tasks of a step that are started.
     pub(super) fn charge_quota(&self, job: usize, step: usize, count: u64, pass: &mut Pass) {
         let Some((_, entry)) = self.jobs.get_index(job) else { return };
         let Some(number) = entry.organisation else { return };
--- a/crates/jobs/src/cell/reserve.rs
+++ b/crates/jobs/src/cell/reserve.rs
@@ -2,9 +2,17 @@
 //!
 //! Load pattern: at a peak the pool is full, and every piece that a small task frees is given to the
 //! next one. A task that needs many such pieces on one executor would wait until the peak ends. One
-//! executor is therefore reserved for it, which gets no other tasks until the small ones there have
-//! ended. It is the one whose small tasks are expected to end first, and changes if a long one turns
-//! out to hold up the task.
+//! executor is therefore reserved for it. It is the one whose small tasks are expected to end first,
+//! and changes if a long one turns out to hold up the task.
+//!
+//! A reservation must not keep the others from room that the task can't use:
+//!
+//! - A small task starts on a reserved executor if the wait for room is no longer even if it never
+//!   ends. Estimates are rough, so that its expected end counts for nothing.
+//! - Only a share of a pool's executors is reserved at a time. A long-running task has precedence over
+//!   small ones in each pass, so that it gets room that becomes free elsewhere all the same.
+//! - In a pool that is mostly free, a job that has waited for a while without any run may use reserved
+//!   room.
 
 use super::Cell;
 use super::assign::{Constraints, Pass};
@@ -18,10 +26,17 @@
 /// it. With each change the expected wait halves, so that there are few.
 const CHANGED_WAIT_PERCENT: u64 = 50;
 
+/// Share of the executors that accept tasks that may be reserved at a time, in percent; at least one.
+const MAX_RESERVED_PERCENT: usize = 25;
+/// Share of each resource of a pool that is in use, in percent, below which the pool is mostly free.
+const MOSTLY_FREE_PERCENT: u64 = 50;
+
 /// Expected end of a short task.
 pub(super) struct ShortEnd {
     /// Time until the end, in milliseconds.
     time_left: u64,
+    /// Whether the task started after the executor was reserved.
+    beside_reservation: bool,
     /// Resources that become free.
     resources: Resources,
     /// Whether the needs of the task are unknown.
@@ -52,7 +67,10 @@
             let task_count = constraints.task_counts.get(id).copied().unwrap_or(0);
             let mut total = pass.reserved.get(&n).copied().unwrap_or_default();
             total.add(need);
-            worker.accepts_tasks(pass.now)
+            let may_reserve =
+                pass.reserved.contains_key(&n) || pass.reserved.len() < pass.max_reserved;
+            may_reserve
+                && worker.accepts_tasks(pass.now)
                 && !self.is_quarantined(id)
                 && advice.is_none_or(|advice| advice.ticket(id, pass.now).is_some())
                 && place::is_eligible(spec, worker, task_count)
@@ -80,6 +98,45 @@
         Some(id)
     }
 
+    /// Most executors that may be reserved at a time.
+    pub(super) fn max_reserved(&self, now: u64) -> usize {
+        let accepting = self.workers.values().filter(|worker| worker.accepts_tasks(now)).count();
+        (accepting * MAX_RESERVED_PERCENT / 100).max(1)
+    }
+
+    /// Whether less than [`MOSTLY_FREE_PERCENT`] of each resource is in use.
+    pub(super) fn is_mostly_free(&self, now: u64) -> bool {
+        let (mut capacity, mut used) = (Resources::default(), Resources::default());
+        for worker in self.workers.values().filter(|worker| worker.accepts_tasks(now)) {
+            capacity.add(worker.registration.capacity);
+            used.add(worker.used);
+        }
+        let is_free = |used: u64, capacity: u64| {
+            capacity == 0 || used.saturating_mul(100) < capacity.saturating_mul(MOSTLY_FREE_PERCENT)
+        };
+        is_free(used.cpu, capacity.cpu)
+            && is_free(used.memory, capacity.memory)
+            && is_free(used.gpus, capacity.gpus)
+    }
+
+    /// Whether a short task that never ends would put off the room that is `reserved` on an executor.
+    pub(super) fn delays_reservation(
+        &self,
+        worker: &Worker,
+        need: Resources,
+        reserved: Resources,
+        now: u64,
+    ) -> bool {
+        let ends = self.short_ends(worker, now);
+        let awaited = || ends.iter().filter(|end| !end.beside_reservation);
+        let mut total = worker.used;
+        total.add(reserved);
+        let wait = wait_until_fit(worker, total, awaited());
+        total.add(need);
+        let delayed = wait_until_fit(worker, total, awaited());
+        delayed.is_none() || delayed > wait
+    }
+
     /// Expected time until the executor at position `n` has room for `need` besides what is reserved,
     /// if it gets no other tasks, in milliseconds.
     fn wait_for_room(&self, n: usize, need: Resources, pass: &mut Pass) -> u64 {
@@ -89,17 +146,7 @@
         let mut total = worker.used;
         total.add(need);
         total.add(pass.reserved.get(&n).copied().unwrap_or_default());
-        let mut unknown_sizes = worker.unknown_sizes;
-        let mut wait = 0;
-        for end in ends {
-            if unknown_sizes == 0 && worker.registration.capacity.fits(total) {
-                break;
-            }
-            total = total.minus(end.resources);
-            unknown_sizes -= usize::from(end.unknown_size);
-            wait = end.time_left;
-        }
-        wait
+        wait_until_fit(worker, total, ends.iter()).unwrap_or(u64::MAX)
     }
 
     /// Expected ends of the short tasks of an executor, the first one first.
@@ -110,6 +157,7 @@
                 time_left: self.time_left(worker, task, slot, now),
                 resources: slot.resources,
                 unknown_size: slot.unknown_size,
+                beside_reservation: slot.beside_reservation,
             })
             .collect();
         ends.sort_unstable_by_key(|end| end.time_left);
@@ -129,7 +177,10 @@
         let duration = spec.estimate.saturating_mul(ratio) / 100;
         let duration = duration.saturating_mul(slowdown) / 100;
         let left = duration.saturating_mul(100 - slot.percent.min(100)) / 100;
-        left.saturating_sub(now.saturating_sub(slot.progressed_at))
+        let left = left.saturating_sub(now.saturating_sub(slot.progressed_at));
+        // A run that has outlasted its estimate is expected to last as long again beyond it.
+        let overrun = now.saturating_sub(slot.phase_since).saturating_sub(duration);
+        left.max(overrun)
     }
 
     /// Share of an executor's capacity that must become free for `need`, in thousandths, of the
@@ -145,3 +196,25 @@
             .max(share(missing.gpus, capacity.gpus))
     }
 }
+
+/// Expected time until the tasks that use `total` of an executor fit on it, in milliseconds; `None` if
+/// the ends of short tasks, the first one first, don't suffice.
+fn wait_until_fit<'a>(
+    worker: &Worker,
+    mut total: Resources,
+    ends: impl Iterator<Item = &'a ShortEnd>,
+) -> Option<u64> {
+    let mut unknown_sizes = worker.unknown_sizes;
+    let mut wait = 0;
+    let fits =
+        |total, unknown_sizes| unknown_sizes == 0 && worker.registration.capacity.fits(total);
+    for end in ends {
+        if fits(total, unknown_sizes) {
+            break;
+        }
+        total = total.minus(end.resources);
+        unknown_sizes -= usize::from(end.unknown_size);
+        wait = end.time_left;
+    }
+    fits(total, unknown_sizes).then_some(wait)
+}
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -230,6 +230,8 @@
     pub long_running: bool,
     /// Whether the needs of the run are unknown, so that it may use the whole executor.
     pub unknown_size: bool,
+    /// Whether it started while room on the executor was reserved for a long-running task.
+    pub beside_reservation: bool,
     /// Clock of the executor when the run had certainly begun, in milliseconds; `None` before.
     pub start_clock: Option<u64>,
     /// Whether the executor has outlived the start for long enough that the run does not crash it.
--- a/crates/jobs/tests/quota.rs
+++ b/crates/jobs/tests/quota.rs
@@ -169,6 +169,21 @@
     assert_eq!(starts(&mut cell, 30), ["t", "t"]);
 }
 
+/// Guards against an allowance that is kept without limit for a long-running task that has no room,
+/// while most of the pool is free.
+#[test]
+fn a_job_uses_the_allowance_kept_for_a_task_without_room_after_a_while() {
+    let mut cell = cell(1, 8_000, 7_000);
+    cell.admit(arrival("s", None, vec![step(2, 1_000)]));
+    assert_eq!(starts(&mut cell, 2).len(), 2);
+    let long_running = Step { long_running: true, ..step(1, 7_000) };
+    cell.admit(arrival("l", Some("o"), vec![long_running]));
+    cell.admit(arrival("t", Some("o"), vec![step(1, 1_000)]));
+    assert!(starts(&mut cell, 30).is_empty());
+    cell.handle_poll("e0", &report(1_600, vec![present("s", 0), present("s", 1)]), 1_600, 1_600);
+    assert_eq!(starts(&mut cell, 1_600), ["t"]);
+}
+
 #[test]
 fn a_best_effort_task_counts_with_what_it_declares() {
     let mut cell = cell(1, 8_000, 2_000);
