Wait for all ends of an executor before inherited jobs start

Cause: an executor lists at most 500 ends in an answer. A new holder took the first answer for the whole (`joined`) and settled the inherited jobs, so that it started every task whose end came later in the list.

Evidence: E2301 of the case has 500 `ends` for each of the executors whose tasks ran twice; the second starts have run 1001 of the next term and follow E2301 within the same second.

Change: - `Worker::ends_read` is set by the first answer that is not full. Inherited jobs wait for it, also beyond the former holder's leases while the executor's lease is renewed, since its unread ends remain valid until that lease ends. - An executor with unread ends is neither drained, idle nor a spare: its machine would take them along. It is polled without a wait, and its lease is renewed, until all ends are read. - E2301 has `all_ends`; E2305 follows when further ends have been read.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -111,6 +111,8 @@
     ExecutorEmptied = 2303,
     /// Ends of a former holder's runs were acknowledged to their executor, which may forget them.
     EndsAcknowledged = 2304,
+    /// All ends have been read of an executor that could not list them in its first answer.
+    EndsRead = 2305,
     /// This process acquired the lease of a cell.
     CellTaken = 2401,
     /// The jobs of a cell were read from the table and its scheduler runs.
--- a/crates/cells/src/owner/poll.rs
+++ b/crates/cells/src/owner/poll.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexSet;
 use jobs::worker::Phase;
-use jobs::{ExecutorReport, RunOutcome, incarnation, watch};
+use jobs::{Cell, ExecutorReport, RunOutcome, incarnation, watch};
 
 use super::Inner;
 use crate::clock;
@@ -66,9 +66,15 @@
                     let busy = !report.present.is_empty();
                     let has_ends = !report.ended.is_empty();
                     let mut cell = self.cell.borrow_mut();
-                    if let Some(worker) = cell.workers().get(&id)
-                        && !worker.joined
-                    {
+                    let ends_read =
+                        |cell: &Cell| cell.workers().get(&id).is_none_or(|w| w.ends_read);
+                    let (had_joined, had_read) =
+                        (cell.workers().get(&id).is_none_or(|w| w.joined), ends_read(&cell));
+                    let seen = cell.workers().get(&id).map_or(0, |w| w.last_seen_end);
+                    cell.handle_poll(&id, &report, sent, now);
+                    cell.record_acknowledged(&id, request.acked_through);
+                    let has_read = ends_read(&cell);
+                    if !had_joined {
                         self.ctx.timeline.record(
                             base::Event::ExecutorJoined,
                             &[
@@ -76,12 +82,16 @@
                                 ("executor", &id),
                                 ("runs", &report.present.len()),
                                 ("ends", &report.ended.len()),
+                                ("all_ends", &has_read),
                             ],
                         );
+                    } else if has_read && !had_read {
+                        let last = cell.workers().get(&id).map_or(0, |w| w.last_seen_end);
+                        self.ctx.timeline.record(
+                            base::Event::EndsRead,
+                            &[("cell", &self.tenure.cell), ("executor", &id), ("last", &last)],
+                        );
                     }
-                    let seen = cell.workers().get(&id).map_or(0, |w| w.last_seen_end);
-                    cell.handle_poll(&id, &report, sent, now);
-                    cell.record_acknowledged(&id, request.acked_through);
                     drop(cell);
                     self.log_ends(&id, &report, seen);
                     if has_ends {
@@ -240,14 +250,15 @@
         let immediate = worker.runs.is_empty()
             || (acked_through > 0 && worker.may_restart())
             || worker.last_seen_end > worker.last_durable_end
-            || !worker.joined;
+            || !worker.ends_read;
         let outcome_pending =
             worker.runs.values().any(|slot| matches!(slot.phase, Phase::Stopped | Phase::Unsure));
         // Suspects and the jobs behind them wait for the executor to outlive their start.
         let may_crash = cell.is_quarantined(id);
         let wait = if immediate || outcome_pending || may_crash { 0 } else { END_WAIT_MS };
-        let lease_end =
-            if worker.runs.is_empty() { None } else { cell.grant_lease(id, clock::now()) };
+        // Unread ends are valid only while the executor's lease lasts.
+        let needs_lease = worker.joined && !worker.is_empty();
+        let lease_end = needs_lease.then(|| cell.grant_lease(id, clock::now())).flatten();
         Some(PollRequest { lease_end, acked_through, wait: Duration::from_millis(wait) })
     }
 }
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -247,12 +247,14 @@
         let mut spares: Vec<(u64, &String)> = self
             .workers
             .iter()
-            .filter(|(_, w)| w.joined && w.listed && !w.dead && !w.leaving && w.registration.ready)
+            .filter(|(_, w)| {
+                w.ends_read && w.listed && !w.dead && !w.leaving && w.registration.ready
+            })
             .filter(|(_, w)| w.long_running == 0)
             .map(|(id, w)| (w.used.cpu, id))
             .collect();
         spares.sort();
-        limits.idle = spares.iter().filter(|(_, id)| self.workers[*id].runs.is_empty()).count();
+        limits.idle = spares.iter().filter(|(_, id)| self.workers[*id].is_empty()).count();
         limits.spares = spares.into_iter().map(|(_, id)| id.clone()).collect();
         limits
     }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -578,8 +578,7 @@
         let is_held = |job: &String| self.jobs.get(job).is_none_or(|entry| entry.held);
         let has_results =
             |w: &Worker| w.unknown_ends.is_empty() && w.pending_ends.values().all(is_held);
-        let is_empty = |w: &Worker| w.joined && w.runs.is_empty() && has_results(w);
-        self.workers.get(id).is_none_or(|w| w.dead || is_empty(w))
+        self.workers.get(id).is_none_or(|w| w.dead || (w.is_empty() && has_results(w)))
     }
 
     /// Records that former holders could not confirm their leases after `at`.
@@ -643,16 +642,22 @@
         });
     }
 
-    /// Whether no run that a former holder started can be unknown to this holder.
+    /// Whether no run that a former holder started, and no end of one, can be unknown to this holder.
     ///
-    /// True once each executor that former holders used has answered or is dead, or once all leases
-    /// that they granted have expired.
+    /// True once all ends of each executor that former holders used have been read or the executor is
+    /// dead, or once all leases that they granted have expired. An executor that has answered may have
+    /// a lease of this holder's beyond that, with which its unread ends remain valid.
     fn inherited_settled(&self) -> bool {
-        let settled = |id: &String| self.workers.get(id).is_none_or(|w| w.joined || w.dead);
-        self.last_owned > self.acquired + self.config.inherited_lease
-            || (!self.unknown_inherited
-                && self.awaited_incarnations.is_empty()
-                && self.inherited_workers.iter().all(settled))
+        let is_read = |w: &Worker| w.ends_read || w.dead || w.leases_expired(self.last_owned);
+        if self.last_owned > self.acquired + self.config.inherited_lease {
+            let may_be_inherited =
+                |id: &String| self.unknown_inherited || self.inherited_workers.contains(id);
+            let mut joined = self.workers.iter().filter(|(_, w)| w.joined);
+            return joined.all(|(id, w)| is_read(w) || !may_be_inherited(id));
+        }
+        !self.unknown_inherited
+            && self.awaited_incarnations.is_empty()
+            && self.inherited_workers.iter().all(|id| self.workers.get(id).is_none_or(is_read))
     }
 
     /// Marks an incarnation of an executor as dead and its runs as absent, as an executor of another
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -6,7 +6,7 @@
 use crate::place;
 use crate::worker::{EndedRun, ExecutorReport, Phase, PresentRun, Resources, RunOutcome, Slot};
 
-/// Most ends that an executor reports in one answer; a full answer may omit further ends.
+/// Most ends that an executor reports in one answer.
 const MAX_ENDS_PER_POLL: usize = 500;
 /// Delay before an unanswered stop order is sent again, in milliseconds; half a second covers
 /// several round trips.
@@ -35,6 +35,11 @@
     orders.push(Order::Stop { worker: worker.to_owned(), task: task.clone(), run: slot.run });
 }
 
+/// Whether an answer lists all ends that its executor has; a full one may omit further ends.
+pub(super) fn lists_all_ends(answer: &ExecutorReport) -> bool {
+    answer.ended.len() < MAX_ENDS_PER_POLL
+}
+
 impl Cell {
     /// Handles an executor's answer to a poll that was sent at `sent`.
     pub fn handle_poll(&mut self, id: &str, answer: &ExecutorReport, sent: u64, now: u64) {
@@ -52,6 +57,7 @@
             worker.first_clock = worker.clock;
             worker.joined = true;
         }
+        worker.ends_read |= lists_all_ends(answer);
         self.clear_runs(id);
         for end in &answer.ended {
             let Some(worker) = self.workers.get_mut(id) else { return };
@@ -339,7 +345,6 @@
             let spec = self.jobs.get(&task.job).and_then(|e| e.job.steps.get(task.step));
             spec.is_some_and(|spec| spec.long_running)
         };
-        let is_full = answer.ended.len() >= MAX_ENDS_PER_POLL;
         let missing: Vec<TaskId> = worker
             .runs
             .iter()
@@ -347,7 +352,7 @@
                 // A run whose order was answered before the poll was sent must be in the answer.
                 matches!(slot.phase, Phase::Running | Phase::Stopped) && slot.phase_since < sent
             })
-            .filter(|(task, _)| !is_full || restarts(task))
+            .filter(|(task, _)| lists_all_ends(answer) || restarts(task))
             .filter(|(task, slot)| {
                 !answer.present.iter().any(|p| p.task == **task && p.run == slot.run)
             })
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -255,6 +255,10 @@
     pub listed: bool,
     /// Whether the executor has answered a poll of this holder.
     pub joined: bool,
+    /// Whether all ends that it had when it joined have been read.
+    ///
+    /// An answer lists a limited number of ends, and further ones only once these are acknowledged.
+    pub ends_read: bool,
     /// Whether the incarnation is known to have ended, so that it has no runs.
     pub dead: bool,
     /// When this holder learned that it has ended, in milliseconds.
@@ -319,6 +323,7 @@
             registration,
             listed: true,
             joined: false,
+            ends_read: false,
             dead: false,
             dead_since: 0,
             presumed_dead: false,
@@ -408,6 +413,11 @@
         self.has_room(Resources::default())
     }
 
+    /// Whether it certainly has no runs, and no ends that have not been read.
+    pub fn is_empty(&self) -> bool {
+        self.ends_read && self.runs.is_empty()
+    }
+
     /// Whether new tasks may be sent to the executor.
     pub fn accepts_tasks(&self, now: u64) -> bool {
         self.obstacle(now).is_none()
