Read the parts of a taken-over cell at a limited rate

Cause: a new holder read all parts at once (four calls for each of 864 parts, the table accepts 2,000 reads and 600 writes a second from all processes), gave up everything at the first refusal, and began anew after 100 ms. No attempt could succeed, and each kept the table at its limit for the other processes. The executors' leases of 4.5 s ended meanwhile, since executors are polled only once all jobs are read.

Change: - Calls of a recovery, after lost history and for new parts of the feed go through `Context::call_in_bulk`: at most 16 under way in the process, for all of its cells, at a rate that `cells::throttle` halves with each refusal and doubles in a second without one. The first 300 calls are not delayed. - Each call is retried by itself with a growing pause; what was read is kept. A fence row that was claimed is not read again. - A part that can't be read delays the new rows of no other part. - The roster is no longer read again after lost history; only this holder writes it, and the read could overtake a write under way. - The leases of former executors are renewed once a second from 0.3 s after the roster is read until all parts are. The scheduler learns only their clocks (`record_clock`); an executor with a renewed lease that falls silent counts as unread until that lease is over, in `inherited_settled` and in the use of limits. - E2408 tells the progress of a recovery, E2402 has `parts`, `took_ms` and `refused`; reads refused with 429 count as `overloaded` in jtally_table_seconds.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -127,6 +127,8 @@
     StandbyChanged = 2406,
     /// Executors could not be added to a cell's roster and get no tasks yet.
     RosterIncomplete = 2407,
+    /// The jobs of a cell are being read from the table, reported once a second.
+    CellReading = 2408,
     /// The operator ordered a maintenance wave.
     WaveSeen = 2501,
     /// A machine was ordered down for its maintenance.
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -10,7 +10,7 @@
 use jobs::order::Policy;
 use jobs::wave::Wave;
 use jobs::window::CallWindow;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::clock;
 use crate::duties::{self, Duties, DutyChange};
@@ -20,6 +20,7 @@
 };
 use crate::registry::Registry;
 use crate::rows::Load;
+use crate::throttle::Throttle;
 
 /// Time limits that the platform guarantees or imposes, all in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -123,6 +124,10 @@
     pub is_holder: Cell<bool>,
     /// Queries to the adviser that are under way, of all cells of this process.
     pub queries: RefCell<CallWindow>,
+    /// Rate of the calls to the table that are made in bulk, of all cells of this process.
+    throttle: RefCell<Throttle>,
+    /// Limits the number of these calls under way.
+    bulk_calls: Semaphore,
     /// Whether the table counts as unavailable.
     unavailable: Cell<bool>,
     /// Time of the last response of the table, in milliseconds.
@@ -157,6 +162,8 @@
             stopping: Cell::new(false),
             is_holder: Cell::new(false),
             queries: RefCell::default(),
+            throttle: RefCell::default(),
+            bulk_calls: Semaphore::new(MAX_BULK_CALLS),
             unavailable: Cell::new(false),
             last_response: Cell::new(0),
             recovered_at: Cell::new(0),
@@ -280,6 +287,36 @@
         }
     }
 
+    /// Makes one of many calls to the table once the rate of bulk calls and the number of those under
+    /// way allow it. A refused call slows the others down.
+    pub async fn call_in_bulk<T, E>(
+        &self,
+        call: impl Future<Output = Result<T, E>>,
+        is_refusal: impl Fn(&E) -> bool,
+    ) -> Result<T, E> {
+        // The semaphore is never closed.
+        let _permit = self.bulk_calls.acquire().await.ok();
+        loop {
+            let wait = self.throttle.borrow_mut().take(clock::now());
+            if wait == 0 {
+                break;
+            }
+            pause(wait).await;
+        }
+        let result = call.await;
+        if result.as_ref().is_err_and(is_refusal) {
+            self.throttle.borrow_mut().refused(clock::now());
+        }
+        result
+    }
+
+    /// Number of bulk calls to the table that were refused, and the present rate of such calls in calls
+    /// a second.
+    pub fn bulk_calls(&self) -> (u64, u64) {
+        let throttle = self.throttle.borrow();
+        (throttle.refusals(), throttle.rate())
+    }
+
     /// Completes when the table becomes available again.
     pub async fn table_recovered(&self) {
         self.recovery.notified().await;
@@ -305,6 +342,9 @@
 /// delay the tasks of unreachable executors.
 const MAX_EXECUTOR_LEASE_MS: u64 = 4_500;
 
+/// Most bulk calls to the table under way.
+const MAX_BULK_CALLS: usize = 16;
+
 /// Time without a response after which the table counts as unavailable, in milliseconds.
 ///
 /// It is the shortest timeout of a call to the table.
--- a/crates/cells/src/follow.rs
+++ b/crates/cells/src/follow.rs
@@ -10,7 +10,7 @@
 
 use crate::clock;
 use crate::context::{Context, pause};
-use crate::ports::{Place, ReadError, Row};
+use crate::ports::{Page, Place, ReadError, Row};
 use crate::rows;
 
 /// Longest time for which the table may wait for a change before it responds, in milliseconds.
@@ -25,9 +25,19 @@
 
 /// Reads all rows of a part from a key on, and returns them with the version of the first page.
 pub(crate) async fn read_all(ctx: &Context, from: Place) -> Result<(Vec<Row>, u64), ReadError> {
-    let (mut all, mut version, mut from) = (Vec::new(), None, from);
+    let read = async |from: &Place, limit| ctx.ports.store.read(from, limit).await;
+    read_pages(ctx, from, read).await
+}
+
+/// Like [`read_all`], with the given way to read a page.
+pub(crate) async fn read_pages<E>(
+    ctx: &Context,
+    mut from: Place,
+    read: impl AsyncFn(&Place, usize) -> Result<Page, E>,
+) -> Result<(Vec<Row>, u64), E> {
+    let (mut all, mut version) = (Vec::new(), None);
     loop {
-        let page = ctx.ports.store.read(&from, PAGE_ROWS).await?;
+        let page = read(&from, PAGE_ROWS).await?;
         ctx.record_page_clock(&page);
         version.get_or_insert(page.version);
         let last = page.rows.last().map(|row| row.place.key.clone());
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod standby;
 pub mod submission;
 pub mod supervise;
+pub mod throttle;
 pub mod timeout;
 
 pub use context::{Bounds, Ports, Settings};
--- a/crates/cells/src/metrics.rs
+++ b/crates/cells/src/metrics.rs
@@ -190,6 +190,7 @@
         let outcome = match result {
             Ok(_) => "answered",
             Err(ReadError::HistoryDropped) => "forgotten",
+            Err(ReadError::Overloaded { .. }) => "overloaded",
             Err(ReadError::Unavailable { .. }) => "away",
         };
         self.record(call, outcome, start);
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -103,6 +103,10 @@
     pub reporting_empty: Cell<bool>,
     /// Revisions of the duties and of the registry that were last applied to the scheduler.
     pub applied_duties: Cell<(u64, u64)>,
+    /// Whether all jobs of former holders have been read.
+    pub recovered: Cell<bool>,
+    /// Number of parts read in the latest complete read of the jobs, and of all parts.
+    pub parts_read: Cell<(usize, usize)>,
     /// Version at which each part was read completely.
     pub read_versions: RefCell<IndexMap<String, u64>>,
     /// Fence rows that this holder has written, by part.
@@ -183,6 +187,8 @@
             synced_registry: Cell::new(u64::MAX),
             reporting_empty: Cell::new(false),
             applied_duties: Cell::new((u64::MAX, u64::MAX)),
+            recovered: Cell::new(false),
+            parts_read: Cell::new((0, 0)),
             read_versions: RefCell::default(),
             fences: RefCell::default(),
             unfenced: RefCell::default(),
@@ -338,7 +344,14 @@
         };
         self.ctx.timeline.record(
             base::Event::CellReady,
-            &[("cell", &self.tenure.cell), ("jobs", &count), ("inherited", &inherited)],
+            &[
+                ("cell", &self.tenure.cell),
+                ("jobs", &count),
+                ("inherited", &inherited),
+                ("parts", &self.parts_read.get().1),
+                ("took_ms", &clock::now().saturating_sub(self.taken_at)),
+                ("refused", &self.ctx.bulk_calls().0),
+            ],
         );
         self.spawn_task("load", Rc::clone(&self).publish_load());
         for copy in 0..POOL_STATE_COPIES {
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -1,11 +1,15 @@
 //! Takes over a cell: reads its jobs from the table and follows new ones.
 //!
 //! The runs that former holders started are read from the executors, by polling them.
+//!
+//! Load pattern: a pool with jobs of a hundred queues has some thousand parts, and a takeover makes four
+//! calls to the table for each. All at once they exceed its rate, and so do all others, whoever makes
+//! them. The calls go out at a limited rate, and the executors' leases are renewed meanwhile.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::try_join_all;
+use futures_util::stream::{self, TryStreamExt};
 use indexmap::{IndexMap, IndexSet};
 use jobs::progress::StepProgress;
 use jobs::row::{BlockRow, ProgressRow};
@@ -15,13 +19,22 @@
 use crate::blocks::{self, Block};
 use crate::clock;
 use crate::context::pause;
-use crate::follow::read_all;
+use crate::follow::read_pages;
 use crate::keys;
-use crate::ports::{Place, ReadError, Row};
+use crate::ports::{OrderError, Place, PollRequest, ReadError, Row};
 use crate::rows;
 
 /// Pause after a failed read or write, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 100;
+/// Shortest and longest pause before one of many calls is repeated, in milliseconds.
+const RETRY_PAUSE_RANGE_MS: (u64, u64) = (100, 800);
+/// Most parts that are taken over at a time.
+const PARTS_AT_ONCE: usize = 16;
+/// Time from the begin of a recovery to the first renewal of leases, in milliseconds; most cells are
+/// read by then.
+const FIRST_RENEWAL_MS: u64 = 300;
+/// Interval between two renewals of a lease during a recovery, in milliseconds; a fraction of a lease.
+const RENEWAL_INTERVAL_MS: u64 = 1_000;
 /// Maximum time that a feed request waits at the table for a new job, in milliseconds.
 const FEED_WAIT_MS: u64 = 1_500;
 /// Minimum time between two reads of new jobs, in milliseconds.
@@ -34,44 +47,144 @@
             if !self.is_active() {
                 return false;
             }
-            match self.recover_once().await {
-                Ok(version) => {
-                    self.spawn_task("new jobs", Rc::clone(self).follow_jobs(version));
-                    return true;
-                }
-                Err(WriteError::Lost) => {
-                    self.mark_lost("a later holder has written to a part");
-                    return false;
-                }
-                Err(WriteError::Unavailable(reason)) => {
-                    self.ctx.record_table_call(true, &reason);
-                    pause(RETRY_PAUSE_MS).await;
-                }
+            match self.load_roster().await {
+                Ok(()) => break,
+                Err(error) => self.handle_failed_read(error).await,
+            }
+        }
+        self.sync_workers();
+        self.spawn_task("leases", Rc::clone(self).renew_leases());
+        let read = self.read_jobs().await;
+        self.recovered.set(true);
+        match read {
+            Ok(version) => {
+                self.spawn_task("new jobs", Rc::clone(self).follow_jobs(version));
+                true
+            }
+            Err(error) => {
+                self.handle_failed_read(error).await;
+                false
             }
         }
     }
 
-    /// Recovers the cell's state and returns the version from which to follow its jobs.
-    async fn recover_once(self: &Rc<Self>) -> Result<u64, WriteError> {
-        self.load_roster().await?;
-        self.sync_workers();
-        let mut version = u64::MAX;
+    /// Marks the cell as lost if it is, and pauses otherwise.
+    async fn handle_failed_read(&self, error: WriteError) {
+        match error {
+            WriteError::Lost => self.mark_lost("a later holder has written to a part"),
+            WriteError::Unavailable(reason) => {
+                self.ctx.record_table_call(true, &reason);
+                pause(RETRY_PAUSE_MS).await;
+            }
+        }
+    }
+
+    /// Takes over all parts of the cell and returns the version from which to follow its jobs.
+    ///
+    /// Each call is retried by itself, so that an error leaves what has been read before.
+    async fn read_jobs(self: &Rc<Self>) -> Result<u64, WriteError> {
         // The feed starts at a version read before the list of parts, so that no new part is
         // missed.
-        let start = self.ctx.ports.store.read(&keys::lease(&self.tenure.cell), 1).await?;
-        version = version.min(start.version);
+        let lease = keys::lease(&self.tenure.cell);
+        let start = self.persist(|| self.ctx.ports.store.read(&lease, 1)).await?;
+        let table = keys::jobs_table(&self.tenure.cell);
         let mut parts = IndexSet::new();
         let mut after = String::new();
         loop {
-            let page =
-                self.ctx.ports.store.parts(&keys::jobs_table(&self.tenure.cell), &after).await?;
+            let page = self.persist(|| self.ctx.ports.store.parts(&table, &after)).await?;
             let Some(last) = page.last() else { break };
             after.clone_from(last);
             parts.extend(page);
         }
-        try_join_all(parts.iter().map(|part| self.recover_part(part))).await?;
+        self.parts_read.set((0, parts.len()));
+        let read_part = async |part: &String| {
+            self.recover_part(part).await?;
+            let (read, count) = self.parts_read.get();
+            self.parts_read.set((read + 1, count));
+            Ok(())
+        };
+        stream::iter(parts.iter().map(Ok::<_, WriteError>))
+            .try_for_each_concurrent(PARTS_AT_ONCE, read_part)
+            .await?;
         self.feed_clock.set(start.clock);
-        Ok(version)
+        Ok(start.version)
+    }
+
+    /// Makes one of many calls to the table until it succeeds or the cell is lost.
+    pub(super) async fn persist<T>(
+        &self,
+        call: impl AsyncFn() -> Result<T, ReadError>,
+    ) -> Result<T, WriteError> {
+        let (mut retry_pause, longest) = RETRY_PAUSE_RANGE_MS;
+        while self.is_active() {
+            let is_overload = |error: &ReadError| matches!(error, ReadError::Overloaded { .. });
+            match self.ctx.call_in_bulk(call(), is_overload).await {
+                Ok(result) => return Ok(result),
+                Err(error) => self.ctx.record_table_call(true, &error.to_string()),
+            }
+            pause(retry_pause).await;
+            retry_pause = (2 * retry_pause).min(longest);
+        }
+        Err(WriteError::Lost)
+    }
+
+    /// Reads all rows of a part of a table, and returns them with the version of the first page.
+    async fn read_rows(&self, table: &str, part: &str) -> Result<(Vec<Row>, u64), WriteError> {
+        let read = async |from: &Place, limit| {
+            self.persist(|| self.ctx.ports.store.read(from, limit)).await
+        };
+        read_pages(&self.ctx, Place::new(table, part, ""), read).await
+    }
+
+    /// Renews the leases of the former holder's executors while the jobs are read.
+    ///
+    /// The runs and ends in their answers can be read only once the jobs are known, and many parts may
+    /// take longer to read than the leases last.
+    async fn renew_leases(self: Rc<Self>) {
+        let start = clock::now();
+        pause(FIRST_RENEWAL_MS).await;
+        while self.is_active() && !self.recovered.get() {
+            let ids: Vec<String> = self.cell.borrow().workers().keys().cloned().collect();
+            for id in ids.into_iter().filter(|_| self.may_order()) {
+                self.spawn_task("leases", Rc::clone(&self).renew_lease(id));
+            }
+            let (read, parts) = self.parts_read.get();
+            let (refused, rate) = self.ctx.bulk_calls();
+            self.ctx.timeline.record(
+                base::Event::CellReading,
+                &[
+                    ("cell", &self.tenure.cell),
+                    ("after_ms", &clock::now().saturating_sub(start)),
+                    ("read", &read),
+                    ("parts", &parts),
+                    ("refused", &refused),
+                    ("rate", &rate),
+                ],
+            );
+            pause(RENEWAL_INTERVAL_MS).await;
+        }
+    }
+
+    /// Renews the lease of an executor; its clock is read first.
+    async fn renew_lease(self: Rc<Self>, id: String) {
+        loop {
+            let Some(executor) = self.executor(&id) else { return };
+            let lease_end = self.cell.borrow_mut().grant_lease(&id, clock::now());
+            let request = PollRequest { lease_end, acked_through: 0, wait: Duration::ZERO };
+            let answer =
+                self.ctx.ports.executors.poll(&executor, self.tenure.epoch, &request).await;
+            match answer {
+                Ok(report) => {
+                    self.cell.borrow_mut().record_clock(&id, report.clock, clock::now());
+                }
+                Err(OrderError::Fenced) => self.cell.borrow_mut().supersede(),
+                // The polls that follow the recovery find out what became of it.
+                Err(_) => return,
+            }
+            if lease_end.is_some() || !self.may_order() {
+                return;
+            }
+        }
     }
 
     /// Takes over a part: claims its fence row, then reads its jobs.
@@ -80,7 +193,7 @@
     pub(super) async fn recover_part(self: &Rc<Self>, part: &str) -> Result<(), WriteError> {
         let startable_through = self.claim_fence(part).await?;
         let table = keys::progress_table(&self.tenure.cell);
-        let (rows, _) = read_all(&self.ctx, Place::new(&table, part, "")).await?;
+        let (rows, _) = self.read_rows(&table, part).await?;
         let mut progress: IndexMap<String, Progress> = IndexMap::new();
         let mut blocks: IndexMap<String, Vec<Block>> = IndexMap::new();
         // The first row of a job sorts before those of its blocks.
@@ -102,7 +215,7 @@
             }
         }
         let table = keys::jobs_table(&self.tenure.cell);
-        let (rows, version) = read_all(&self.ctx, Place::new(&table, part, "")).await?;
+        let (rows, version) = self.read_rows(&table, part).await?;
         self.read_versions.borrow_mut().insert(part.to_owned(), version);
         for row in rows {
             let progress = progress.swap_remove(&row.place.key).unwrap_or_default();
@@ -148,14 +261,13 @@
                     }
                     pause(FEED_INTERVAL_MS).await;
                 }
-                Err(ReadError::HistoryDropped) => match self.recover_once().await {
-                    Ok(at) => version = at,
-                    Err(WriteError::Lost) => self.mark_lost("a later holder has written to a part"),
-                    Err(WriteError::Unavailable(reason)) => {
-                        self.ctx.record_table_call(true, &reason);
-                        pause(RETRY_PAUSE_MS).await;
+                Err(ReadError::HistoryDropped) => {
+                    self.ctx.timeline.record(base::Event::HistoryLost, &[("table", &table)]);
+                    match self.read_jobs().await {
+                        Ok(at) => version = at,
+                        Err(error) => self.handle_failed_read(error).await,
                     }
-                },
+                }
                 Err(error) => {
                     self.ctx.record_table_call(true, &error.to_string());
                     pause(RETRY_PAUSE_MS).await;
@@ -164,35 +276,38 @@
         }
     }
 
-    /// Applies changed rows; false if a new part could not be taken over.
+    /// Applies changed rows; false if the cell is lost.
+    ///
+    /// Each part is taken over before its first rows are applied; one that can't be read delays the
+    /// rows of no other.
     async fn apply_rows(self: &Rc<Self>, rows: &[Row]) -> bool {
-        let new_parts: IndexSet<&str> = rows
-            .iter()
-            .filter(|row| row.value.is_some())
-            .map(|row| row.place.part.as_str())
-            .filter(|part| !self.fences.borrow().contains_key(*part))
-            .collect();
-        match try_join_all(new_parts.into_iter().map(|part| self.recover_part(part))).await {
-            Ok(_) => {}
-            Err(WriteError::Lost) => {
-                self.mark_lost("a later holder has written to a part");
-                return false;
-            }
-            Err(WriteError::Unavailable(reason)) => {
-                self.ctx.record_table_call(true, &reason);
-                return false;
-            }
-        }
+        let mut by_part: IndexMap<&str, Vec<&Row>> = IndexMap::new();
         for row in rows {
+            by_part.entry(row.place.part.as_str()).or_default().push(row);
+        }
+        let apply = async |part: &str, rows: Vec<&Row>| {
+            let is_new = !self.read_versions.borrow().contains_key(part);
+            if is_new && rows.iter().any(|row| row.value.is_some()) {
+                self.recover_part(part).await?;
+            }
             // Earlier changes are included in the complete read of the part. A job that was created
             // and ended before that read must not be added again.
-            let read_version =
-                self.read_versions.borrow().get(&row.place.part).copied().unwrap_or(0);
-            if row.version > read_version {
+            let read_version = self.read_versions.borrow().get(part).copied().unwrap_or(0);
+            for row in rows.into_iter().filter(|row| row.version > read_version) {
                 self.apply_job_row(row, Progress::default(), false);
             }
+            Ok(())
+        };
+        let applied = stream::iter(by_part.into_iter().map(Ok::<_, WriteError>))
+            .try_for_each_concurrent(PARTS_AT_ONCE, |(part, rows)| apply(part, rows))
+            .await;
+        match applied {
+            Ok(()) => true,
+            Err(error) => {
+                self.handle_failed_read(error).await;
+                false
+            }
         }
-        true
     }
 
     /// Updates the scheduler's executors from the registry.
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -130,9 +130,12 @@
 
     /// Claims a part's fence row; the caller holds the part's write lock.
     async fn claim_fence_locked(&self, part: &str) -> Result<u64, WriteError> {
+        if let Some(known) = self.fences.borrow().get(part) {
+            return Ok(known.fence.startable_through);
+        }
         let place = keys::fence(part, &self.tenure.cell);
         loop {
-            let page = self.ctx.ports.store.read(&place, 1).await?;
+            let page = self.persist(|| self.ctx.ports.store.read(&place, 1)).await?;
             let row = page.rows.into_iter().find(|row| row.place == place);
             let version = row.as_ref().map_or(0, |row| row.version);
             // A fence row that can't be read may cover all jobs of the part.
@@ -156,13 +159,20 @@
                 writes: vec![(place.clone(), rows::encode(&claimed))],
                 removes: Vec::new(),
             };
-            match self.ctx.ports.store.apply(&transaction).await {
+            let applied = self.ctx.ports.store.apply(&transaction);
+            let is_refusal =
+                |error: &TransactionError| matches!(error, TransactionError::Refused { .. });
+            match self.ctx.call_in_bulk(applied, is_refusal).await {
                 Ok(done) => {
                     self.set_fence(part, done.version, claimed);
                     return Ok(claimed.startable_through);
                 }
                 Err(TransactionError::Conflict { .. }) => {}
-                Err(error) => return Err(WriteError::Unavailable(error.to_string())),
+                // The row shows whether it was written all the same.
+                Err(error) => {
+                    self.ctx.record_table_call(true, &error.to_string());
+                    pause(RETRY_PAUSE_MS).await;
+                }
             }
         }
     }
@@ -442,11 +452,7 @@
             let Some(current) = current else {
                 match self.claim_fence_locked(part).await {
                     Ok(_) => {}
-                    Err(WriteError::Lost) => self.mark_lost("a later holder has written to a part"),
-                    Err(WriteError::Unavailable(reason)) => {
-                        self.ctx.record_table_call(true, &reason);
-                        pause(RETRY_PAUSE_MS).await;
-                    }
+                    Err(_) => self.mark_lost("a later holder has written to a part"),
                 }
                 continue;
             };
--- a/crates/cells/src/ports.rs
+++ b/crates/cells/src/ports.rs
@@ -107,6 +107,12 @@
     /// The table no longer keeps the requested changes.
     #[snafu(display("the table no longer keeps the requested changes"))]
     HistoryDropped,
+    /// The table refused the read, as there are too many calls.
+    #[snafu(display("the table is overloaded: {detail}"))]
+    Overloaded {
+        /// Description of the failure.
+        detail: String,
+    },
     /// No response, or one that can't be used.
     #[snafu(display("the table is unavailable: {detail}"))]
     Unavailable {
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -28,6 +28,8 @@
 const MACHINE: &str = "m-1";
 const STANDBY: &str = "s";
 const OTHER_KIND: &str = "m-3";
+/// Duration of a read while rates are limited, in milliseconds.
+const READ_MS: u64 = 4;
 
 type Written = (u64, Place, Option<Vec<u8>>);
 
@@ -79,6 +81,20 @@
     hides_guards: Cell<bool>,
     /// Executor that does not answer polls.
     silent: RefCell<Option<String>>,
+    /// Reads and writes that the table accepts a second, and at once after a second without any; it
+    /// refuses further ones. 0 for no limit.
+    rates: Cell<(u64, u64)>,
+    /// Reads and writes accepted or due since the limit was set: thousandths that are left, and when
+    /// they were counted, in milliseconds.
+    left: Cell<[u64; 2]>,
+    counted_at: Cell<u64>,
+    /// Number of refused calls.
+    refused: Cell<usize>,
+    /// Number of reads under way, and the most at a time.
+    open_reads: Cell<usize>,
+    most_reads: Cell<usize>,
+    /// Number of polls that have renewed the lease of the machine's executor.
+    renewals: Cell<usize>,
 }
 
 impl World {
@@ -110,6 +126,33 @@
         rows.get(place).map(|(_, value)| rows::decode(value).expect("the row can be decoded"))
     }
 
+    /// Limits the rates of reads and writes.
+    fn limit_rates(&self, reads: u64, writes: u64) {
+        self.rates.set((reads, writes));
+        self.left.set([reads * 1_000, writes * 1_000]);
+        self.counted_at.set(clock::now());
+    }
+
+    /// Whether the rates permit one more read, or write.
+    fn permits_call(&self, is_write: bool) -> bool {
+        let (reads, writes) = self.rates.get();
+        if reads == 0 {
+            return true;
+        }
+        let elapsed = clock::now() - self.counted_at.replace(clock::now());
+        let [reads_left, writes_left] = self.left.get();
+        let mut left = [
+            (reads_left + elapsed * reads).min(reads * 1_000),
+            (writes_left + elapsed * writes).min(writes * 1_000),
+        ];
+        let kind = &mut left[usize::from(is_write)];
+        let is_permitted = *kind >= 1_000;
+        *kind -= if is_permitted { 1_000 } else { 0 };
+        self.left.set(left);
+        self.refused.set(self.refused.get() + usize::from(!is_permitted));
+        is_permitted
+    }
+
     fn page(&self, rows: Vec<Row>) -> Page {
         Page { rows, more: false, version: self.version.get(), clock: clock::now() }
     }
@@ -135,6 +178,9 @@
     ) -> LocalBoxFuture<'a, Result<Committed, TransactionError>> {
         Box::pin(async move {
             let world = &self.0;
+            if !world.permits_call(true) {
+                return Err(TransactionError::Refused { detail: "too many calls".to_owned() });
+            }
             let places = transaction.writes.iter().map(|(place, _)| place);
             if places
                 .chain(&transaction.removes)
@@ -174,6 +220,15 @@
         limit: usize,
     ) -> LocalBoxFuture<'a, Result<Page, ReadError>> {
         Box::pin(async move {
+            if !self.0.permits_call(false) {
+                return Err(ReadError::Overloaded { detail: "too many calls".to_owned() });
+            }
+            if self.0.rates.get().0 > 0 {
+                self.0.open_reads.set(self.0.open_reads.get() + 1);
+                self.0.most_reads.set(self.0.most_reads.get().max(self.0.open_reads.get()));
+                sleep(READ_MS).await;
+                self.0.open_reads.set(self.0.open_reads.get() - 1);
+            }
             let is_hidden = from.part == keys::LEASE_PART || from.table == "guards";
             let is_unread = self.0.unread_part.borrow().as_ref() == Some(&from.part);
             if is_unread || (is_hidden && self.0.hides_leases.get()) {
@@ -291,9 +346,12 @@
         &'a self,
         to: &'a Executor,
         _: u64,
-        _: &'a PollRequest,
+        request: &'a PollRequest,
     ) -> LocalBoxFuture<'a, Result<ExecutorReport, OrderError>> {
         Box::pin(async move {
+            if request.lease_end.is_some() && to.id == self.0.executor() {
+                self.0.renewals.set(self.0.renewals.get() + 1);
+            }
             if self.0.silent.borrow().as_ref() == Some(&to.id) {
                 return Err(OrderError::Unanswered { detail: "no route".to_owned() });
             }
@@ -965,3 +1023,52 @@
         assert!(world.starts.borrow().is_empty(), "the former holder may still send orders");
     });
 }
+
+/// Puts a former holder, whose executor is that of the machine, and its jobs, one in each of `parts`.
+fn put_former_holder(world: &World, parts: usize) {
+    let lease = Lease { holder: "b~1".to_owned(), term: 1 };
+    world.put(&keys::lease(POOL), rows::encode(&lease));
+    let epoch = world.version.get();
+    (0..3).for_each(|n| world.put(&keys::guard(n, POOL), rows::encode(&epoch)));
+    let workers = IndexMap::from([(world.executor(), "h:1".to_owned())]);
+    world.put(&keys::roster(0, POOL), rows::encode(&Roster { workers }));
+    for n in 0..parts {
+        let (part, id) = (format!("q-{n}"), format!("{n:016x}"));
+        let fence = Fence { epoch, startable_through: u64::MAX, ..Fence::default() };
+        world.put(&keys::fence(&part, POOL), rows::encode(&fence));
+        let job = Place::new(&keys::jobs_table(POOL), &part, &id);
+        world.put(&job, br#"{"q":"q","s":[{"n":1,"c":1,"e":500}]}"#.to_vec());
+    }
+}
+
+/// Guards against a pool that never gets a holder again, as a new one reads all parts at once, gives up
+/// at the first call that the table refuses, and reads all of them again.
+#[test]
+fn a_new_holder_reads_a_cell_of_many_parts_within_the_rates_of_the_table() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        put_former_holder(&world, 600);
+        let _node = start(&world);
+        // Twice what a takeover may use.
+        world.limit_rates(1_000, 300);
+        wait_for("start", || !world.starts.borrow().is_empty()).await;
+        let (most, refused) = (world.most_reads.get(), world.refused.get());
+        assert!(most <= 64, "{most} reads under way");
+        assert!(refused <= 600, "{refused} calls refused");
+    });
+}
+
+/// Guards against tasks that end because their leases do while a new holder reads the jobs.
+#[test]
+fn leases_are_renewed_while_a_new_holder_cannot_read_all_parts() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        put_former_holder(&world, 3);
+        world.unread_part.replace(Some("q-1".to_owned()));
+        let _node = start(&world);
+        wait_for("renewal of the lease", || world.renewals.get() >= 2).await;
+        assert!(world.starts.borrow().is_empty(), "started before all parts were read");
+        world.unread_part.replace(None);
+        wait_for("start", || !world.starts.borrow().is_empty()).await;
+    });
+}
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -649,17 +649,31 @@
     /// a lease of this holder's beyond that, with which its unread ends remain valid.
     fn inherited_settled(&self) -> bool {
         let is_read = |w: &Worker| w.ends_read || w.dead || w.leases_expired(self.last_owned);
-        if self.last_owned > self.acquired + self.config.inherited_lease {
+        if self.are_inherited_leases_over() {
             let may_be_inherited =
                 |id: &String| self.unknown_inherited || self.inherited_workers.contains(id);
-            let mut joined = self.workers.iter().filter(|(_, w)| w.joined);
-            return joined.all(|(id, w)| is_read(w) || !may_be_inherited(id));
+            let mut answering = self.workers.iter().filter(|(_, w)| w.last_answer_at > 0);
+            return answering.all(|(id, w)| is_read(w) || !may_be_inherited(id));
         }
         !self.unknown_inherited
             && self.awaited_incarnations.is_empty()
             && self.inherited_workers.iter().all(|id| self.workers.get(id).is_none_or(is_read))
     }
 
+    /// Whether all leases that former holders granted have expired.
+    fn are_inherited_leases_over(&self) -> bool {
+        self.last_owned > self.acquired + self.config.inherited_lease
+    }
+
+    /// Whether an executor may have runs of former holders that have not been read.
+    fn may_have_unread_runs(&self, id: &str, worker: &Worker) -> bool {
+        let is_over = match worker.last_answer_at {
+            0 => self.are_inherited_leases_over(),
+            _ => worker.leases_expired(self.last_owned),
+        };
+        self.inherited_workers.contains(id) && !worker.joined && !worker.dead && !is_over
+    }
+
     /// Marks an incarnation of an executor as dead and its runs as absent, as an executor of another
     /// name has replaced it.
     ///
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -50,10 +50,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_answer(answer.clock, now);
         if !worker.joined {
-            // A former holder may have granted a lease just before this answer. A lease granted to an
-            // earlier incarnation, by its clock, is limited only by the executor.
-            let lease = if worker.may_restart() { longest_lease } else { self.config.lease };
-            worker.lease_end = worker.lease_end.max(worker.clock + lease);
+            worker.extend_former_lease(self.config.lease, longest_lease);
             worker.first_clock = worker.clock;
             worker.joined = true;
         }
@@ -85,6 +82,16 @@
         self.adjust_best_effort_pace(id, answer);
     }
 
+    /// Records the clock of an executor whose lease is renewed before its runs and ends are read.
+    pub fn record_clock(&mut self, id: &str, clock: u64, now: u64) {
+        let (lease, longest_lease) = (self.config.lease, self.longest_lease);
+        let unread = self.workers.get_mut(id).filter(|worker| !worker.joined && !worker.dead);
+        if let Some(worker) = unread {
+            worker.record_answer(clock, now);
+            worker.extend_former_lease(lease, longest_lease);
+        }
+    }
+
     /// Records that an executor has answered a poll that acknowledged the ends up to a number.
     pub fn record_acknowledged(&mut self, id: &str, sequence: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -342,13 +342,11 @@
     /// Amount that runs may use that are not known; the largest possible if executors are not known.
     fn unknown_use(&self) -> Resources {
         let unlimited = Resources { cpu: u64::MAX, memory: u64::MAX, gpus: u64::MAX };
-        let inherited_expired = self.last_owned > self.acquired + self.config.inherited_lease;
-        if self.unknown_inherited && !inherited_expired {
+        if self.unknown_inherited && !self.are_inherited_leases_over() {
             return unlimited;
         }
         let may_have_unknown_runs = |id: &String, worker: &Worker| {
-            let unanswered = self.inherited_workers.contains(id) && !worker.joined && !worker.dead;
-            worker.unknown_sizes > 0 || (unanswered && !inherited_expired)
+            worker.unknown_sizes > 0 || self.may_have_unread_runs(id, worker)
         };
         let mut total = Resources::default();
         for (_, worker) in self.workers.iter().filter(|(id, w)| may_have_unknown_runs(id, w)) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -484,6 +484,15 @@
         self.unanswered = 0;
     }
 
+    /// Extends the lease to the end of one that a former holder may have granted just before the last
+    /// answer.
+    ///
+    /// A lease granted to an earlier incarnation, by its clock, is limited only by the executor.
+    pub fn extend_former_lease(&mut self, lease: u64, longest_lease: u64) {
+        let lease = if self.may_restart() { longest_lease } else { lease };
+        self.lease_end = self.lease_end.max(self.clock + lease);
+    }
+
     /// Updates the sequence number up to which all results are durable.
     pub fn settle_ends(&mut self) {
         let first_pending = self.pending_ends.keys().next().into_iter();
--- a/crates/jobs/tests/ends.rs
+++ b/crates/jobs/tests/ends.rs
@@ -189,3 +189,25 @@
     }
     assert!(!cell.contains_job("aa"), "the job has ended");
 }
+
+/// Guards against tasks that start again beside their runs, whose leases the new holder renewed while
+/// it read the jobs, before it lost touch with their executor.
+#[test]
+fn runs_whose_leases_were_renewed_before_they_were_read_are_waited_for() {
+    let mut cell = cell(2, true);
+    cell.register(registration("b"));
+    for now in (100..9_000).step_by(100) {
+        cell.grant_lease("a", now);
+        cell.record_clock("a", 1_000 + now, now);
+    }
+    let mut first = None;
+    for now in (9_000..20_000).step_by(100) {
+        cell.confirm_ownership(now);
+        cell.handle_poll("b", &ExecutorReport { clock: now, ..Default::default() }, now, now);
+        if starts(&mut cell, now) > 0 {
+            first.get_or_insert(now);
+        }
+    }
+    // The last lease was granted at 8.9 s, for 6 s.
+    assert!(first.is_some_and(|at| (14_900..16_000).contains(&at)), "{first:?}");
+}
