Space the repeats of writes to many parts

Where hundreds of parts have changes at the same time, each write that the table refuses for its rate was repeated after 80 ms, which keeps the table at its limit for all processes.

Change: a repeat waits longer the more writes of the process wait for theirs, so that at most some 32 are repeated in 80 ms; up to 32 waiting writes are repeated as before. At most 128 writes of holders are under way in a process.

--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -16,7 +16,8 @@
 use crate::duties::{self, Duties, DutyChange};
 use crate::metrics::{MeasuredStore, Metrics};
 use crate::ports::{
-    Adviser, Dialect, Executors, Machine, MachineError, Machines, Page, Row, Store,
+    Adviser, Committed, Dialect, Executors, Machine, MachineError, Machines, Page, Row, Store,
+    Transaction, TransactionError,
 };
 use crate::registry::Registry;
 use crate::rows::Load;
@@ -128,6 +129,10 @@
     throttle: RefCell<Throttle>,
     /// Limits the number of these calls under way.
     bulk_calls: Semaphore,
+    /// Limits the number of holders' writes under way.
+    part_writes: Semaphore,
+    /// Number of holders' writes that wait to be repeated.
+    waiting_repeats: Cell<u64>,
     /// Whether the table counts as unavailable.
     unavailable: Cell<bool>,
     /// Time of the last response of the table, in milliseconds.
@@ -164,6 +169,8 @@
             queries: RefCell::default(),
             throttle: RefCell::default(),
             bulk_calls: Semaphore::new(MAX_BULK_CALLS),
+            part_writes: Semaphore::new(MAX_PART_WRITES),
+            waiting_repeats: Cell::new(0),
             unavailable: Cell::new(false),
             last_response: Cell::new(0),
             recovered_at: Cell::new(0),
@@ -310,6 +317,22 @@
         result
     }
 
+    /// Applies a holder's write to a part once the number of such writes under way allows it.
+    pub async fn write_part(&self, write: &Transaction) -> Result<Committed, TransactionError> {
+        // The semaphore is never closed.
+        let _permit = self.part_writes.acquire().await.ok();
+        self.ports.store.apply(write).await
+    }
+
+    /// Pauses before a holder's write is repeated: `shortest` milliseconds, or longer where the writes
+    /// to many parts wait for that, so that their repeats leave the table room.
+    pub async fn pause_before_repeat(&self, shortest: u64) {
+        let waiting = self.waiting_repeats.get() + 1;
+        self.waiting_repeats.set(waiting);
+        pause((shortest * waiting / REPEATS_AT_ONCE).clamp(shortest, MAX_REPEAT_PAUSE_MS)).await;
+        self.waiting_repeats.set(self.waiting_repeats.get() - 1);
+    }
+
     /// Number of bulk calls to the table that were refused, and the present rate of such calls in calls
     /// a second.
     pub fn bulk_calls(&self) -> (u64, u64) {
@@ -344,6 +367,12 @@
 
 /// Most bulk calls to the table under way.
 const MAX_BULK_CALLS: usize = 16;
+/// Most writes of holders under way, each to a part of its own.
+const MAX_PART_WRITES: usize = 128;
+/// Writes of holders that are repeated within their shortest pause.
+const REPEATS_AT_ONCE: u64 = 32;
+/// Longest pause before a write of a holder is repeated, in milliseconds.
+const MAX_REPEAT_PAUSE_MS: u64 = 2_000;
 
 /// Time without a response after which the table counts as unavailable, in milliseconds.
 ///
--- a/crates/cells/src/owner/write.rs
+++ b/crates/cells/src/owner/write.rs
@@ -469,7 +469,7 @@
             if outcome == Written::Complete {
                 changes.add_to(&mut transaction);
             }
-            match self.ctx.ports.store.apply(&transaction).await {
+            match self.ctx.write_part(&transaction).await {
                 Ok(done) => {
                     self.ctx.record_table_clock(done.clock);
                     self.set_fence(part, done.version, next);
@@ -496,7 +496,7 @@
                 }
                 Err(error) => {
                     self.ctx.record_table_call(true, &error.to_string());
-                    pause(RETRY_PAUSE_MS).await;
+                    self.ctx.pause_before_repeat(RETRY_PAUSE_MS).await;
                 }
             }
         }
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -1072,3 +1072,36 @@
         wait_for("start", || !world.starts.borrow().is_empty()).await;
     });
 }
+
+/// Guards against writes to many parts that keep the table beyond its rate, as all of them are repeated
+/// after a fixed time.
+#[test]
+fn repeated_writes_to_many_parts_leave_the_table_room() {
+    const PARTS: usize = 400;
+    const OBSERVED_MS: u64 = 3_000;
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        for n in 0..PARTS {
+            let job = Place::new(&keys::jobs_table(POOL), &format!("q-{n}"), &format!("{n:016x}"));
+            world.put(&job, br#"{"q":"q","s":[{"n":1,"c":1,"e":500}]}"#.to_vec());
+        }
+        let _node = start(&world);
+        wait_for("start of all jobs", || world.starts.borrow().len() == PARTS).await;
+        sleep(500).await;
+        // All jobs end at once.
+        world.limit_rates(100_000, 50);
+        let ended = world.present.take().into_iter().zip(1..).map(|(run, sequence)| EndedRun {
+            sequence,
+            task: run.task,
+            run: run.run,
+            outcome: RunOutcome::Done,
+            checkpoint: String::new(),
+        });
+        world.ended.replace(ended.collect());
+        sleep(OBSERVED_MS).await;
+        let refused = u64::try_from(world.refused.get()).expect("a small number");
+        // At most 32 repeats in 80 ms, and the first attempts.
+        let most = OBSERVED_MS * 32 / 80 + PARTS as u64;
+        assert!((100..=most).contains(&refused), "{refused} writes refused, at most {most}");
+    });
+}
