Keep a cancelled job from being stored later

Cause: a cancel of a job that is not stored left nothing behind. The job was still in the socket of a process that stood still, which stored it when it went on. A write that the table carries out late, and a job whose refusal the client has seen before it cancels, have the same effect.

Ruled out: a holder that passes over the cancel marker (there is none, as there was no state row to cancel).

Change: a cancel that finds no state row, or the tombstone of a refusal, stores a withdrawal under the condition that this is still so. A late write of the job then fails. An attempt that finds the withdrawal stores the job as cancelled, without the row from which it would run, and is answered with 200; until then the job is shown as unknown (410), since nobody may have handed it in. Without a cancel, a job that is handed in again after a refusal runs as before.

Withdrawals are listed in a table of their own. E2109 records them.

Tests: fleet: a_job_that_arrives_after_its_cancel, a_late_write_of_a_cancelled_job (without the withdrawal: state `queued` in place of `cancelled`, and the late write is committed), withdrawals_are_removed.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -85,6 +85,8 @@
     WriteRejected = 2107,
     /// The terms of a job's queue are not known.
     TermsUnknown = 2108,
+    /// A job that was not stored was cancelled, and will not be stored later.
+    JobWithdrawn = 2109,
     /// A start was sent to an executor; the fields hold the outcome.
     StartSent = 2201,
     /// A stop was sent to an executor; the fields hold the outcome.
--- a/crates/cells/src/fleet/mod.rs
+++ b/crates/cells/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::{join, join_all};
+use futures_util::future::{join, join_all, join3};
 use indexmap::{IndexMap, IndexSet};
 use jobs::rate::OrderRate;
 use jobs::share::Rebalancer;
@@ -30,6 +30,7 @@
 use crate::ports::{Machine, MachineError, Place};
 use crate::rows::{Duty, PoolState};
 use crate::supervise;
+use crate::withdrawal;
 
 /// Time between the starts of two rounds, in milliseconds; a fraction of the time that a machine's
 /// stop takes.
@@ -202,7 +203,8 @@
         self.ctx.is_holder.set(true);
         self.claim_guards().await;
         // A part that can't be read holds up only the orders that depend on it.
-        join(self.read_duties(), self.run_rounds()).await;
+        let withdrawals = withdrawal::remove_old(Rc::clone(&self.ctx), || !self.lost.get());
+        join3(self.read_duties(), self.run_rounds(), withdrawals).await;
     }
 
     async fn run_rounds(&self) {
--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -19,6 +19,7 @@
 use crate::ports::{Place, ReadError, Transaction, TransactionError};
 use crate::rows::{self, StateRow};
 use crate::submission::{StoreOutcome, Submission, SubmissionWriter};
+use crate::withdrawal;
 
 /// Time limit for storing a job before its client is asked to retry, in milliseconds; a quarter of
 /// the shortest usual client deadline.
@@ -422,11 +423,24 @@
         let part = keys::part(&queue.name, id);
         let deadline = clock::now() + remaining * RETRY_SHARE_PERCENT / 100;
         loop {
-            let (version, row) = match self.read_state(&part, id, deadline).await {
-                Ok(None) => return Reply::NoJob,
-                Ok(Some(found)) => found,
+            let found = match self.read_state_row(&part, id, deadline).await {
+                Ok(found) => found,
                 Err(()) => return self.outcome_unknown(id),
             };
+            let (version, row) = match found {
+                Some((_, row)) if row.is_withdrawn() => return Reply::NoJob,
+                Some((version, row)) if !row.is_refused() => (version, row),
+                absent => {
+                    let version = absent.map_or(0, |(version, _)| version);
+                    if self.withdraw(queue, &part, id, version).await {
+                        return Reply::NoJob;
+                    }
+                    if clock::now() >= deadline {
+                        return self.outcome_unknown(id);
+                    }
+                    continue;
+                }
+            };
             if row.state().is_some_and(State::is_final) {
                 return Reply::Cancelled;
             }
@@ -460,6 +474,28 @@
         }
     }
 
+    /// Keeps a job that is not stored from being stored later; false if that has to be tried again.
+    async fn withdraw(&self, queue: &Queue, part: &str, id: &str, version: u64) -> bool {
+        let now = self.ctx.table_now();
+        let transaction = withdrawal::transaction(part, id, &queue.pool, version, now);
+        match self.ctx.ports.store.apply(&transaction).await {
+            Ok(_) => {
+                self.ctx.timeline.record(
+                    base::Event::JobWithdrawn,
+                    &[("job", &id), ("queue", &queue.name), ("refused", &(version > 0))],
+                );
+                true
+            }
+            // The job has been stored since its state was read.
+            Err(TransactionError::Conflict { .. }) => false,
+            Err(error) => {
+                self.ctx.record_table_call(true, &error.to_string());
+                pause(RETRY_PAUSE_MS).await;
+                false
+            }
+        }
+    }
+
     /// Returns the number of a queue's jobs that have not started.
     pub async fn pending(&self, queue: &Queue, remaining: u64) -> Reply {
         let deadline = clock::now() + remaining * RETRY_SHARE_PERCENT / 100;
@@ -518,12 +554,23 @@
         Ok(waiting.len() as u64)
     }
 
-    /// Reads a job's state row with its version, retrying until `deadline`.
+    /// Reads the state row of a job that is stored, with its version, retrying until `deadline`.
     async fn read_state(
         &self,
         part: &str,
         id: &str,
         deadline: u64,
+    ) -> Result<Option<(u64, StateRow)>, ()> {
+        let found = self.read_state_row(part, id, deadline).await?;
+        Ok(found.filter(|(_, row)| !row.is_refused() && !row.is_withdrawn()))
+    }
+
+    /// Reads a job's state row or tombstone with its version, retrying until `deadline`.
+    async fn read_state_row(
+        &self,
+        part: &str,
+        id: &str,
+        deadline: u64,
     ) -> Result<Option<(u64, StateRow)>, ()> {
         let place = keys::state(part, id);
         loop {
@@ -536,7 +583,6 @@
                     };
                     let Some(value) = row.value else { return Ok(None) };
                     return match rows::decode::<StateRow>(&value) {
-                        Ok(state) if state.is_refused() => Ok(None),
                         Ok(state) => Ok(Some((row.version, state))),
                         Err(error) => {
                             self.ctx.timeline.record(
--- a/crates/cells/src/keys.rs
+++ b/crates/cells/src/keys.rs
@@ -64,6 +64,14 @@
     Place::new("states", part, id)
 }
 
+/// Table of the withdrawals, which are cancels of jobs that were not stored.
+pub const WITHDRAWAL_TABLE: &str = "withdrawals";
+
+/// Returns the place of the time at which a job was withdrawn, by the table's clock.
+pub fn withdrawal(part: &str, id: &str) -> Place {
+    Place::new(WITHDRAWAL_TABLE, part, id)
+}
+
 /// Returns the name of the table with the jobs of a cell.
 pub fn jobs_table(cell: &str) -> String {
     format!("jobs.{cell}")
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod supervise;
 pub mod throttle;
 pub mod timeout;
+pub mod withdrawal;
 
 pub use context::{Bounds, Ports, Settings};
 pub use job_api::{Access, JobApi, Reply};
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -162,8 +162,10 @@
 
 /// Stored in place of a state's name for a refused job.
 const REFUSED: &str = "refused";
+/// Stored in place of a state's name for a job that was cancelled before it was stored.
+const WITHDRAWN: &str = "withdrawn";
 
-/// State of a job, or the tombstone of a refused job.
+/// State of a job, or the tombstone of a refused or withdrawn job.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct StateRow {
     /// Cell that runs the job; empty for a refused job.
@@ -190,6 +192,16 @@
         Self { cell: String::new(), state: REFUSED.to_owned(), requested_at: Some(requested_at) }
     }
 
+    /// Creates the tombstone that keeps a job from being stored after its cancel.
+    pub fn withdrawn(cell: &str) -> Self {
+        Self { cell: cell.to_owned(), state: WITHDRAWN.to_owned(), requested_at: None }
+    }
+
+    /// Returns whether the job was cancelled before it was stored.
+    pub fn is_withdrawn(&self) -> bool {
+        self.state == WITHDRAWN
+    }
+
     /// Returns the time of the first request for a refused job, in milliseconds.
     pub fn requested_at(&self) -> Option<u64> {
         self.requested_at
--- a/crates/cells/src/submission.rs
+++ b/crates/cells/src/submission.rs
@@ -4,7 +4,7 @@
 //! any process, may still be on its way to the table. A refusal therefore writes a tombstone under
 //! the same condition as an acceptance, and whichever is applied first wins. A job that is
 //! submitted again after its refusal replaces the tombstone and keeps the time of its first
-//! request.
+//! request. A job that was withdrawn is stored as cancelled, without the row from which it would run.
 //!
 //! Load pattern: at its peak a queue receives more jobs per second than a part of the table accepts
 //! transactions. Its jobs are spread over several parts, and those that arrive while a transaction
@@ -64,6 +64,8 @@
     size: usize,
     /// Version of the tombstone to replace; 0 for none.
     tombstone: u64,
+    /// Whether it is the tombstone of a withdrawn job.
+    withdrawn: bool,
     /// Whether it goes alone into its transaction, as the table has rejected one with others.
     alone: bool,
     outcome_tx: oneshot::Sender<StoreOutcome>,
@@ -86,7 +88,14 @@
     ) -> StoreOutcome {
         let (outcome_tx, outcome_rx) = oneshot::channel();
         let size = submission.job.as_ref().map_or(0, |job| rows::encode(job).len());
-        let item = PendingSubmission { submission, size, tombstone: 0, alone: false, outcome_tx };
+        let item = PendingSubmission {
+            submission,
+            size,
+            tombstone: 0,
+            withdrawn: false,
+            alone: false,
+            outcome_tx,
+        };
         let first = {
             let mut waiting = self.waiting.borrow_mut();
             let first = !waiting.contains_key(part);
@@ -148,11 +157,13 @@
         let place = keys::state(part, &item.submission.id);
         transaction.expect.push((place.clone(), item.tombstone));
         let state = match &item.submission.job {
+            Some(_) if item.withdrawn => StateRow::new(&item.submission.cell, State::Cancelled),
             Some(_) => StateRow::new(&item.submission.cell, State::Queued),
             None => StateRow::refused(item.submission.requested_at),
         };
         transaction.writes.push((place.clone(), rows::encode(&state)));
-        if let Some(job) = &mut item.submission.job {
+        let withdrawn = item.withdrawn;
+        if let Some(job) = item.submission.job.as_mut().filter(|_| !withdrawn) {
             let row = Place { table: keys::jobs_table(&item.submission.cell), ..place };
             job.requested_at = item.submission.requested_at;
             transaction.writes.push((row, rows::encode(job)));
@@ -179,11 +190,14 @@
                 let row = current_rows
                     .iter()
                     .find(|row| row.place.key == item.submission.id && row.version > 0);
-                let refused = row
-                    .and_then(|row| rows::decode::<StateRow>(row.value.as_deref()?).ok())
-                    .filter(StateRow::is_refused);
+                let state =
+                    row.and_then(|row| rows::decode::<StateRow>(row.value.as_deref()?).ok());
+                item.withdrawn = state.as_ref().is_some_and(StateRow::is_withdrawn);
+                let refused = state.filter(StateRow::is_refused);
                 match row {
-                    Some(_) if refused.is_none() => notify(item, StoreOutcome::Stored),
+                    Some(_) if refused.is_none() && !item.withdrawn => {
+                        notify(item, StoreOutcome::Stored)
+                    }
                     Some(_) if item.submission.job.is_none() => notify(item, StoreOutcome::Refused),
                     row => {
                         item.tombstone = row.map_or(0, |row| row.version);
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -14,15 +14,19 @@
     MachineError, Machines, OrderError, Page, Permissions, Place, PollRequest, ReadError, Row,
     StartOrder, Store, Transaction, TransactionError,
 };
-use cells::rows::{self, Duty, Fence, Heartbeat, Lease, Roster};
-use cells::{Bounds, Metrics, Node, Ports, Settings, clock, keys};
+use cells::rows::{self, Duty, Fence, Heartbeat, Lease, Roster, StateRow};
+use cells::withdrawal::RETENTION_MS;
+use cells::{Access, Bounds, JobApi, Metrics, Node, Ports, Reply, Settings, clock, keys};
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
 use jobs::cell::{Refusal, StartOutcome};
 use jobs::queue::Pool;
 use jobs::wave::Wave;
 use jobs::worker::{EndedRun, MAX_CONCURRENT_STARTS, PresentRun};
-use jobs::{Configuration, ExecutorReport, Queue, Registration, Resources, RunOutcome, TaskId};
+use jobs::{
+    Configuration, ExecutorReport, Job, Queue, Registration, Resources, RunOutcome, State, Step,
+    TaskId,
+};
 
 const POOL: &str = "p";
 const MACHINE: &str = "m-1";
@@ -95,6 +99,8 @@
     most_reads: Cell<usize>,
     /// Number of polls that have renewed the lease of the machine's executor.
     renewals: Cell<usize>,
+    /// Time by which the table's clock is ahead of the process's, in milliseconds.
+    clock_lead: Cell<u64>,
 }
 
 impl World {
@@ -154,7 +160,8 @@
     }
 
     fn page(&self, rows: Vec<Row>) -> Page {
-        Page { rows, more: false, version: self.version.get(), clock: clock::now() }
+        let clock = clock::now() + self.clock_lead.get();
+        Page { rows, more: false, version: self.version.get(), clock }
     }
 
     /// Id of the machine's executor, a new one after each maintenance.
@@ -210,7 +217,7 @@
             if writes(&|place| place.table == keys::DUTY_TABLE) {
                 sleep(world.duty_delay.get()).await;
             }
-            Ok(Committed { version, clock: clock::now() })
+            Ok(Committed { version, clock: clock::now() + world.clock_lead.get() })
         })
     }
 
@@ -1105,3 +1112,133 @@
         assert!((100..=most).contains(&refused), "{refused} writes refused, at most {most}");
     });
 }
+
+const JOB: &str = "5c0e7a21d94b36f8";
+
+fn state_place() -> Place {
+    keys::state(&keys::part("q", JOB), JOB)
+}
+
+fn job_row(world: &World) -> bool {
+    let place = Place::new(&keys::jobs_table(POOL), &keys::part("q", JOB), JOB);
+    world.rows.borrow().contains_key(&place)
+}
+
+/// Calls the job API of a process for the queue `q`.
+struct Caller {
+    job_api: Rc<JobApi>,
+    access: Access,
+}
+
+impl Caller {
+    async fn new(node: &Node, world: &World) -> Self {
+        wait_for("poll", || world.polled_at.get() > 0).await;
+        let job_api = node.job_api();
+        let queue = Queue {
+            name: "q".to_owned(),
+            pool: POOL.to_owned(),
+            max_attempts: 3,
+            stretch: 1_600,
+            objective_base: 600,
+            ..Queue::default()
+        };
+        let access = Access { queue, version: 1, organisation: None };
+        Self { job_api, access }
+    }
+
+    async fn submit(&self) -> Reply {
+        let resources = Resources { cpu: 100, memory: 0, gpus: 0 };
+        let step = Step { count: 1, resources, estimate: 100, ..Step::default() };
+        let job = Job { payload: "x".to_owned(), steps: vec![step], schedule: None };
+        self.job_api.submit(&self.access, JOB, &job, 4_000).await
+    }
+
+    async fn cancel(&self) -> Reply {
+        self.job_api.cancel(&self.access.queue, JOB, 4_000).await
+    }
+
+    async fn state(&self) -> Reply {
+        self.job_api.state(&self.access.queue, JOB, 4_000).await
+    }
+}
+
+/// Guards against a job that starts after its cancel was answered, as the process that had received it
+/// stood still, or a refused one that the client had given up.
+#[test]
+fn a_job_that_arrives_after_its_cancel_does_not_start() {
+    for refused in [false, true] {
+        actix::System::new().block_on(async {
+            let world = Rc::new(World::default());
+            let node = start(&world);
+            let caller = Caller::new(&node, &world).await;
+            if refused {
+                world.put(&state_place(), rows::encode(&StateRow::refused(1)));
+            }
+            assert_eq!(caller.cancel().await, Reply::NoJob);
+            assert_eq!(caller.state().await, Reply::NoJob, "nobody has handed it in");
+            let version = world.version.get();
+            assert_eq!(caller.cancel().await, Reply::NoJob);
+            assert_eq!(world.version.get(), version, "a repeated cancel writes nothing");
+            assert_eq!(caller.submit().await, Reply::Accepted);
+            assert_eq!(caller.state().await, Reply::State(State::Cancelled));
+            sleep(300).await;
+            assert!(!job_row(&world) && world.starts.borrow().is_empty(), "it has started");
+        });
+    }
+}
+
+/// Guards against a write of a job that the table carries out after its cancel was answered.
+#[test]
+fn a_late_write_of_a_cancelled_job_is_not_applied() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let node = start(&world);
+        let caller = Caller::new(&node, &world).await;
+        assert_eq!(caller.cancel().await, Reply::NoJob);
+        let late = Transaction {
+            expect: vec![(state_place(), 0)],
+            writes: vec![(state_place(), rows::encode(&StateRow::new(POOL, State::Queued)))],
+            removes: Vec::new(),
+        };
+        let applied = Client(Rc::clone(&world)).apply(&late).await;
+        assert!(matches!(applied, Err(TransactionError::Conflict { .. })), "{applied:?}");
+    });
+}
+
+/// Guards against rows of cancels that grow without bound.
+#[test]
+fn withdrawals_are_removed_once_they_are_old() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let withdraw = async |id: &str, at: u64| {
+            let state = keys::state("q/0", id);
+            let withdrawal = keys::withdrawal("q/0", id);
+            let transaction = Transaction {
+                expect: vec![(state.clone(), 0)],
+                writes: vec![
+                    (state, rows::encode(&StateRow::withdrawn(POOL))),
+                    (withdrawal, rows::encode(&at)),
+                ],
+                removes: Vec::new(),
+            };
+            Client(Rc::clone(&world)).apply(&transaction).await.expect("no condition fails");
+        };
+        world.clock_lead.set(2 * RETENTION_MS);
+        let now = clock::now() + world.clock_lead.get();
+        let old = now - RETENTION_MS - 10_000;
+        withdraw("old", old).await;
+        withdraw("used", old).await;
+        withdraw("new", now).await;
+        let cancelled = rows::encode(&StateRow::new(POOL, State::Cancelled));
+        world.put(&keys::state("q/0", "used"), cancelled);
+        let _node = start(&world);
+        let withdrawals = || {
+            let rows = world.rows.borrow();
+            let keys = rows.keys().filter(|place| place.table == keys::WITHDRAWAL_TABLE);
+            keys.map(|place| place.key.clone()).collect::<Vec<String>>()
+        };
+        wait_for("removal", || withdrawals() == ["new"]).await;
+        let has_state = |id| world.rows.borrow().contains_key(&keys::state("q/0", id));
+        assert!(!has_state("old") && has_state("used") && has_state("new"));
+    });
+}
