Let no earlier attempt store a job after its refusal

A client that is answered with 429 is told that its job never runs. Two attempts could still store it:

- One that had arrived before at another process, which stood still or was retrying: it found the tombstone and replaced it, as if the client had handed the job in again.
- A late write that replaces a tombstone: a second refusal found that tombstone and left it as it was, so that the condition of the write still held.

Change: a tombstone tells when the job was refused. An attempt that arrived before that is refused too. A refusal that finds a tombstone replaces it. A job that is handed in again after its refusal runs as before.

Not covered: a request that is delayed in the network for longer than its client's next attempt takes. It can't be told from a new one.

--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::duties::{self, Duties, DutyChange};
 use crate::metrics::{MeasuredStore, Metrics};
+use crate::pauses::Pauses;
 use crate::ports::{
     Adviser, Committed, Dialect, Executors, Machine, MachineError, Machines, Page, Row, Store,
     Transaction, TransactionError,
@@ -133,6 +134,8 @@
     part_writes: Semaphore,
     /// Number of holders' writes that wait to be repeated.
     waiting_repeats: Cell<u64>,
+    /// Pauses of this process.
+    pub pauses: Pauses,
     /// Whether the table counts as unavailable.
     unavailable: Cell<bool>,
     /// Time of the last response of the table, in milliseconds.
@@ -171,6 +174,7 @@
             bulk_calls: Semaphore::new(MAX_BULK_CALLS),
             part_writes: Semaphore::new(MAX_PART_WRITES),
             waiting_repeats: Cell::new(0),
+            pauses: Pauses::default(),
             unavailable: Cell::new(false),
             last_response: Cell::new(0),
             recovered_at: Cell::new(0),
--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -16,6 +16,7 @@
 use crate::follow::read_all;
 use crate::keys;
 use crate::metrics::Metrics;
+use crate::pauses;
 use crate::ports::{Place, ReadError, Transaction, TransactionError};
 use crate::rows::{self, StateRow};
 use crate::submission::{StoreOutcome, Submission, SubmissionWriter};
@@ -114,6 +115,13 @@
 
 impl JobApi {
     pub(crate) fn new(ctx: Rc<Context>) -> Rc<Self> {
+        let context = Rc::clone(&ctx);
+        actix::spawn(async move {
+            loop {
+                context.pauses.observe(clock::now());
+                pause(pauses::OBSERVATION_INTERVAL_MS).await;
+            }
+        });
         Rc::new(Self {
             ctx,
             writer: Rc::default(),
@@ -227,6 +235,7 @@
             cell: cell.clone(),
             job: refusal.is_none().then_some(row),
             requested_at: now.saturating_sub(waited),
+            arrived_at: now.saturating_sub(self.ctx.pauses.age_of_arrivals(clock::now())),
             deadline: clock::now() + STORE_TIMEOUT_MS.min(remaining * RETRY_SHARE_PERCENT / 100),
         };
         let stored = self.writer.store(&self.ctx, &part, submission).await;
@@ -254,7 +263,13 @@
             (StoreOutcome::Rejected, _) => {
                 Reply::Invalid("the table does not accept the job as it is".to_owned())
             }
-            (StoreOutcome::Refused, None) | (StoreOutcome::Unknown, _) => self.outcome_unknown(id),
+            // Another process has refused the job since this request arrived.
+            (StoreOutcome::Refused, None) => {
+                let refusal = Refusal { why: "earlier", retry_after: UNAVAILABLE_RETRY_MS };
+                self.log_refusal(id, access, job, &refusal, waited);
+                Reply::Refused { overloaded: true, retry_after: refusal.retry_after }
+            }
+            (StoreOutcome::Unknown, _) => self.outcome_unknown(id),
         }
     }
 
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod node;
 pub mod owner;
+pub mod pauses;
 pub mod permits;
 pub mod ports;
 pub mod registry;
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -177,24 +177,33 @@
     /// Time of the first request for a refused job, by the table's clock in milliseconds.
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     requested_at: Option<u64>,
+    /// Time of the refusal, by the table's clock in milliseconds.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    refused_at: Option<u64>,
 }
 
 impl StateRow {
     /// Creates the row of a job in a cell.
     pub fn new(cell: &str, state: State) -> Self {
-        Self { cell: cell.to_owned(), state: state.to_string(), requested_at: None }
+        Self { cell: cell.to_owned(), state: state.to_string(), ..Self::default() }
     }
 
     /// Creates the tombstone that prevents an earlier, delayed write from storing a refused job.
     ///
-    /// It records the time of the first request, as the client may retry at any process.
-    pub fn refused(requested_at: u64) -> Self {
-        Self { cell: String::new(), state: REFUSED.to_owned(), requested_at: Some(requested_at) }
+    /// It records the time of the first request, as the client may retry at any process, and that of
+    /// the refusal, by the table's clock in milliseconds.
+    pub fn refused(requested_at: u64, refused_at: u64) -> Self {
+        Self {
+            cell: String::new(),
+            state: REFUSED.to_owned(),
+            requested_at: Some(requested_at),
+            refused_at: Some(refused_at),
+        }
     }
 
     /// Creates the tombstone that keeps a job from being stored after its cancel.
     pub fn withdrawn(cell: &str) -> Self {
-        Self { cell: cell.to_owned(), state: WITHDRAWN.to_owned(), requested_at: None }
+        Self { cell: cell.to_owned(), state: WITHDRAWN.to_owned(), ..Self::default() }
     }
 
     /// Returns whether the job was cancelled before it was stored.
@@ -207,6 +216,11 @@
         self.requested_at
     }
 
+    /// Returns whether the job was refused after `time`, by the table's clock in milliseconds.
+    pub fn is_refused_after(&self, time: u64) -> bool {
+        self.is_refused() && self.refused_at.is_some_and(|at| at > time)
+    }
+
     /// Returns whether the job was refused and has not been accepted since.
     pub fn is_refused(&self) -> bool {
         self.state == REFUSED
--- a/crates/cells/src/submission.rs
+++ b/crates/cells/src/submission.rs
@@ -4,7 +4,8 @@
 //! any process, may still be on its way to the table. A refusal therefore writes a tombstone under
 //! the same condition as an acceptance, and whichever is applied first wins. A job that is
 //! submitted again after its refusal replaces the tombstone and keeps the time of its first
-//! request. A job that was withdrawn is stored as cancelled, without the row from which it would run.
+//! request. An attempt that had arrived before the refusal does not, and each refusal replaces the
+//! tombstone of the one before, so that no write that expects that one is applied later. A job that was withdrawn is stored as cancelled, without the row from which it would run.
 //!
 //! Load pattern: at its peak a queue receives more jobs per second than a part of the table accepts
 //! transactions. Its jobs are spread over several parts, and those that arrive while a transaction
@@ -53,6 +54,8 @@
     pub job: Option<JobRow>,
     /// The table's clock at the earliest known request for the job, in milliseconds.
     pub requested_at: u64,
+    /// Time by which the request had certainly not arrived, by the table's clock in milliseconds.
+    pub arrived_at: u64,
     /// Time after which failed writes are not retried, in milliseconds.
     pub deadline: u64,
 }
@@ -159,7 +162,7 @@
         let state = match &item.submission.job {
             Some(_) if item.withdrawn => StateRow::new(&item.submission.cell, State::Cancelled),
             Some(_) => StateRow::new(&item.submission.cell, State::Queued),
-            None => StateRow::refused(item.submission.requested_at),
+            None => StateRow::refused(item.submission.requested_at, ctx.table_now()),
         };
         transaction.writes.push((place.clone(), rows::encode(&state)));
         let withdrawn = item.withdrawn;
@@ -193,12 +196,20 @@
                 let state =
                     row.and_then(|row| rows::decode::<StateRow>(row.value.as_deref()?).ok());
                 item.withdrawn = state.as_ref().is_some_and(StateRow::is_withdrawn);
+                let arrived_at = item.submission.arrived_at;
+                let is_refused_since =
+                    state.as_ref().is_some_and(|state| state.is_refused_after(arrived_at));
                 let refused = state.filter(StateRow::is_refused);
                 match row {
                     Some(_) if refused.is_none() && !item.withdrawn => {
-                        notify(item, StoreOutcome::Stored)
+                        notify(item, StoreOutcome::Stored);
+                    }
+                    Some(_) if item.submission.job.is_none() && item.withdrawn => {
+                        notify(item, StoreOutcome::Refused);
+                    }
+                    Some(_) if item.submission.job.is_some() && is_refused_since => {
+                        notify(item, StoreOutcome::Refused);
                     }
-                    Some(_) if item.submission.job.is_none() => notify(item, StoreOutcome::Refused),
                     row => {
                         item.tombstone = row.map_or(0, |row| row.version);
                         let first_requested_at = refused.and_then(|state| state.requested_at());
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -14,7 +14,7 @@
     MachineError, Machines, OrderError, Page, Permissions, Place, PollRequest, ReadError, Row,
     StartOrder, Store, Transaction, TransactionError,
 };
-use cells::rows::{self, Duty, Fence, Heartbeat, Lease, Roster, StateRow};
+use cells::rows::{self, Duty, Fence, Heartbeat, Lease, Load, Roster, StateRow};
 use cells::withdrawal::RETENTION_MS;
 use cells::{Access, Bounds, JobApi, Metrics, Node, Ports, Reply, Settings, clock, keys};
 use futures_util::future::LocalBoxFuture;
@@ -1172,7 +1172,7 @@
             let node = start(&world);
             let caller = Caller::new(&node, &world).await;
             if refused {
-                world.put(&state_place(), rows::encode(&StateRow::refused(1)));
+                world.put(&state_place(), rows::encode(&StateRow::refused(1, 1)));
             }
             assert_eq!(caller.cancel().await, Reply::NoJob);
             assert_eq!(caller.state().await, Reply::NoJob, "nobody has handed it in");
@@ -1242,3 +1242,50 @@
         assert!(!has_state("old") && has_state("used") && has_state("new"));
     });
 }
+
+/// Guards against a job that runs after a refusal, as an attempt that had arrived before it at another
+/// process replaces the refusal; and against one that does not run though it is handed in again.
+#[test]
+fn only_an_attempt_that_arrives_after_a_refusal_stores_the_job() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let node = start(&world);
+        let caller = Caller::new(&node, &world).await;
+        world.put(&state_place(), rows::encode(&StateRow::refused(1, clock::now() + 5_000)));
+        let reply = caller.submit().await;
+        assert!(matches!(reply, Reply::Refused { .. }), "{reply:?}");
+        assert!(!job_row(&world), "the job is stored after its refusal");
+        world.put(&state_place(), rows::encode(&StateRow::refused(1, clock::now() - 1_000)));
+        assert_eq!(caller.submit().await, Reply::Accepted);
+        wait_for("start", || !world.starts.borrow().is_empty()).await;
+    });
+}
+
+/// Guards against a late write that replaces the tombstone of a refusal after a second refusal.
+#[test]
+fn each_refusal_replaces_the_tombstone_of_the_one_before() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let node = start(&world);
+        let caller = Caller::new(&node, &world).await;
+        // The holder of the pool can't replace this load.
+        world.failing_part.replace(Some(keys::LOAD_PART.to_owned()));
+        let load = Load {
+            jobs: 1_000,
+            timely_backlog: 1 << 40,
+            backlog: 1 << 40,
+            capacity: 1_000,
+            published_at: clock::now() + 2_000,
+            ..Load::default()
+        };
+        world.put(&keys::load(POOL), rows::encode(&load));
+        sleep(1_000).await;
+        let mut versions = Vec::new();
+        for _ in 0..2 {
+            let reply = caller.submit().await;
+            assert!(matches!(reply, Reply::Refused { .. }), "{reply:?}");
+            versions.push(world.rows.borrow()[&state_place()].0);
+        }
+        assert!(versions[1] > versions[0], "{versions:?}");
+    });
+}
