Remove cancel markers of jobs that have ended

A cancel that is stored while the end of its job is being written leaves a cancel marker in the table of the cell's jobs, which nobody removes, and an entry in the holder's memory.

Change: a holder that reads a marker of a job whose end it has written removes it; so does a new holder that finds a marker without a job.

--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -423,6 +423,9 @@
             if cell.contains_job(id) {
                 cell.cancel(id, clock::now());
                 self.wake.notify_one();
+            } else if cell.has_ended(id) {
+                // The end of the job was being written when its client cancelled it.
+                self.remove_marker(row);
             } else {
                 self.early_cancels.borrow_mut().insert(id.to_owned());
             }
@@ -480,6 +483,12 @@
         self.wake.notify_one();
     }
 
+    /// Removes a cancel marker without a job.
+    fn remove_marker(self: &Rc<Self>, row: &Row) {
+        let (part, place) = (row.place.part.clone(), row.place.clone());
+        actix::spawn(Rc::clone(self).remove_rows(part, vec![place]));
+    }
+
     /// Publishes the load, for admission and for clients' counts of pending jobs, and computes the
     /// pool's state.
     async fn publish_load(self: Rc<Self>) {
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -6,6 +6,7 @@
 //! calls to the table for each. All at once they exceed its rate, and so do all others, whoever makes
 //! them. The calls go out at a limited rate, and the executors' leases are renewed meanwhile.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -217,7 +218,13 @@
         let table = keys::jobs_table(&self.tenure.cell);
         let (rows, version) = self.read_rows(&table, part).await?;
         self.read_versions.borrow_mut().insert(part.to_owned(), version);
+        let jobs: HashSet<String> = rows.iter().map(|row| row.place.key.clone()).collect();
         for row in rows {
+            // A job is stored before its cancel marker, and its row is removed when it has ended.
+            if row.place.key.strip_suffix('!').is_some_and(|id| !jobs.contains(id)) {
+                self.remove_marker(&row);
+                continue;
+            }
             let progress = progress.swap_remove(&row.place.key).unwrap_or_default();
             if let Some(blocks) = blocks.swap_remove(&row.place.key) {
                 let mut stored = self.stored_progress.borrow_mut();
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -1289,3 +1289,31 @@
         assert!(versions[1] > versions[0], "{versions:?}");
     });
 }
+
+/// Guards against cancel markers that are left for good, as their jobs had ended before they were read.
+#[test]
+fn cancel_markers_of_ended_jobs_are_removed() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        let part = keys::part("q", JOB);
+        let marker = |id| Place::new(&keys::jobs_table(POOL), &part, &keys::cancel_key(id));
+        world.put(&marker("ended before the holder came"), b"1".to_vec());
+        put_job(&world, 1);
+        let _node = start(&world);
+        let has = |id| world.rows.borrow().contains_key(&marker(id));
+        wait_for("removal", || !has("ended before the holder came")).await;
+        wait_for("start", || !world.present.borrow().is_empty()).await;
+        let run = world.present.take().remove(0);
+        world.ended.replace(vec![EndedRun {
+            sequence: 1,
+            task: run.task,
+            run: run.run,
+            outcome: RunOutcome::Done,
+            checkpoint: String::new(),
+        }]);
+        wait_for("end", || !job_row(&world)).await;
+        sleep(200).await;
+        world.put(&marker(JOB), b"1".to_vec());
+        wait_for("removal", || !has(JOB)).await;
+    });
+}
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -517,6 +517,11 @@
         }
     }
 
+    /// Whether the end of a job is durable; known of the latest jobs only.
+    pub fn has_ended(&self, id: &str) -> bool {
+        self.ended_jobs.contains(id)
+    }
+
     /// Whether the job is in the cell.
     pub fn contains_job(&self, id: &str) -> bool {
         self.jobs.contains_key(id)
