Let a takeover of a usual cell make its calls at once

A cell of eight queues has 128 parts and makes some 500 calls. With a burst of 300 the rest waited for 0.2 s, which would lengthen each takeover of such a cell.

Tests: cells/tests/throttle and fleet: a_new_holder_reads pass as before.

--- a/crates/cells/src/throttle.rs
+++ b/crates/cells/src/throttle.rs
@@ -7,7 +7,7 @@
 //! the same time share what the table can do.
 
 /// Calls that may be made at once after a pause, as many as a cell of a few queues needs.
-const BURST: u64 = 300;
+const BURST: u64 = 500;
 /// Lowest and highest rate, in calls a second.
 const RATE_RANGE: (u64, u64) = (50, 1_200);
 /// Time in which the rate doubles while there are no refusals, in milliseconds.
@@ -26,7 +26,7 @@
 /// use cells::throttle::Throttle;
 /// let mut throttle = Throttle::default();
 /// let burst = (0..).take_while(|_| throttle.take(1_000) == 0).count();
-/// assert_eq!(burst, 300);
+/// assert_eq!(burst, 500);
 /// assert_eq!(throttle.take(1_000), 1, "the next call waits for a millisecond");
 /// throttle.refused(1_000);
 /// assert_eq!(throttle.rate(), 600);
