Count a job as idle only while it has open tasks and no run

A job whose tasks had all started in one pass counted as idle while it ran, so that `idle_ms` in E2405 was wrong, and its next step took reserved room without a wait.

--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -285,8 +285,8 @@
 
     /// Applies changed rows; false if the cell is lost.
     ///
-    /// Each part is taken over before its first rows are applied; one that can't be read delays the
-    /// rows of no other.
+    /// Each part is taken over before its first rows are applied; one that can't be read delays none of
+    /// these rows of the others, but those that the feed brings later.
     async fn apply_rows(self: &Rc<Self>, rows: &[Row]) -> bool {
         let mut by_part: IndexMap<&str, Vec<&Row>> = IndexMap::new();
         for row in rows {
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -109,12 +109,10 @@
             }
             begin_due_occurrences(entry, wall + early);
             let mut steps = entry.occurrences.values().flatten();
-            if steps.any(|step| step.open_count > 0) {
-                entry.idle_since =
-                    match entry.occurrences.values().flatten().any(StepState::has_runs) {
-                        true => None,
-                        false => entry.idle_since.or(Some(now)),
-                    };
+            let has_open = steps.clone().any(|step| step.open_count > 0);
+            let is_idle = has_open && !steps.any(StepState::has_runs);
+            entry.idle_since = entry.idle_since.or(Some(now)).filter(|_| is_idle);
+            if has_open {
                 let candidate = Candidate {
                     started: entry.state == State::Running,
                     critical_path: remaining_critical_path(entry),
--- a/crates/jobs/tests/reserve.rs
+++ b/crates/jobs/tests/reserve.rs
@@ -220,3 +220,17 @@
         assert!(waited.is_some_and(|waited| waited <= 100 * factor + 1_000), "{waited:?}");
     }
 }
+
+/// Guards against a job that counts as waiting while it runs, and takes reserved room with its next step
+/// at once.
+#[test]
+fn a_job_that_has_run_waits_anew_with_its_next_step() {
+    let mut pool = Pool::new(1);
+    pool.admit("runs", step(1, 1_000, 1_000, 2_000), Some(3_000));
+    pool.run_for(2_500);
+    assert_eq!(pool.cell.usage(pool.now).longest_idle, 0);
+    pool.run_for(1_000);
+    pool.admit("waits", step(1, 64_000, 1_000, 2_000), Some(3_000));
+    pool.run_for(500);
+    assert_eq!(pool.cell.usage(pool.now).longest_idle, 450);
+}
