Log why a run is stopped, and on which state

E2202 told that a stop was sent, not why: seven places order stops, and only the drain counts the unavailable tasks of the step. A stop carries its reason, the run's progress and age, the age of the executor's answer, and the number of unavailable tasks of the step with its limit. All stops go through one function (cell::stop). No decision changes.

--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jobs::cell::{Order, Refusal, StartOutcome};
+use jobs::cell::{Order, Refusal, StartOutcome, StopCause};
 use jobs::window::Outcome;
 use jobs::{TaskId, Worker};
 
@@ -50,26 +50,13 @@
                         inner.wake.notify_one();
                     }
                 }
-                Order::Stop { worker, task, run } => {
+                Order::Stop { worker, task, run, cause } => {
                     let Some(executor) = inner.executor(&worker) else { return };
                     let epoch = inner.tenure.epoch;
                     let executors = &inner.ctx.ports.executors;
+                    let sent = Instant::now();
                     let answer = executors.stop(&executor, epoch, &task, run).await;
-                    inner.ctx.timeline.record(
-                        base::Event::StopSent,
-                        &[
-                            ("task", &task),
-                            ("run", &run),
-                            ("executor", &worker),
-                            (
-                                "answer",
-                                &answer
-                                    .as_ref()
-                                    .err()
-                                    .map_or("taken".to_owned(), ToString::to_string),
-                            ),
-                        ],
-                    );
+                    inner.record_stop(&worker, &task, run, cause, &answer, sent);
                     let now = clock::now();
                     let mut cell = inner.cell.borrow_mut();
                     match answer {
@@ -173,6 +160,35 @@
         );
     }
 
+    /// Records a stop, the state on which it was decided, and its answer in the log.
+    fn record_stop(
+        &self,
+        worker: &str,
+        task: &TaskId,
+        run: u64,
+        cause: Option<StopCause>,
+        answer: &Result<(), OrderError>,
+        sent: Instant,
+    ) {
+        let text = |value: fn(StopCause) -> String| cause.map_or("unknown".to_owned(), value);
+        self.ctx.timeline.record(
+            base::Event::StopSent,
+            &[
+                ("task", &task),
+                ("run", &run),
+                ("executor", &worker),
+                ("reason", &text(|cause| cause.reason.to_string())),
+                ("percent", &text(|cause| cause.percent.to_string())),
+                ("run_ms", &text(|cause| cause.run_age.to_string())),
+                ("answer_ms", &text(|cause| cause.answer_age.to_string())),
+                ("unavailable", &text(|cause| cause.unavailable.to_string())),
+                ("max_unavailable", &text(|cause| cause.max_unavailable.to_string())),
+                ("took_ms", &sent.elapsed().as_millis()),
+                ("answer", &answer.as_ref().err().map_or("taken".to_owned(), ToString::to_string)),
+            ],
+        );
+    }
+
     /// Records a start and its outcome in the log and the metrics.
     fn record_start(
         &self,
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -523,6 +523,7 @@
             cleared: false,
             unverified_since: Some(now),
             absence: None,
+            stop: None,
         };
         if let Some(charge) = &slot.charge {
             self.quotas.remove_waiting(charge);
--- a/crates/jobs/src/cell/drain.rs
+++ b/crates/jobs/src/cell/drain.rs
@@ -7,7 +7,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Cell, poll};
+use super::{Cell, StopReason};
 use crate::job::TaskId;
 use crate::place;
 use crate::worker::{Phase, Resources, Slot, Worker};
@@ -57,11 +57,8 @@
                 .map(|(task, slot)| (task.clone(), slot.phase_since))
                 .collect();
             for (task, since) in running {
-                if self.may_stop(&id, &task, since, &mut claims, now)
-                    && let Some(worker) = self.workers.get_mut(&id)
-                    && let Some(slot) = worker.runs.get_mut(&task)
-                {
-                    poll::order_stop(&mut self.orders, &id, &task, slot, now);
+                if self.may_stop(&id, &task, since, &mut claims, now) {
+                    self.stop_run(&id, &task, StopReason::Drain, now);
                 }
             }
         }
@@ -84,27 +81,11 @@
         if !spec.long_running {
             return spec.checkpointing || now > since + DRAIN_RUN_LIMIT_MS;
         }
-        let Some(step) = entry.occurrences.get(&task.occurrence).and_then(|t| t.get(task.step))
-        else {
+        if !entry.occurrences.contains_key(&task.occurrence) {
             return true;
-        };
-        let unavailable = || {
-            (0u32..)
-                .zip(&step.tasks)
-                .filter(|(index, _)| *index != task.index)
-                .filter(|(index, state)| {
-                    let id = TaskId { index: *index, ..task.clone() };
-                    let worker = state.worker.as_ref().and_then(|worker| self.workers.get(worker));
-                    let Some(worker) =
-                        worker.filter(|w| now < w.last_answer_at + ANSWER_MAX_AGE_MS)
-                    else {
-                        return true;
-                    };
-                    worker.runs.get(&id).is_none_or(|slot| !self.is_working(worker, slot))
-                })
-                .count()
-        };
-        if spec.max_unavailable > 0 && unavailable() >= spec.max_unavailable as usize {
+        }
+        let limit = spec.max_unavailable as usize;
+        if limit > 0 && self.unavailable_others(task, now) >= limit {
             return false;
         }
         let leaving_since = self.workers.get(id).and_then(|worker| worker.leaving_since);
@@ -113,6 +94,24 @@
         self.claim(claims, task, None, now) || overdue
     }
 
+    /// Number of the other tasks of a task's step that are not known to work at full speed; 0 for a
+    /// task that is not long-running.
+    pub(super) fn unavailable_others(&self, task: &TaskId, now: u64) -> usize {
+        let Some(entry) = self.jobs.get(&task.job) else { return 0 };
+        let step = entry.occurrences.get(&task.occurrence).and_then(|t| t.get(task.step));
+        let spec = entry.job.steps.get(task.step).filter(|spec| spec.long_running);
+        let (Some(step), Some(_)) = (step, spec) else { return 0 };
+        let is_available = |index: u32, state: &super::Task| {
+            let id = TaskId { index, ..task.clone() };
+            let worker = state.worker.as_ref().and_then(|worker| self.workers.get(worker));
+            worker.filter(|w| now < w.last_answer_at + ANSWER_MAX_AGE_MS).is_some_and(|worker| {
+                worker.runs.get(&id).is_some_and(|slot| self.is_working(worker, slot))
+            })
+        };
+        let others = (0u32..).zip(&step.tasks).filter(|(index, _)| *index != task.index);
+        others.filter(|(index, state)| !is_available(*index, state)).count()
+    }
+
     /// Places that the long-running tasks will take that wait, or are being stopped for a drain.
     fn claims(&self, now: u64) -> Claims {
         let mut claims = Claims::default();
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -22,6 +22,7 @@
 mod reserve;
 mod restart;
 mod stall;
+mod stop;
 mod wait;
 
 use std::rc::Rc;
@@ -38,6 +39,7 @@
 pub use record::{Flush, JobChange};
 pub use release::{Absence, AcknowledgedEnd, Release, ReleaseReason};
 use restart::OpenStart;
+pub use stop::{StopCause, StopReason};
 pub use wait::WaitingTask;
 
 use crate::crash::Crashes;
@@ -98,6 +100,8 @@
         task: TaskId,
         /// Number of the run.
         run: u64,
+        /// Why it is stopped; `None` if that is not known.
+        cause: Option<StopCause>,
     },
     /// Ask the adviser which executors may run the tasks of a step.
     Advise {
@@ -758,10 +762,13 @@
         // The end is written without the progress that the table may have rejected.
         entry.held = false;
         self.dirty.insert(id.to_owned());
-        for (name, worker) in &mut self.workers {
-            for (task, slot) in worker.runs.iter_mut().filter(|(task, _)| task.job == id) {
-                poll::order_stop(&mut self.orders, name, task, slot, now);
-            }
+        let mut runs = Vec::new();
+        for (name, worker) in &self.workers {
+            let of_job = worker.runs.keys().filter(|task| task.job == id);
+            runs.extend(of_job.map(|task| (name.clone(), task.clone())));
+        }
+        for (name, task) in runs {
+            self.stop_run(&name, &task, StopReason::JobEnded, now);
         }
     }
 
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -1,6 +1,6 @@
 //! Handling of the answers to orders.
 
-use super::{Absence, Cell, ReleaseReason};
+use super::{Absence, Cell, ReleaseReason, StopReason};
 use crate::job::TaskId;
 use crate::worker::{Phase, Slot};
 
@@ -104,7 +104,7 @@
                 self.clear_runs(id);
                 let unwanted = self.jobs.get(&task.job).is_none_or(|e| e.state.is_final());
                 if unwanted {
-                    self.stop_run(id, task, now);
+                    self.stop_run(id, task, StopReason::JobEnded, now);
                 }
             }
             StartOutcome::Refused(refusal) => self.handle_refusal(id, task, run, refusal, now),
@@ -141,7 +141,7 @@
                 slot.phase_since = now;
             }
             // The stop prevents the run from beginning later.
-            _ => self.stop_run(id, task, now),
+            _ => self.stop_run(id, task, StopReason::JobEnded, now),
         }
     }
 
@@ -270,12 +270,4 @@
         worker.lease_end = worker.lease_end.max(lease_end);
         Some(lease_end)
     }
-
-    /// Orders the stop of a run if the executor has one of the task.
-    fn stop_run(&mut self, id: &str, task: &TaskId, now: u64) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        if let Some(slot) = worker.runs.get_mut(task) {
-            super::poll::order_stop(&mut self.orders, id, task, slot, now);
-        }
-    }
 }
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -1,6 +1,6 @@
 //! Handling of the runs and ends that an executor reports when it is polled.
 
-use super::{Absence, Cell, Order, RUNS_PER_TERM, ReleaseReason, StepState};
+use super::{Absence, Cell, Order, RUNS_PER_TERM, ReleaseReason, StepState, StopReason};
 use crate::job::{State, TaskId};
 use crate::pace;
 use crate::place;
@@ -8,33 +8,9 @@
 
 /// Most ends that an executor reports in one answer.
 const MAX_ENDS_PER_POLL: usize = 500;
-/// Delay before an unanswered stop order is sent again, in milliseconds; half a second covers
-/// several round trips.
-const STOP_RETRY_MS: u64 = 500;
-/// The same delay for an executor that does not answer any calls, in milliseconds.
-const UNRESPONSIVE_STOP_RETRY_MS: u64 = 2_000;
 /// Delay before a failed task starts again, in milliseconds.
 const FAILED_TASK_DELAY_MS: u64 = 100;
 
-/// Orders the stop of a run, unless it has been ordered before.
-///
-/// [`Cell::repeat_stops`] sends the order again while it is unanswered.
-pub(super) fn order_stop(
-    orders: &mut Vec<Order>,
-    worker: &str,
-    task: &TaskId,
-    slot: &mut Slot,
-    now: u64,
-) {
-    if matches!(slot.phase, Phase::Stopping | Phase::Stopped) || slot.absence.is_some() {
-        return;
-    }
-    slot.phase = Phase::Stopping;
-    slot.phase_since = now;
-    slot.last_order_at = now;
-    orders.push(Order::Stop { worker: worker.to_owned(), task: task.clone(), run: slot.run });
-}
-
 /// Whether an answer lists all ends that its executor has; a full one may omit further ends.
 pub(super) fn lists_all_ends(answer: &ExecutorReport) -> bool {
     answer.ended.len() < MAX_ENDS_PER_POLL
@@ -238,7 +214,7 @@
             slot.progressed_at = now;
         }
         if !wanted {
-            order_stop(&mut self.orders, id, task, slot, now);
+            self.stop_run(id, task, StopReason::Unwanted, now);
             return;
         }
         self.check_progress(id, run, now);
@@ -278,6 +254,7 @@
             cleared: false,
             unverified_since: None,
             absence: None,
+            stop: None,
         };
         worker.add_run(task.clone(), slot);
         self.quarantine_adopted(id, task, now);
@@ -375,12 +352,13 @@
     ///
     /// The start order may still arrive; the stop prevents the run from beginning then.
     fn stop_unsure(&mut self, id: &str, sent: u64, now: u64) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        for (task, slot) in &mut worker.runs {
-            // Only long-running tasks and starts addressed to an earlier incarnation are in this phase.
-            if slot.phase == Phase::Unsure && slot.phase_since < sent {
-                order_stop(&mut self.orders, id, task, slot, now);
-            }
+        let Some(worker) = self.workers.get(id) else { return };
+        // Only long-running tasks and starts addressed to an earlier incarnation are in this phase.
+        let is_unsure = |slot: &Slot| slot.phase == Phase::Unsure && slot.phase_since < sent;
+        let unsure = worker.runs.iter().filter(|(_, slot)| is_unsure(slot));
+        let unsure: Vec<TaskId> = unsure.map(|(task, _)| task.clone()).collect();
+        for task in unsure {
+            self.stop_run(id, &task, StopReason::Unsure, now);
         }
     }
 
@@ -416,24 +394,6 @@
         }
     }
 
-    /// Sends stop orders again that were not answered.
-    pub(super) fn repeat_stops(&mut self, now: u64) {
-        for (id, worker) in self.workers.iter_mut().filter(|(_, w)| !w.dead) {
-            let delay =
-                if worker.unanswered == 0 { STOP_RETRY_MS } else { UNRESPONSIVE_STOP_RETRY_MS };
-            for (task, slot) in &mut worker.runs {
-                if slot.phase == Phase::Stopping && now >= slot.last_order_at + delay {
-                    slot.last_order_at = now;
-                    self.orders.push(Order::Stop {
-                        worker: id.clone(),
-                        task: task.clone(),
-                        run: slot.run,
-                    });
-                }
-            }
-        }
-    }
-
     /// Number for the next run of a task, above all numbers that former holders may have used.
     pub(super) fn next_run(&self, last: u64) -> u64 {
         last.max(self.former_runs()) + 1
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -142,6 +142,7 @@
                     start_clock: None,
                     cleared: false,
                     absence: None,
+                    stop: None,
                     ..start.slot.clone()
                 };
                 worker.add_run(start.task.clone(), slot);
--- a/crates/jobs/src/cell/stall.rs
+++ b/crates/jobs/src/cell/stall.rs
@@ -5,7 +5,7 @@
 //! progress is stopped and starts again, as is a task on a slow executor that would end sooner on
 //! another one.
 
-use super::{Cell, poll};
+use super::{Cell, StopReason};
 use crate::job::TaskId;
 use crate::worker::{Phase, PresentRun};
 
@@ -58,8 +58,8 @@
             STALL_TIMEOUT_MS + estimate * STALL_ESTIMATE_PERCENT / 100
         };
         if now > slot.progressed_at + timeout {
-            poll::order_stop(&mut self.orders, id, task, slot, now);
             worker.record_result(false, now);
+            self.stop_run(id, task, StopReason::Stalled, now);
             return;
         }
         let measurable = !long_running && !best_effort && slot.resumed_from.is_empty();
@@ -130,11 +130,7 @@
             let tasks: Vec<TaskId> =
                 worker.runs.keys().filter(ends_sooner_elsewhere).cloned().collect();
             for task in tasks {
-                if let Some(worker) = self.workers.get_mut(&id)
-                    && let Some(slot) = worker.runs.get_mut(&task)
-                {
-                    poll::order_stop(&mut self.orders, &id, &task, slot, now);
-                }
+                self.stop_run(&id, &task, StopReason::SlowExecutor, now);
             }
         }
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use strum::{Display, EnumString, IntoStaticStr};
 
-use crate::cell::{Absence, Charge};
+use crate::cell::{Absence, Charge, StopCause};
 use crate::incarnation;
 use crate::job::TaskId;
 
@@ -244,6 +244,8 @@
     pub unverified_since: Option<u64>,
     /// Evidence that the run is no longer on the executor; `None` as long as it may be.
     pub absence: Option<Absence>,
+    /// Why its stop was ordered; `None` before.
+    pub stop: Option<StopCause>,
 }
 
 /// State that a cell keeps for one executor.
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -501,7 +501,7 @@
                         self.send_start(worker, task, run, lease_end);
                     }
                 }
-                Order::Stop { worker, task, run } => {
+                Order::Stop { worker, task, run, .. } => {
                     self.counts.stops += 1;
                     let answered = !self.chance(10);
                     let delay = 1 + self.below(40);
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -280,7 +280,7 @@
                 let outcome = if lost { StartOutcome::Unknown } else { outcome };
                 cell.handle_start_outcome(&worker, &task, run, outcome, now);
             }
-            Order::Stop { worker, task, run } => {
+            Order::Stop { worker, task, run, .. } => {
                 let (n, up) = self.find(&worker);
                 if up {
                     let machine = &mut self.machines[n];
--- a/crates/jobs/tests/holders.rs
+++ b/crates/jobs/tests/holders.rs
@@ -512,7 +512,7 @@
                     queue.push_back(Call::Start { task, run, lease_end });
                     self.send_starts(holder, &worker);
                 }
-                Order::Stop { worker, task, run } => {
+                Order::Stop { worker, task, run, .. } => {
                     self.send(holder, &worker, Call::Stop { task, run });
                 }
                 Order::Advise { .. } | Order::Pace { .. } => {}
--- a/crates/jobs/tests/liveness.rs
+++ b/crates/jobs/tests/liveness.rs
@@ -547,7 +547,7 @@
                     queue.push_back(Call::Start { task, run, lease_end });
                     self.send_starts(&worker);
                 }
-                Order::Stop { worker, task, run } => {
+                Order::Stop { worker, task, run, .. } => {
                     if task.job.starts_with("0000") {
                         self.note(&format!("stop {task} run {run} at {worker}"));
                     }
--- a/crates/jobs/tests/pool/mod.rs
+++ b/crates/jobs/tests/pool/mod.rs
@@ -688,7 +688,7 @@
                 let Some(cell) = cell else { return };
                 cell.handle_start_outcome(&worker, &task, run, StartOutcome::Running(now), now);
             }
-            Order::Stop { worker, task, run } => {
+            Order::Stop { worker, task, run, .. } => {
                 let is_meant = |r: &&mut Run| r.task == task && r.ends > now + STOP_MS;
                 if let Some(run) = executor.runs.iter_mut().find(is_meant) {
                     (run.ends, run.outcome) = (now + STOP_MS, RunOutcome::Stopped);
--- a/crates/jobs/tests/quarantine.rs
+++ b/crates/jobs/tests/quarantine.rs
@@ -185,7 +185,7 @@
         let orders = self.cell.tick(now, 0);
         self.slowest_tick = self.slowest_tick.max(begun.elapsed());
         for order in orders {
-            if let Order::Stop { worker, task, run } = &order {
+            if let Order::Stop { worker, task, run, .. } = &order {
                 self.stop(worker, task, *run);
             }
             let Order::Start { worker, task, run, .. } = order else { continue };
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -478,7 +478,7 @@
                 Order::Start { worker, task, run, lease_end, .. } => {
                     (worker, Call::Start { task, run, lease_end })
                 }
-                Order::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
+                Order::Stop { worker, task, run, .. } => (worker, Call::Stop { task, run }),
                 _ => continue,
             };
             // One start in ten is carried out late, without an answer in time.
