Count the progress of a start-up, and keep its stop within the step's allowance

Cause: a long-running task was stopped 2.5 s after its start unless it was at full speed. Some tasks take 3.1 to 3.3 s on every executor, and were restarted for ever; others were stopped at 99 percent, without regard to the unavailable tasks of their step.

Change: a start-up has stalled if its percent does not rise, or if it would take over 8 s at its rate; the limits double with each such stop. From 90 percent on the stop waits for the allowance of the step.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -515,6 +515,7 @@
             pace: 100,
             percent: 0,
             progressed_at: now,
+            startup_since: now,
             resumed_from: checkpoint.clone(),
             long_running: entry.job.steps[task.step].long_running,
             unknown_size: false,
--- a/crates/jobs/src/cell/drain.rs
+++ b/crates/jobs/src/cell/drain.rs
@@ -16,7 +16,7 @@
 /// milliseconds; longer than the longest run of the usual kinds of job.
 const DRAIN_RUN_LIMIT_MS: u64 = 4_000;
 /// Share of the full speed, in percent, at which a long-running task counts as working.
-const FULL_SPEED_PERCENT: u64 = 100;
+pub(super) const FULL_SPEED_PERCENT: u64 = 100;
 /// Age up to which an executor's last answer shows that its tasks work, in milliseconds; less than
 /// the time after which a task counts as unavailable.
 const ANSWER_MAX_AGE_MS: u64 = 2_000;
@@ -84,8 +84,7 @@
         if !entry.occurrences.contains_key(&task.occurrence) {
             return true;
         }
-        let limit = spec.max_unavailable as usize;
-        if limit > 0 && self.unavailable_others(task, now) >= limit {
+        if !self.may_be_unavailable(task, now) {
             return false;
         }
         let leaving_since = self.workers.get(id).and_then(|worker| worker.leaving_since);
@@ -94,6 +93,13 @@
         self.claim(claims, task, None, now) || overdue
     }
 
+    /// Whether a long-running task may become unavailable besides the others of its step.
+    pub(super) fn may_be_unavailable(&self, task: &TaskId, now: u64) -> bool {
+        let spec = self.jobs.get(&task.job).and_then(|entry| entry.job.steps.get(task.step));
+        let limit = spec.map_or(0, |spec| spec.max_unavailable as usize);
+        limit == 0 || self.unavailable_others(task, now) < limit
+    }
+
     /// Number of the other tasks of a task's step that are not known to work at full speed; 0 for a
     /// task that is not long-running.
     pub(super) fn unavailable_others(&self, task: &TaskId, now: u64) -> usize {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -139,6 +139,8 @@
     checkpoint: String,
     /// Earliest time of the next start, in milliseconds.
     not_before: u64,
+    /// Stops of a long-running task for a stalled start-up since it last worked at full speed.
+    slow_starts: u32,
     /// Executors on which the task has failed.
     avoid: Vec<String>,
     /// Crashes that the task may have caused.
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -85,6 +85,7 @@
                     slot.phase = Phase::Running;
                     slot.phase_since = now;
                     slot.progressed_at = now;
+                    slot.startup_since = now;
                 }
                 let (foreign, own) =
                     (worker.is_foreign_clock(clock), worker.is_own_clock(clock, now));
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -212,6 +212,7 @@
             slot.phase = Phase::Running;
             slot.phase_since = now;
             slot.progressed_at = now;
+            slot.startup_since = now;
         }
         if !wanted {
             self.stop_run(id, task, StopReason::Unwanted, now);
@@ -244,6 +245,7 @@
             pace: 100,
             percent: run.percent,
             progressed_at: now,
+            startup_since: now,
             // Any text but an empty one: the earlier duration of the run is unknown, so that its
             // progress gives no measure of speed.
             resumed_from: "unknown".to_owned(),
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -168,6 +168,7 @@
                 phase: Phase::Unsure,
                 phase_since: now,
                 progressed_at: now,
+                startup_since: now,
                 start_clock: None,
                 cleared: false,
                 unverified_since: slot.unverified_since.or(Some(now)),
--- a/crates/jobs/src/cell/stall.rs
+++ b/crates/jobs/src/cell/stall.rs
@@ -4,7 +4,11 @@
 //! times slower than others. Only the progress of its tasks shows the fault. A task without
 //! progress is stopped and starts again, as is a task on a slow executor that would end sooner on
 //! another one.
+//!
+//! Long-running tasks: the start-ups of sound tasks differ by a factor of two, and by more on slow
+//! executors, so that the progress of a start-up counts rather than its age.
 
+use super::drain::FULL_SPEED_PERCENT;
 use super::{Cell, StopReason};
 use crate::job::TaskId;
 use crate::worker::{Phase, PresentRun};
@@ -15,9 +19,18 @@
 /// Share of the task's estimate added to this time, in percent; progress is reported in whole
 /// percents.
 const STALL_ESTIMATE_PERCENT: u64 = 8;
-/// Time in which a long-running task must reach full speed, in milliseconds; a few usual start-up
-/// times.
-const STARTUP_TIMEOUT_MS: u64 = 2_500;
+/// Time without progress after which a long-running task that is not at full speed counts as
+/// stalled, in milliseconds. It doubles with each such stop of the task, as does the next limit.
+const STARTUP_STALL_TIMEOUT_MS: u64 = 2_500;
+/// Estimated duration of a start-up above which the task counts as stalled, in milliseconds; more
+/// than two usual start-ups.
+const MAX_STARTUP_MS: u64 = 8_000;
+/// Age from which the duration of a start-up is estimated by its progress, in milliseconds.
+const STARTUP_SAMPLE_MS: u64 = 2_500;
+/// Most times that the limits of a task's start-up double.
+const MAX_STARTUP_DOUBLINGS: u32 = 4;
+/// Progress in percent from which a task may work at full speed by the time a stop takes effect.
+const NEAR_FULL_SPEED_PERCENT: u64 = 90;
 /// Progress in percent and age in milliseconds from which a run's speed can be measured.
 const SPEED_SAMPLE_MIN: (u64, u64) = (4, 150);
 /// Samples of a job's runs from which their mean is used; several tasks, sampled twice each.
@@ -32,37 +45,28 @@
         let task = &run.task;
         let Some(entry) = self.jobs.get(&task.job) else { return };
         let Some(spec) = entry.job.steps.get(task.step) else { return };
-        let (long_running, best_effort, estimate) =
-            (spec.long_running, spec.best_effort, spec.estimate);
+        if spec.long_running {
+            self.check_startup(id, run, now);
+            return;
+        }
+        let (best_effort, estimate) = (spec.best_effort, spec.estimate);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.runs.get_mut(task) else { return };
-        let progressed =
-            if long_running { run.percent >= 100 } else { run.percent != slot.percent };
-        if progressed || (best_effort && slot.pace < 100) {
+        if run.percent != slot.percent || (best_effort && slot.pace < 100) {
             slot.progressed_at = now;
         }
-        let reached_full_speed = long_running && run.percent >= 100 && slot.percent < 100;
         slot.percent = run.percent;
         let age = now.saturating_sub(slot.phase_since);
         if slot.phase != Phase::Running {
             return;
         }
-        if reached_full_speed {
-            // It never ends as done, so this is the only success that it can have.
-            worker.record_result(true, now);
-            return;
-        }
-        let timeout = if long_running {
-            STARTUP_TIMEOUT_MS
-        } else {
-            STALL_TIMEOUT_MS + estimate * STALL_ESTIMATE_PERCENT / 100
-        };
+        let timeout = STALL_TIMEOUT_MS + estimate * STALL_ESTIMATE_PERCENT / 100;
         if now > slot.progressed_at + timeout {
             worker.record_result(false, now);
             self.stop_run(id, task, StopReason::Stalled, now);
             return;
         }
-        let measurable = !long_running && !best_effort && slot.resumed_from.is_empty();
+        let measurable = !best_effort && slot.resumed_from.is_empty();
         if measurable
             && estimate > 0
             && run.percent >= SPEED_SAMPLE_MIN.0
@@ -82,6 +86,59 @@
         }
     }
 
+    /// Updates the progress of a long-running run, and stops it if its start-up has stalled.
+    ///
+    /// A run near full speed is not stopped while its step lacks as many other tasks as it may: it may
+    /// reach full speed before the stop takes effect.
+    fn check_startup(&mut self, id: &str, run: &PresentRun, now: u64) {
+        let task = &run.task;
+        let slow_starts = self.task(task).map_or(0, |state| state.slow_starts);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(slot) = worker.runs.get_mut(task) else { return };
+        let at_full_speed = run.percent >= FULL_SPEED_PERCENT;
+        if at_full_speed || run.percent > slot.percent {
+            slot.progressed_at = now;
+        }
+        let reached_full_speed = at_full_speed && slot.percent < FULL_SPEED_PERCENT;
+        slot.percent = run.percent;
+        if at_full_speed {
+            slot.startup_since = now;
+        }
+        let idle_since = slot.progressed_at;
+        let elapsed = now.saturating_sub(slot.startup_since);
+        if slot.phase != Phase::Running {
+            return;
+        }
+        if at_full_speed {
+            if reached_full_speed {
+                // It never ends as done, so this is the only success that it can have.
+                worker.record_result(true, now);
+                if let Some(state) = self.task(task) {
+                    state.slow_starts = 0;
+                }
+            }
+            return;
+        }
+        let doublings = slow_starts.min(MAX_STARTUP_DOUBLINGS);
+        let timeout = STARTUP_STALL_TIMEOUT_MS << doublings;
+        let estimate = elapsed * FULL_SPEED_PERCENT / run.percent.max(1);
+        let is_slow = elapsed >= STARTUP_SAMPLE_MS && estimate > MAX_STARTUP_MS << doublings;
+        if now <= idle_since + timeout && !is_slow {
+            return;
+        }
+        let is_near = run.percent >= NEAR_FULL_SPEED_PERCENT && now <= idle_since + 2 * timeout;
+        if is_near && !self.may_be_unavailable(task, now) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.record_result(false, now);
+        }
+        if let Some(state) = self.task(task) {
+            state.slow_starts += 1;
+        }
+        self.stop_run(id, task, StopReason::Stalled, now);
+    }
+
     /// Median slowdown of the executors, in percent; `None` with fewer than three samples.
     pub(super) fn median_slowdown(&self, now: u64) -> Option<u64> {
         let mut slowdowns: Vec<u64> =
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -223,6 +223,8 @@
     pub percent: u64,
     /// Time at which the progress last changed, in milliseconds.
     pub progressed_at: u64,
+    /// When a long-running run began, or was last reported at full speed, in milliseconds.
+    pub startup_since: u64,
     /// Checkpoint that the run resumed from; empty for none, `unknown` for a run that this holder
     /// did not start.
     pub resumed_from: String,
