Count an inherited run as working only by a poll sent after a former stop

Cause: the drain counts the other tasks of a step as working by the time of their executor's last answer. The answer to a start, which lists no runs, counted too, as did a poll that was answered before the former holder's stop took effect and was read after that. The drain could then stop a second task of the step.

Change: only answers to polls count; an inherited run counts by the time at which the poll was sent.

Before: cell: an_inherited_run_counts_as_working_only_by_a_poll_sent_after_a_former_stop fails ("a start's answer does not list the other task"). After: it passes, with the other tests of the crate.

--- a/crates/jobs/src/cell/drain.rs
+++ b/crates/jobs/src/cell/drain.rs
@@ -10,14 +10,14 @@
 use super::{Cell, StopReason};
 use crate::job::TaskId;
 use crate::place;
-use crate::worker::{Phase, Resources, Slot, Worker};
+use crate::worker::{INHERITED_RUN, Phase, Resources, Slot, Worker};
 
 /// Run time up to which a task without checkpoints is left to end on a leaving executor, in
 /// milliseconds; longer than the longest run of the usual kinds of job.
 const DRAIN_RUN_LIMIT_MS: u64 = 4_000;
 /// Share of the full speed, in percent, at which a long-running task counts as working.
 pub(super) const FULL_SPEED_PERCENT: u64 = 100;
-/// Age up to which an executor's last answer shows that its tasks work, in milliseconds; less than
+/// Age up to which an executor's last poll shows that its tasks work, in milliseconds; less than
 /// the time after which a task counts as unavailable.
 const ANSWER_MAX_AGE_MS: u64 = 2_000;
 
@@ -110,7 +110,7 @@
         let is_available = |index: u32, state: &super::Task| {
             let id = TaskId { index, ..task.clone() };
             let worker = state.worker.as_ref().and_then(|worker| self.workers.get(worker));
-            worker.filter(|w| now < w.last_answer_at + ANSWER_MAX_AGE_MS).is_some_and(|worker| {
+            worker.filter(|w| now < w.poll_answered_at + ANSWER_MAX_AGE_MS).is_some_and(|worker| {
                 worker.runs.get(&id).is_some_and(|slot| self.is_working(worker, slot))
             })
         };
@@ -210,10 +210,13 @@
     /// Whether a long-running task works at full speed and will continue to.
     ///
     /// A run inherited just now may be about to end by a stop order of the former holder, which the
-    /// executor does not report. The run counts only once such a stop would have taken effect.
+    /// executor does not report. The run counts only by a poll that was sent once such a stop would
+    /// have taken effect.
     fn is_working(&self, worker: &Worker, slot: &Slot) -> bool {
+        let is_inherited = slot.resumed_from == INHERITED_RUN;
+        let shown_at = if is_inherited { worker.poll_sent_at } else { worker.poll_answered_at };
         slot.phase == Phase::Running
             && slot.percent >= FULL_SPEED_PERCENT
-            && worker.last_answer_at >= slot.phase_since + self.config.stop_timeout
+            && shown_at >= slot.phase_since + self.config.stop_timeout
     }
 }
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -4,7 +4,9 @@
 use crate::job::{State, TaskId};
 use crate::pace;
 use crate::place;
-use crate::worker::{EndedRun, ExecutorReport, Phase, PresentRun, Resources, RunOutcome, Slot};
+use crate::worker::{
+    EndedRun, ExecutorReport, INHERITED_RUN, Phase, PresentRun, Resources, RunOutcome, Slot,
+};
 
 /// Most ends that an executor reports in one answer.
 const MAX_ENDS_PER_POLL: usize = 500;
@@ -25,6 +27,7 @@
         let former_runs = self.former_runs();
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_answer(answer.clock, now);
+        (worker.poll_sent_at, worker.poll_answered_at) = (sent, now);
         if !worker.joined {
             worker.extend_former_lease(self.config.lease, longest_lease);
             worker.first_clock = worker.clock;
@@ -246,9 +249,8 @@
             percent: run.percent,
             progressed_at: now,
             startup_since: now,
-            // Any text but an empty one: the earlier duration of the run is unknown, so that its
-            // progress gives no measure of speed.
-            resumed_from: "unknown".to_owned(),
+            // The earlier duration of the run is unknown, so that its progress gives no measure of speed.
+            resumed_from: INHERITED_RUN.to_owned(),
             long_running,
             unknown_size,
             beside_reservation: false,
--- a/crates/jobs/src/cell/stop.rs
+++ b/crates/jobs/src/cell/stop.rs
@@ -37,7 +37,7 @@
     pub percent: u64,
     /// Time since the run entered its phase, in milliseconds.
     pub run_age: u64,
-    /// Time since the last answer of the executor, in milliseconds.
+    /// Time since the last answer of the executor to a poll, in milliseconds.
     pub answer_age: u64,
     /// Number of the step's other tasks that may be unavailable; 0 for a task that is not
     /// long-running.
@@ -56,7 +56,7 @@
         let spec = self.jobs.get(&task.job).and_then(|entry| entry.job.steps.get(task.step));
         let max_unavailable = spec.map_or(0, |spec| spec.max_unavailable);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let answer_age = now.saturating_sub(worker.last_answer_at);
+        let answer_age = now.saturating_sub(worker.poll_answered_at);
         let Some(slot) = worker.runs.get_mut(task) else { return };
         if matches!(slot.phase, Phase::Stopping | Phase::Stopped) || slot.absence.is_some() {
             return;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -29,6 +29,9 @@
 /// times this value.
 const FIRST_EXCLUSION_MS: u64 = 2_000;
 
+/// Checkpoint of a run that this holder did not start; no checkpoint has this text.
+pub(crate) const INHERITED_RUN: &str = "unknown";
+
 /// Difference by which the clock in an answer is behind an earlier one if another incarnation has
 /// answered, in milliseconds; longer than two answers under way at once are apart.
 const CLOCK_RESET_MS: u64 = 2_000;
@@ -300,6 +303,10 @@
     pub unknown_ends: BTreeMap<u64, (EndedRun, u64)>,
     /// Time of the last answer, in milliseconds; 0 before the first.
     pub last_answer_at: u64,
+    /// When the last answered poll was sent, in milliseconds; 0 before. Only polls list runs.
+    pub poll_sent_at: u64,
+    /// When the last answer to a poll arrived, in milliseconds; 0 before.
+    pub poll_answered_at: u64,
     /// Clock of the executor at the last answer, in milliseconds.
     pub clock: u64,
     /// Clock of the executor at its first answer to a poll, in milliseconds.
@@ -346,6 +353,8 @@
             former_ends: BTreeMap::new(),
             unknown_ends: BTreeMap::new(),
             last_answer_at: 0,
+            poll_sent_at: 0,
+            poll_answered_at: 0,
             clock: 0,
             first_clock: 0,
             lease_end: 0,
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -512,6 +512,34 @@
     assert!(stops(cell.tick(STOP_TIMEOUT_MS + 20, 0)), "the other task certainly keeps working");
 }
 
+/// Guards against a task that counts as working by the answer to another order, or by one that was
+/// read late, while the former holder's stop of it takes effect.
+#[test]
+fn an_inherited_run_counts_as_working_only_by_a_poll_sent_after_a_former_stop() {
+    let mut cell = cell(2, &["a", "bb", "ccc"]);
+    let pair = Step { long_running: true, max_per_executor: 1, max_unavailable: 1, ..step(2, 100) };
+    cell.admit(arrival(vec![pair], true));
+    cell.set_leaving(std::iter::once("a".to_owned()).collect());
+    // An executor that can take the stopped task.
+    cell.handle_poll("ccc", &poll_answer(1_000), 0, 5);
+    let poll = |cell: &mut jobs::Cell, sent: u64, now: u64| {
+        for (id, index) in [("a", 0), ("bb", 1)] {
+            let mut answer = poll_answer(1_000 + sent);
+            answer.present = vec![present(task(0, index), 1)];
+            cell.handle_poll(id, &answer, sent, now);
+        }
+    };
+    let stops = |orders: Vec<Order>| orders.iter().any(|o| matches!(o, Order::Stop { .. }));
+    poll(&mut cell, 0, 5);
+    let late = STOP_TIMEOUT_MS + 10;
+    cell.handle_start_outcome("bb", &task(0, 9), 1, StartOutcome::Running(1_000 + late), late);
+    assert!(!stops(cell.tick(late, 0)), "a start's answer does not list the other task");
+    poll(&mut cell, 20, late + 10);
+    assert!(!stops(cell.tick(late + 20, 0)), "the answer is as old as its poll");
+    poll(&mut cell, late + 20, late + 30);
+    assert!(stops(cell.tick(late + 40, 0)), "the other task certainly keeps working");
+}
+
 /// Guards against a task that is stopped for maintenance and then runs nowhere for seconds, as the
 /// executors that stay run its siblings.
 #[test]
