Log the processing time that a cell takes from its holder

It has the passes of the scheduler, the answers to polls and the starts since the last line, with the time that they took. No decision changes.

--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -3,6 +3,7 @@
 mod allowance;
 mod confirm;
 mod duty;
+mod effort;
 mod poll;
 mod recover;
 mod report;
@@ -14,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use confirm::ORDER_VALIDITY_MS;
+use effort::Effort;
 use indexmap::{IndexMap, IndexSet};
 use jobs::cell::{Arrival, ShrinkLimits};
 use jobs::flush::Writes;
@@ -129,6 +131,8 @@
     pub roster_trimmed_at: Cell<u64>,
     /// Longest write of a part's changes since the last log line about the load, in milliseconds.
     pub slowest_write: Cell<u64>,
+    /// Work since that log line.
+    pub effort: RefCell<Effort>,
     /// State of the cell's pool, recomputed with each publication of the load.
     pool_state: RefCell<PoolState>,
     /// Time since which the first copy of the pool's state waits to be written, in milliseconds.
@@ -200,6 +204,7 @@
             early_cancels: RefCell::default(),
             roster_trimmed_at: Cell::new(0),
             slowest_write: Cell::new(0),
+            effort: RefCell::default(),
             pool_state: RefCell::default(),
             pool_state_delayed_since: Cell::new(None),
             limits: RefCell::default(),
@@ -387,6 +392,7 @@
             if self.cell.borrow().is_superseded() {
                 self.mark_lost("an executor has received orders with a higher epoch");
             }
+            self.effort.borrow_mut().passes.record(pass_start);
             // Passes over a thousand jobs leave most of the processor time to orders and polls.
             let pass_ms = u64::try_from(pass_start.elapsed().as_millis()).unwrap_or(u64::MAX);
             let wake_delay =
@@ -495,11 +501,13 @@
         let mut last = Load::default();
         let mut logged = 0;
         while self.is_active() {
+            let start = Instant::now();
             let state = self.current_pool_state();
             let load = state.load.clone();
             *self.pool_state.borrow_mut() = state;
             let usage = self.cell.borrow().usage(clock::now());
             self.update_metrics(&load, &usage);
+            self.effort.borrow_mut().loads.record(start);
             if load.jobs > 0 && clock::now() >= logged + LOAD_LOG_INTERVAL_MS {
                 logged = clock::now();
                 self.log_load(&load, &usage);
--- a/crates/cells/src/owner/poll.rs
+++ b/crates/cells/src/owner/poll.rs
@@ -5,7 +5,7 @@
 //! work is polled only as often as it takes to stay eligible for new tasks.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexSet;
 use jobs::worker::Phase;
@@ -61,6 +61,7 @@
                 break;
             }
             let now = clock::now();
+            let received = Instant::now();
             let pause_ms = match answer {
                 Ok(report) => {
                     let busy = !report.present.is_empty();
@@ -94,6 +95,7 @@
                     }
                     drop(cell);
                     self.log_ends(&id, &report, seen);
+                    self.effort.borrow_mut().answers.record(received);
                     if has_ends {
                         self.wake.notify_one();
                     }
--- a/crates/cells/src/owner/report.rs
+++ b/crates/cells/src/owner/report.rs
@@ -43,6 +43,7 @@
     /// Logs the load and how the capacity is used.
     pub(super) fn log_load(&self, load: &Load, usage: &Usage) {
         let waiting: u64 = load.pending.values().sum();
+        let effort = self.effort.take();
         self.ctx.timeline.record(
             base::Event::CellLoad,
             &[
@@ -62,6 +63,12 @@
                 ("idle_ms", &usage.longest_idle),
                 ("look_pause_ms", &self.busy_pause()),
                 ("write_round_ms", &self.slowest_write.replace(0)),
+                ("passes", &effort.passes.count),
+                ("pass_ms", &effort.passes.total_ms()),
+                ("answers", &effort.answers.count),
+                ("answer_ms", &effort.answers.total_ms()),
+                ("load_ms", &effort.loads.total_ms()),
+                ("starts", &effort.starts),
             ],
         );
     }
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -36,6 +36,7 @@
                         checkpoint: &checkpoint,
                         ticket: &ticket,
                     };
+                    inner.effort.borrow_mut().starts += 1;
                     let sent = Instant::now();
                     let outcome = inner.start(&worker, &start).await;
                     inner.record_start(&worker, &task, run, &checkpoint, outcome, sent);
