--- a/crates/jobs/tests/starts.rs
+++ b/crates/jobs/tests/starts.rs
@@ -143,3 +143,91 @@
     cell.mark_dead(&last.worker, START_MS + 20);
     assert!(cell.take_crashes()[0].suspects.contains(&last.task));
 }
+
+/// Time that a holder short of processor time takes to send a start, in milliseconds.
+const SEND_MS: u64 = 1;
+/// Time in which a start must go out that goes before all others, in milliseconds: what the order of
+/// jobs reserves for all orders, polls and writes of a job.
+const URGENT_START_MS: u64 = 250;
+
+/// Guards against a started job that ends late as the starts of hundreds of new jobs, which go after
+/// it, already wait for the holder's processor time.
+#[test]
+fn a_started_job_is_not_delayed_by_starts_that_wait_for_processor_time() {
+    let ids: Vec<String> = (0..60).map(|n| format!("m{n:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut cell = cell_with_executors(&ids);
+    let resources = Resources { cpu: 1_000, memory: 1, gpus: 0 };
+    let step =
+        |count, depends_on| Step { count, resources, estimate: 500, depends_on, ..Step::default() };
+    let arrival = |id: &str, steps| Arrival {
+        id: id.to_owned(),
+        part: "q".to_owned(),
+        queue: "q".to_owned(),
+        job: Job { payload: String::new(), steps, schedule: None },
+        progress: Progress::default(),
+        requested_at: START_MS,
+        inherited: false,
+        start_blocked: false,
+        organisation: None,
+    };
+    let urgent = "00000000000000aa";
+    cell.admit(arrival(urgent, vec![step(1, vec![]), step(1, vec![0])]));
+    let first = starts(cell.tick(START_MS + 1, 0)).remove(0);
+    let running = StartOutcome::Running(START_MS + 2);
+    cell.handle_start_outcome(&first.worker, &first.task, first.run, running, START_MS + 2);
+    for n in 0..40 {
+        cell.admit(arrival(&format!("{n:016x}"), vec![step(16, vec![])]));
+    }
+    let mut queue = std::collections::VecDeque::new();
+    let ends_at = START_MS + 100;
+    for now in (START_MS + 10..START_MS + 1_000).step_by(SEND_MS as usize) {
+        if now == ends_at {
+            let end = jobs::worker::EndedRun {
+                sequence: 1,
+                task: first.task.clone(),
+                run: first.run,
+                outcome: jobs::RunOutcome::Done,
+                checkpoint: String::new(),
+            };
+            let report = ExecutorReport { clock: now, ended: vec![end], ..Default::default() };
+            cell.handle_poll(&first.worker, &report, now - 1, now);
+        }
+        if now % 25 == 0 {
+            queue.extend(starts(cell.tick(now, 0)));
+        }
+        let Some(start): Option<Start> = queue.pop_front() else { continue };
+        if start.task.job == urgent {
+            let delay = now - ends_at;
+            assert!(delay <= URGENT_START_MS, "sent after {delay} ms");
+            return;
+        }
+        let running = StartOutcome::Running(now);
+        cell.handle_start_outcome(&start.worker, &start.task, start.run, running, now);
+    }
+    panic!("the second step was not started");
+}
+
+/// Guards against executors that do not answer starts and so keep all others from getting any.
+#[test]
+fn unanswered_starts_do_not_stop_the_others() {
+    let ids: Vec<String> = (0..60).map(|n| format!("m{n:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut cell = cell_with_executors(&ids);
+    let tasks = 600;
+    let resources = Resources { cpu: 1_000, memory: 1, gpus: 0 };
+    let step = Step { count: tasks, resources, estimate: 500, ..Step::default() };
+    cell.admit(Arrival {
+        id: "00000000000000bb".to_owned(),
+        part: "q".to_owned(),
+        queue: "q".to_owned(),
+        job: Job { payload: String::new(), steps: vec![step], schedule: None },
+        progress: Progress::default(),
+        requested_at: START_MS,
+        inherited: false,
+        start_blocked: false,
+        organisation: None,
+    });
+    let ordered: usize = (1..=40).map(|n| starts(cell.tick(START_MS + n * 25, 0)).len()).sum();
+    assert!(ordered >= tasks as usize, "{ordered} starts in a second");
+}
