Bound the memory and the connections that clients of a node hold together

What callers saw: clients that send many large bodies, whole or in chunks, stop just short of the end and stay connected end a process.

Cause: a body of up to 4 MiB was read before its path, key or limit was looked at, for as many connections as came, and for as long as the client stayed. Nothing was bounded over all clients, and limits.memoryMb and maxFileDescriptors were not read. A chunk of one byte takes many times its size in the server.

Change: bodies under way share a fifth of the memory, with a part kept for small ones; when it is used up, the body without progress for the longest time gives way. The head is checked before a body of over 16 KiB is read. Connections are bounded by memory and descriptors; a further one closes the one that has waited for its client for the longest time. A refusal is 503 with Retry-After, the request has not run.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod event;
+pub mod intake;
 pub mod logging;
 pub mod settings;
 pub mod start;
