Bound the memory that the bodies of an entry process's callers take together

Cause, found by listing what callers can make each program hold: an entry process read a body of up to 64 MiB for each of 4,096 connections, until the deadline of the request.

Change: body_memory_mib in its settings, 256 by default, bounds the bodies under way as in jtally-node. A body without memory is answered as not run, with a retry delay of a second.

--- a/crates/base/src/intake.rs
+++ b/crates/base/src/intake.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use actix_web::http::header::{self, HeaderMap};
 use actix_web::web::Bytes;
 use futures_util::{Stream, StreamExt};
 use indexmap::IndexMap;
@@ -159,6 +160,22 @@
     }
 }
 
+/// Length of a request's body by its head; `None` for a chunked one.
+///
+/// # Examples
+///
+/// ```
+/// use actix_web::http::header::HeaderMap;
+/// assert_eq!(base::intake::announced_length(&HeaderMap::new()), Some(0));
+/// ```
+pub fn announced_length(headers: &HeaderMap) -> Option<usize> {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return None;
+    }
+    let Some(length) = headers.get(header::CONTENT_LENGTH) else { return Some(0) };
+    Some(length.to_str().ok().and_then(|text| text.trim().parse().ok()).unwrap_or(usize::MAX))
+}
+
 /// Budget that the connections and bodies of a server's clients share.
 #[derive(Debug, Clone)]
 pub struct Intake {
--- a/crates/base/src/settings.rs
+++ b/crates/base/src/settings.rs
@@ -36,6 +36,8 @@
     pub workers: usize,
     /// Maximum number of requests in progress, over all services.
     pub max_in_flight: usize,
+    /// Memory for the bodies of callers' requests under way, in mebibytes.
+    pub body_memory_mib: usize,
     /// Settings of the log output.
     pub log: Logging,
 }
@@ -78,6 +80,8 @@
     workers: usize,
     #[serde(default = "default_in_flight")]
     in_flight: usize,
+    #[serde(default = "default_body_memory")]
+    body_memory_mib: usize,
     #[serde(default)]
     log: LogSection,
 }
@@ -108,6 +112,10 @@
     1_024
 }
 
+fn default_body_memory() -> usize {
+    256
+}
+
 /// Reads and validates a settings file.
 ///
 /// # Errors
@@ -154,6 +162,7 @@
     }
     validator.check_range("workers", parsed.workers as u64, 1, 64);
     validator.check_range("in_flight", parsed.in_flight as u64, 1, 100_000);
+    validator.check_range("body_memory_mib", parsed.body_memory_mib as u64, 8, 65_536);
     if !["human", "json"].contains(&parsed.log.format.as_str()) {
         validator
             .report("log.format", format!("is '{}', allowed is human, json", parsed.log.format));
@@ -177,6 +186,7 @@
         seeds,
         workers: parsed.workers,
         max_in_flight: parsed.in_flight,
+        body_memory_mib: parsed.body_memory_mib,
         log: Logging { json: parsed.log.format == "json", level },
     }
 }
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -14,6 +14,7 @@
 use actix_web::dev::ServerHandle;
 use actix_web::web::Data;
 use actix_web::{App, HttpServer, web};
+use base::intake::{Intake, Limits};
 use base::settings::Settings;
 use base::start::{BindSnafu, Error, MetricSnafu, listener};
 use base::{Event, Timeline};
@@ -65,6 +66,8 @@
     pub owner_router: OwnerRouter,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Memory for the bodies of callers' requests.
+    pub intake: Intake,
 }
 
 impl SharedState {
@@ -109,6 +112,10 @@
             slots: slots.clone(),
             owner_router: owner_router.clone(),
             metrics: metrics.clone(),
+            intake: Intake::new(Limits {
+                bytes: settings.body_memory_mib << 20,
+                connections: MAX_CALLER_CONNECTIONS * settings.workers,
+            }),
         };
         actix::spawn(update_from_facts(shared.clone()));
         let peer_server =
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -5,6 +5,7 @@
 use actix_web::web::{Bytes, Data, Path, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use awc::Client;
+use base::intake::{self, Body, ReadError};
 use fleet::{Outcome, Repeat};
 use peer::{Answer, ForwardedRequest};
 use serde::Serialize;
@@ -17,6 +18,9 @@
 /// Timeout for fetching the result of an earlier request.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Retry delay for a caller while the bodies of others take all the memory for them.
+const CROWDED_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Response to `POST /_/tickets`.
 #[derive(Serialize)]
 struct TicketResponse {
@@ -86,24 +90,25 @@
 ) -> (String, Result<ServerResponse, Answer>) {
     let deadline = start + parsed.deadline;
     let id = parsed.key.clone().unwrap_or_else(|| shared.owner_router.issue_ticket().to_string());
-    let body = match read_body(payload, parsed.rule.service.max_body, deadline).await {
-        Ok(body) => body,
-        Err(answer) => return (id, Err(answer)),
-    };
+    let body =
+        match read_body(shared, request, payload, parsed.rule.service.max_body, deadline).await {
+            Ok(body) => body,
+            Err(answer) => return (id, Err(answer)),
+        };
     if parsed.repeat == Repeat::Allowed {
         let call = Call {
             id,
             method: request.method().clone(),
             path: path_and_query(request),
             headers: parsed.headers,
-            body,
+            body: body.bytes().clone(),
         };
         let result =
             repeatable::run(client, &shared.slots, &parsed.rule, parsed.urgency, &call, deadline)
                 .await;
         return (call.id, result);
     }
-    let answer = run_at_most_once(shared, request, parsed, &id, body, deadline).await;
+    let answer = run_at_most_once(shared, request, parsed, &id, body.bytes(), deadline).await;
     (id, Err(answer.unwrap_or_else(|rejection| rejection)))
 }
 
@@ -113,7 +118,7 @@
     request: &HttpRequest,
     parsed: CallerRequest,
     id: &str,
-    body: Bytes,
+    body: &Bytes,
     deadline: Instant,
 ) -> Result<Answer, Answer> {
     let remaining = deadline.saturating_duration_since(Instant::now());
@@ -138,12 +143,22 @@
 }
 
 /// Reads a body of at most `limit` bytes until the deadline.
-async fn read_body(payload: Payload, limit: usize, deadline: Instant) -> Result<Bytes, Answer> {
-    let read = payload.to_bytes_limited(limit);
+async fn read_body(
+    shared: &SharedState,
+    request: &HttpRequest,
+    payload: Payload,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Body, Answer> {
+    let announced = intake::announced_length(request.headers());
+    let read = shared.intake.read(payload, announced, limit, None);
     match tokio::time::timeout_at(deadline.into(), read).await {
-        Ok(Ok(Ok(body))) => Ok(body),
-        Ok(Ok(Err(error))) => Err(answer::bad_request(&format!("the body can't be read: {error}"))),
-        Ok(Err(_)) => Err(answer::too_large(&format!("the body is larger than {limit} bytes"))),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(error @ ReadError::TooLarge { .. })) => Err(answer::too_large(&error.to_string())),
+        Ok(Err(error @ ReadError::Crowded)) => {
+            Err(answer::not_run(&error.to_string(), CROWDED_RETRY_DELAY))
+        }
+        Ok(Err(error)) => Err(answer::bad_request(&error.to_string())),
         Err(_) => Err(answer::bad_request("the body did not arrive before the deadline")),
     }
 }
--- a/crates/proof/src/cluster.rs
+++ b/crates/proof/src/cluster.rs
@@ -31,6 +31,8 @@
     pub servers: Vec<(String, usize)>,
     /// Whether each data centre reaches the platform through a relay that can be cut.
     pub relays: bool,
+    /// Further lines of the entry processes' settings files.
+    pub entry_settings: String,
 }
 
 /// Number of table operations that the platform stand-in has served so far.
@@ -61,6 +63,7 @@
     pub client: Client,
     /// Folder of the settings files and contract files.
     pub folder: PathBuf,
+    entry_settings: String,
 }
 
 impl Layout {
@@ -82,6 +85,7 @@
             controls,
             servers: servers.iter().map(|(pool, count)| ((*pool).to_owned(), *count)).collect(),
             relays: false,
+            entry_settings: String::new(),
         }
     }
 }
@@ -109,6 +113,7 @@
             relays: IndexMap::new(),
             client: Client::default(),
             folder,
+            entry_settings: layout.entry_settings.clone(),
         };
         for centre in &layout.centres {
             if layout.relays {
@@ -143,18 +148,18 @@
 
     /// Starts an entry process.
     pub fn start_entry(&mut self, name: &str, centre: &str) {
-        let settings = self.write_settings(name, centre);
+        let settings = self.write_settings(name, centre, &self.entry_settings);
         self.entries.insert(name.to_owned(), Process::spawn("jtally-entry", &[settings]));
     }
 
     /// Starts a control process.
     pub fn start_control(&mut self, name: &str, centre: &str) {
-        let settings = self.write_settings(name, centre);
+        let settings = self.write_settings(name, centre, "");
         self.controls.insert(name.to_owned(), Process::spawn("jtally-control", &[settings]));
     }
 
     /// Writes the settings file of a daemon and returns its path.
-    fn write_settings(&self, name: &str, centre: &str) -> String {
+    fn write_settings(&self, name: &str, centre: &str, more: &str) -> String {
         let platform = self.platform.address("");
         let platform = self.relays.get(centre).map_or(platform, |relay| relay.address);
         let mut text = format!("name: {name}\ncentre: {centre}\nplatform: {platform}\nseeds:\n");
@@ -164,6 +169,7 @@
         if text.ends_with("seeds:\n") {
             text = text.replace("seeds:\n", "");
         }
+        text.push_str(more);
         let file = self.folder.join(format!("{name}.yaml"));
         std::fs::write(&file, text)
             .unwrap_or_else(|error| panic!("settings can't be written: {error}"));
