Keep a paused best-effort task from counting as stalled

Cause: the progress of start-ups took the place of the rule that a throttled best-effort task makes progress, so that a long-running one was stopped 2.5 s after it was paused for a serving task.

--- a/crates/jobs/src/cell/stall.rs
+++ b/crates/jobs/src/cell/stall.rs
@@ -93,15 +93,18 @@
     fn check_startup(&mut self, id: &str, run: &PresentRun, now: u64) {
         let task = &run.task;
         let slow_starts = self.task(task).map_or(0, |state| state.slow_starts);
+        let spec = self.jobs.get(&task.job).and_then(|entry| entry.job.steps.get(task.step));
+        let is_best_effort = spec.is_some_and(|spec| spec.best_effort);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.runs.get_mut(task) else { return };
         let at_full_speed = run.percent >= FULL_SPEED_PERCENT;
-        if at_full_speed || run.percent > slot.percent {
+        let is_throttled = is_best_effort && slot.pace < FULL_SPEED_PERCENT;
+        if at_full_speed || is_throttled || run.percent > slot.percent {
             slot.progressed_at = now;
         }
         let reached_full_speed = at_full_speed && slot.percent < FULL_SPEED_PERCENT;
         slot.percent = run.percent;
-        if at_full_speed {
+        if at_full_speed || is_throttled {
             slot.startup_since = now;
         }
         let idle_since = slot.progressed_at;
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -540,6 +540,31 @@
     assert!(stops(cell.tick(late + 40, 0)), "the other task certainly keeps working");
 }
 
+/// Guards against a long-running best-effort task that is stopped for its lack of progress while it is
+/// paused for a serving task.
+#[test]
+fn a_paused_best_effort_task_does_not_count_as_stalled() {
+    let mut cell = cell(1, &["a"]);
+    let serving = Step { long_running: true, latency_target: 100, ..step(1, 2_000) };
+    let fills = Step { long_running: true, best_effort: true, ..step(1, 1_000) };
+    cell.admit(arrival(vec![serving, fills], false));
+    cell.handle_poll("a", &poll_answer(100), 0, 1);
+    for (worker, task, run) in starts(&cell.tick(2, 0)) {
+        cell.handle_start_outcome(&worker, &task, run, StartOutcome::Running(101), 3);
+    }
+    for now in (100..12_000).step_by(100) {
+        let mut answer = poll_answer(100 + now);
+        let serves = PresentRun { gauge: 95, ..present(task(0, 0), 1) };
+        let paused = PresentRun { percent: 0, ..present(task(1, 0), 1) };
+        answer.present = vec![serves, paused];
+        cell.handle_poll("a", &answer, now - 5, now);
+        cell.grant_lease("a", now);
+        let orders = cell.tick(now, 0);
+        let stopped = orders.iter().any(|order| matches!(order, Order::Stop { .. }));
+        assert!(!stopped, "stopped at {now} ms: {orders:?}");
+    }
+}
+
 /// Guards against a task that is stopped for maintenance and then runs nowhere for seconds, as the
 /// executors that stay run its siblings.
 #[test]
