--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -142,7 +142,7 @@
                 slot.phase_since = now;
             }
             // The stop prevents the run from beginning later.
-            _ => self.stop_run(id, task, StopReason::JobEnded, now),
+            _ => self.stop_run(id, task, StopReason::Unsure, now),
         }
     }
 
--- a/crates/jobs/src/cell/stop.rs
+++ b/crates/jobs/src/cell/stop.rs
@@ -24,7 +24,7 @@
     JobEnded,
     /// The task is done, or runs on another executor.
     Unwanted,
-    /// The start was not answered, and a later answer does not list the run.
+    /// The start was not answered; for a long-running task, a later poll does not list the run.
     Unsure,
 }
 
