Revert the bound of starts under way

Reverts the change of in jobs::cell::assign. Cause: 1,400 failing tasks run in bursts on two executors, which the bound of 128 starts, those that wait for a permit included, makes smaller.

The test of passes over a long backlog is as before.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -13,13 +13,8 @@
 use crate::place;
 use crate::worker::{Obstacle, Phase, Resources, Slot};
 
-/// Most starts that are under way at a time, several times as many as a holder sends within a usual
-/// response time. A holder without processor time for more sends them one after the other, so that
-/// further ones would wait there in the order in which they came.
-const MAX_OPEN_STARTS: usize = 128;
-/// Age up to which a start without an answer counts as under way, in milliseconds; starts on executors
-/// that do not answer must not delay the others.
-const OPEN_START_MS: u64 = 100;
+/// Most starts in one pass; bounds the duration of a pass and the burst of calls to executors.
+const MAX_STARTS_PER_PASS: usize = 256;
 /// Time after which a job without any run may use room that is reserved, if the pool is mostly free,
 /// in milliseconds.
 const PASSED_OVER_MS: u64 = 1_500;
@@ -158,7 +153,7 @@
             accepting,
             excluded,
             slow,
-            starts_left: self.starts_available(now),
+            starts_left: MAX_STARTS_PER_PASS,
             reserved: IndexMap::new(),
             former,
             reservations: IndexMap::new(),
@@ -203,14 +198,6 @@
         self.reservations = pass.reservations;
     }
 
-    /// Starts that may be ordered besides those that are under way.
-    fn starts_available(&self, now: u64) -> usize {
-        let is_open =
-            |slot: &&Slot| slot.phase == Phase::Sent && now < slot.phase_since + OPEN_START_MS;
-        let open = self.workers.values().flat_map(|w| w.runs.values()).filter(is_open);
-        MAX_OPEN_STARTS.saturating_sub(open.count())
-    }
-
     /// Least CPU that any open task needs, in thousandths of a core.
     ///
     /// At a peak most executors have less left, and need not be compared for each task. It is 0 if
