--- a/review/standin3/world.py
+++ b/review/standin3/world.py
@@ -44,33 +44,26 @@
     """The request gets no answer; its connection is closed."""
 
 
-async def serve(handler, host="127.0.0.1", port=0):
-    """Serves HTTP/1.1; `handler(method, path, query, headers, body)` returns status and JSON."""
+async def serve(handler, host="127.0.0.1", port=0, most=None):
+    """Serves HTTP/1.1; `handler(method, path, query, headers, body)` returns status and JSON.
+
+    At most `most` connections are served at a time; the others wait until one of these is closed.
+    """
 
     writers = set()
+    places = asyncio.Semaphore(most) if most else None
 
     async def connection(reader, writer):
         writers.add(writer)
         try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                lines = head.decode("latin-1").split("\r\n")
-                method, target, _ = lines[0].split(" ")
-                headers = {}
-                for line in lines[1:]:
-                    if ":" in line:
-                        name, value = line.split(":", 1)
-                        headers[name.strip().lower()] = value.strip()
-                body = await reader.readexactly(int(headers.get("content-length", 0)))
-                parts = urlsplit(target)
-                query = {k: v[0] for k, v in parse_qs(parts.query, keep_blank_values=True).items()}
-                status, answer = await handler(method, unquote(parts.path), query, headers, body)
-                text = b"" if answer is None else json.dumps(answer).encode()
-                writer.write(
-                    f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n"
-                    f"Content-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n".encode()
-                    + text)
-                await writer.drain()
+            if places is not None:
+                await places.acquire()
+                try:
+                    await requests(reader, writer)
+                finally:
+                    places.release()
+            else:
+                await requests(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, NoAnswer, asyncio.LimitOverrunError,
                 asyncio.CancelledError):
             pass
@@ -78,6 +71,27 @@
             writers.discard(writer)
             writer.close()
 
+    async def requests(reader, writer):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode("latin-1").split("\r\n")
+            method, target, _ = lines[0].split(" ")
+            headers = {}
+            for line in lines[1:]:
+                if ":" in line:
+                    name, value = line.split(":", 1)
+                    headers[name.strip().lower()] = value.strip()
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+            parts = urlsplit(target)
+            query = {k: v[0] for k, v in parse_qs(parts.query, keep_blank_values=True).items()}
+            status, answer = await handler(method, unquote(parts.path), query, headers, body)
+            text = b"" if answer is None else json.dumps(answer).encode()
+            writer.write(
+                f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n"
+                f"Content-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n".encode()
+                + text)
+            await writer.drain()
+
     server = await asyncio.start_server(connection, host, port, limit=1 << 20)
     server.writers = writers
     return server, "%s:%d" % server.sockets[0].getsockname()[:2]
@@ -280,6 +294,7 @@
         self.hold_up = None
         self.seen_address = None
         self.entry_lag_ms = 0
+        self.connections = 64
 
     async def open(self):
         self.life += 1
@@ -293,7 +308,7 @@
         self.alive, self.state = True, "ready"
         port = int(self.address.split(":")[1]) if self.address else 0
         host = self.address.split(":")[0] if self.address else "127.0.0.1"
-        self.server, self.address = await serve(self.handle, host, port)
+        self.server, self.address = await serve(self.handle, host, port, self.connections)
         self.world.record.add("executor", self.id, "life", self.life, "begins at", self.address)
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(self.beat()), loop.create_task(self.watch_lease())]
@@ -755,8 +770,13 @@
 
 def run_case(main):
     """Runs a case: exit 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    async def run():
+        # What is under way when a case ends is cancelled, which is no fault of it.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        return await asyncio.wait_for(main(os.environ.get("TROUBLE") != "0"), 115)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(main(os.environ.get("TROUBLE") != "0"), 115))
+        broken = asyncio.run(run())
     except Exception as error:  # noqa: BLE001 - any failure of the case itself
         print("the case could not run:", repr(error))
         sys.exit(2)
