review: case 14, a job whose occurrences are all overdue ends its holders

Cause: one pass begins all occurrences that are due, without a limit on memory. The script kills processes over their memory.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Two executors crash, one after the other, each soon after it has begun the same task."""
+"""A customer hands in a repeated job whose occurrences are all overdue."""
 
 import os
 import sys
@@ -8,54 +8,79 @@
 
 from world import *  # noqa: E402,F403
 
-CRASH_AFTER_MS = (500, 100)
-DOWN_S = 1.0
+MEMORY_MB = 260
+RESTART_S = 1.0
+MAX_RUNS = 100_000
+INTERVAL_MS = 60_000
+TASKS = 24
+USUAL_JOBS = 19
+FINISH_S = 14
+IDLE_S = 3
+WATCH_S = 12
+
+
+async def enforce_memory(d, ends):
+    """Kills processes over their memory and starts them again, as the platform does."""
+    while True:
+        for node in d.nodes:
+            try:
+                used = node.memory_mb() if node.process.returncode is None else 0
+            except (OSError, ProcessLookupError):
+                continue
+            if used > MEMORY_MB:
+                d.record.both(node.name, f"uses {used:.0f} MB of {MEMORY_MB} and is killed,",
+                              f"{(now_ms() - d.record.start) / 1000:.1f} s after the start")
+                ends.append(node.name)
+                node.signal(signal.SIGKILL)
+                await node.process.wait()
+                asyncio.get_running_loop().call_later(
+                    RESTART_S, lambda n=node: asyncio.ensure_future(n.start()))
+        await asyncio.sleep(0.05)
 
 
 async def main(trouble):
     d = Deployment(os.path.join(HERE, "record.txt"))
+    ends = []
+    guard = None
     try:
         await d.open(nodes=3, executors=8)
-        crashed = []
-
-        def on_start(run):
-            if trouble and len(crashed) < len(CRASH_AFTER_MS):
-                crashed.append(run.executor)
-                delay_s = CRASH_AFTER_MS[len(crashed) - 1] / 1000
-                asyncio.get_running_loop().call_later(delay_s, crash, run.executor)
-
-        def crash(executor):
-            if executor.alive:
-                executor.kill()
-                asyncio.get_running_loop().call_later(
-                    DOWN_S, lambda: asyncio.ensure_future(executor.open()))
-
-        d.world.on_start = on_start
-        name = f"{1:016x}"
-        notice = {"taskSpec": "detour notice", "steps": [
-            {"count": 1, "cpu": 1900, "memoryRequestMb": 64, "estimatedMs": 1700}]}
-        await asyncio.sleep(2)
-        if not await d.submit("/svc/", name, notice):
+        guard = asyncio.create_task(enforce_memory(d, ends))
+        usual = {"taskSpec": "refresh", "steps": [
+            {"count": 2, "cpu": 500, "memoryRequestMb": 64, "estimatedMs": 300}]}
+        for number in range(USUAL_JOBS):
+            if not await d.submit("/svc/", f"{number:016x}", usual, node=number):
+                raise RuntimeError("not accepted")
+            await asyncio.sleep(0.2)
+        # Every minute, counted from 1970; a field whose value is 0 is omitted.
+        repeated = {"taskSpec": "archive", "maxRuns": MAX_RUNS, "intervalMs": INTERVAL_MS, "steps": [
+            {"count": TASKS, "cpu": 500, "memoryRequestMb": 64, "estimatedMs": 300}]}
+        if not trouble:
+            repeated["firstRunMs"] = int(time.time() * 1000)
+        accepted = await d.submit("/svc/", "a" * 16, repeated)
+        d.record.both("the repeated job is", "accepted" if accepted else "not accepted")
+        last = "b" * 16
+        if not await d.submit("/svc/", last, usual, node=1, tries=20):
             raise RuntimeError("not accepted")
-        state, until = None, now_ms() + 30_000
-        while now_ms() < until:
-            state = await d.state("/svc/", name)
-            if state in ("completed", "failed", "cancelled"):
-                break
-            await asyncio.sleep(0.3)
-        ends = [(r.run, r.executor.name, r.how) for r in d.world.runs]
-        failed = sum(r.how == "failed" for r in d.world.runs)
-        d.record.both("runs:", ends)
-        d.record.both("state", state, "with", failed, "ends `failed`; maxAttempts is 3")
-        if trouble and len(crashed) < len(CRASH_AFTER_MS):
-            raise RuntimeError("the executors did not crash")
-        broken = state == "failed" and failed < 3
-        if broken:
-            d.record.both("LOST: the job is shown as failed without cause")
-        elif state != "completed":
-            raise RuntimeError(f"the job is {state}")
+        await asyncio.sleep(FINISH_S)
+        begin = now_ms()
+        await asyncio.sleep(WATCH_S)
+        runs = [r for r in d.world.runs if r.task.startswith(last)]
+        state = await d.state("/svc/", last)
+        d.record.both("processes that ended over their memory:", len(ends), "times, on",
+                      len(set(ends)), "machines of 3")
+        d.record.both("the usual job after it:", state + ",", len(runs), "runs in",
+                      f"{FINISH_S + WATCH_S} s; executors at work:",
+                      sum(1 for e in d.executors if e.running), "of 8")
+        waits = not runs or min(r.started for r in runs) > begin + IDLE_S * 1000
+        broken = len(ends) >= 3 or (waits and state != "completed")
+        if len(ends) >= 3:
+            d.record.both("FAULT: processes end three times without a disruption of their machines")
+        if waits and state != "completed":
+            d.record.both("LOST: an accepted job has nothing running for 3 s with idle executors")
         return broken
     finally:
+        if guard:
+            guard.cancel()
         await d.close()
 
 
