review: starts that wait for their turn are sent for completed jobs

Cause: when the turn of a start comes, the holder checks that its run is still in its slot, not whether the task is done.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A poll that acknowledges ends is held up, while its executor starts again under its name."""
+"""A start waits at the holder for its turn; meanwhile an earlier run's end arrives."""
 
 import os
 import random
@@ -9,93 +9,84 @@
 
 from world import *  # noqa: E402,F403
 
-JOBS_PER_SECOND = 16
-TASKS = 14
-WARM_UP_S = 8.0
-HELD_UP_S = 4.0
-CRASH_S = 1.5
-TRAFFIC_S = 16.0
-
-
-def taken_note_and_run_again(runs):
-    """Runs that ended as done, whose ends were acknowledged, and later starts of their tasks."""
-    by_task = {}
-    for run in runs:
-        by_task.setdefault(run.task, []).append(run)
-    found = []
-    for task, all_runs in by_task.items():
-        all_runs.sort(key=lambda r: r.started)
-        for n, first in enumerate(all_runs):
-            for later in all_runs[n + 1:]:
-                if first.how == "done" and first.acked and later.started > first.ended:
-                    found.append((task, first, later))
-    return found
+EXECUTORS = 8
+EXECUTOR_CPU = 16_000
+MUTE_S = 5.0
+LATE_SHARE = 0.5
+LATE_S = (2.0, 12.0)
+LATE_FOR_S = 5.5
+BURST_AT_S = 4.0
+BURST_JOBS = 7
+BURST_TASKS = 38
+FIRST_JOBS = 3
+FIRST_TASKS = 8
 
 
 async def main(trouble):
     d = Deployment(os.path.join(HERE, "record.txt"))
     try:
-        await d.open(nodes=3, executors=8, born=True)
-        start = now_ms()
+        await d.open(nodes=3, executors=EXECUTORS, cpu=EXECUTOR_CPU)
+        d.world.duration = lambda task, spec, run: spec["estimatedMs"]
         dice = random.Random(7)
-        d.world.duration = lambda task, spec, run: dice.uniform(50, 350)
-        job = {"taskSpec": "refresh", "steps": [
-            {"count": TASKS, "cpu": 500, "memoryRequestMb": 64, "estimatedMs": 200}]}
-        accepted = []
-
-        async def client(number):
-            count = 0
-            while now_ms() < start + TRAFFIC_S * 1000:
-                name = f"{number:04x}{count:012x}"
-                count += 1
-                if await d.submit("/svc/", name, job, node=number, tries=20):
-                    accepted.append(name)
-                await asyncio.sleep(3 / JOBS_PER_SECOND)
-
-        held = []
+        mute, late_until, held = {}, [0.0], set()
 
-        async def disturb():
-            await asyncio.sleep(WARM_UP_S)
-            victim = max(d.executors, key=lambda e: e.last_end)
+        async def hold_up(executor, path, call):
+            if path == "/api/run-start" and now_ms() < late_until[0] \
+                    and executor.name not in mute and dice.random() < LATE_SHARE:
+                held.add((call["task"], call["run"]))
+                await asyncio.sleep(dice.uniform(*LATE_S))
 
-            async def hold_up(executor, path, call):
-                if path != "/api/hold" or call.get("ackedThrough", 0) < 50 or held:
-                    return
-                held.append(call["ackedThrough"])
-                d.record.both("a poll of", executor.id, "that acknowledges ends up to",
-                              call["ackedThrough"], f"is held up for {HELD_UP_S} s")
-                asyncio.get_running_loop().call_later(0.05, crash)
-                await asyncio.sleep(HELD_UP_S)
-                d.record.both("the poll is carried out at", executor.id, "life", executor.life,
-                              "whose last end is", executor.last_end)
+        async def lose_answer(executor, path, call):
+            while now_ms() < mute.get(executor.name, 0):
+                await asyncio.sleep(0.05)
 
-            def crash():
-                victim.hold_up = None
-                victim.kill()
-                asyncio.get_running_loop().call_later(
-                    CRASH_S, lambda: asyncio.ensure_future(victim.open()))
-            victim.hold_up = hold_up
-
-        clients = [asyncio.create_task(client(n)) for n in range(3)]
-        if trouble:
-            await disturb()
-        await asyncio.gather(*clients)
-        open_jobs, until = list(accepted), now_ms() + 25_000
-        while open_jobs and now_ms() < until:
-            open_jobs = [j for j in open_jobs if await d.state("/svc/", j) != "completed"]
-            await asyncio.sleep(0.3)
+        for executor in d.executors:
+            executor.hold_up = hold_up
+            executor.lose_answer = lose_answer
         await asyncio.sleep(1)
-        if trouble and not held:
-            raise RuntimeError("no poll was held up")
-        found = taken_note_and_run_again(d.world.runs)
-        for task, first, later in found:
-            d.record.both(
-                f"TWICE: {task} run {first.run} ended done on {first.executor.name} at "
-                f"{first.ended - d.record.start:.0f}, acknowledged at "
-                f"{first.acked - d.record.start:.0f}; run {later.run} started on "
-                f"{later.executor.name} at {later.started - d.record.start:.0f}")
-        d.record.both(len(accepted), "jobs accepted,", len(open_jobs), "not completed,",
-                      len(d.world.runs), "runs,", len(found), "started again after their end")
+        firsts = [f"{n + 1:016x}" for n in range(FIRST_JOBS)]
+        refresh = {"taskSpec": "refresh", "steps": [
+            {"count": FIRST_TASKS, "cpu": 200, "memoryRequestMb": 16, "estimatedMs": 1000}]}
+        for name in firsts:
+            if not await d.submit("/svc/", name, refresh):
+                raise RuntimeError("not accepted")
+        while len(d.world.runs) < FIRST_JOBS * FIRST_TASKS:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.3)
+        begin = now_ms()
+        if trouble:
+            for name in {r.executor.name for r in d.world.runs}:
+                mute[name] = begin + MUTE_S * 1000
+                d.record.both("answers of", name, f"are lost for {MUTE_S} s")
+        await asyncio.sleep(BURST_AT_S)
+        if trouble:
+            late_until[0] = now_ms() + LATE_FOR_S * 1000
+        push = {"taskSpec": "push", "steps": [
+            {"count": BURST_TASKS, "cpu": 200, "memoryRequestMb": 16, "estimatedMs": 1500}]}
+        names = [f"{n + 16:016x}" for n in range(BURST_JOBS)]
+        burst = [asyncio.create_task(d.submit("/svc/", name, push, node=n))
+                 for n, name in enumerate(names)]
+        shown = {}
+        while now_ms() < begin + 20_000:
+            for name in firsts:
+                if name not in shown and await d.state("/svc/", name) == "completed":
+                    shown[name] = now_ms()
+                    d.record.both(f"GET shows {name} as completed,",
+                                  f"{(now_ms() - d.record.start) / 1000:.2f} s after the start")
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*burst)
+        if len(shown) < FIRST_JOBS:
+            raise RuntimeError("the first jobs are not completed")
+        found = []
+        for run in d.world.runs:
+            at = shown.get(run.task.split(".")[0])
+            # Orders that an executor carried out late don't count.
+            if at and run.started > at + 1000 and (run.task, run.run) not in held:
+                found.append(run)
+                d.record.both(f"TWICE: {run.task} run {run.run} started on {run.executor.name},",
+                              f"{run.started - at:.0f} ms after its job was shown as completed")
+        d.record.both(len(d.world.runs), "runs;", len(held), "starts were carried out late;",
+                      len(found), "starts of completed jobs")
         return bool(found)
     finally:
         await d.close()
--- a/review/standin3/world.py
+++ b/review/standin3/world.py
@@ -292,6 +292,7 @@
         self.state = "ready"
         self.id = name
         self.hold_up = None
+        self.lose_answer = None
         self.seen_address = None
         self.entry_lag_ms = 0
         self.connections = 64
@@ -375,6 +376,12 @@
                 task.cancel()
 
     async def handle(self, method, path, query, headers, body):
+        answer = await self.answer(path, headers, body)
+        if self.lose_answer is not None:
+            await self.lose_answer(self, path, answer)
+        return answer
+
+    async def answer(self, path, headers, body):
         life = self.life
         if not self.alive:
             raise NoAnswer
