Log what has changed by a start's turn since its order

A start waits at the holder for a permit of its executor. E2201 gave its outcome and the time from the order, but not whether the task was done, its job ended or its executor lost by the time it was sent, so that a start of a completed job could not be told from one whose run was released too early. Cell::withdrawal compares the state at the turn with that of the order, and E2210 start-outdated states what differs and how long the start waited. The start is still sent as before.

--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jobs::cell::{Order, Refusal, StartOutcome, StopCause};
+use jobs::cell::{Order, Refusal, StartOutcome, StopCause, Withdrawal};
 use jobs::window::Outcome;
 use jobs::{TaskId, Worker};
 
@@ -38,7 +38,7 @@
                     };
                     inner.effort.borrow_mut().starts += 1;
                     let sent = Instant::now();
-                    let outcome = inner.start(&worker, &start).await;
+                    let outcome = inner.start(&worker, &start, sent).await;
                     inner.record_start(&worker, &task, run, &checkpoint, outcome, sent);
                     inner.cell.borrow_mut().handle_start_outcome(
                         &worker,
@@ -91,7 +91,7 @@
     }
 
     /// Starts a run on an executor, once one of the executor's start permits is available.
-    async fn start(&self, worker: &str, start: &StartOrder<'_>) -> StartOutcome {
+    async fn start(&self, worker: &str, start: &StartOrder<'_>, ordered: Instant) -> StartOutcome {
         let Some(executor) = self.executor(worker) else { return StartOutcome::Gone };
         let waiting = self.start_permits.begin(worker);
         let Some(_permit) = waiting.permit().await else { return StartOutcome::Unsent };
@@ -104,12 +104,36 @@
         if !is_within_capacity || !self.is_registry_current() {
             return StartOutcome::Refused(Refusal::Room);
         }
+        let changed = self.cell.borrow().withdrawal(worker, start.task, start.run, clock::now());
+        if let Some(changed) = changed {
+            self.record_change(worker, start, changed, ordered);
+        }
         if !self.cell.borrow_mut().handle_start_sent(worker, start.task, start.run) {
             return StartOutcome::Withdrawn;
         }
         self.ctx.ports.executors.start(&executor, self.tenure.epoch, start).await
     }
 
+    /// Records what has changed by a start's turn since it was ordered.
+    fn record_change(
+        &self,
+        worker: &str,
+        start: &StartOrder<'_>,
+        changed: Withdrawal,
+        ordered: Instant,
+    ) {
+        self.ctx.timeline.record(
+            base::Event::StartOutdated,
+            &[
+                ("task", &start.task),
+                ("run", &start.run),
+                ("executor", &worker),
+                ("changed", &changed),
+                ("waited_ms", &ordered.elapsed().as_millis()),
+            ],
+        );
+    }
+
     /// Queries the adviser about a step, and passes the response to the scheduler.
     ///
     /// `cost` is the expected time that the adviser needs, in milliseconds, and `query` the number of
--- /dev/null
+++ b/crates/jobs/src/cell/approve.rs
@@ -0,0 +1,80 @@
+//! Approval of starts at their turn.
+//!
+//! A start that the scheduler has ordered waits at the holder for a permit of its executor. What it
+//! was decided on may have changed by its turn, and is examined again then.
+//!
+//! Load pattern: the answers of an executor are lost for some seconds while it runs its tasks. The
+//! runs are released and started elsewhere. These starts wait behind others without an answer when
+//! the executor responds again and reports that the tasks are done.
+
+use super::Cell;
+use crate::job::TaskId;
+use crate::worker::{Obstacle, Phase};
+
+/// What has changed since a start was ordered, so that it must not be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Withdrawal {
+    /// The run was released, or found absent.
+    Released,
+    /// The stop of the run was ordered.
+    Stopped,
+    /// The job has ended, or is not in the cell any more.
+    JobEnded,
+    /// The table has rejected the job's changes.
+    JobHeld,
+    /// The task is done.
+    TaskDone,
+    /// The task is assigned to another executor.
+    TaskMoved,
+    /// No tasks are started for now: the holder's lease or the executors' capacities are uncertain.
+    Held,
+    /// The executor has shrunk below what is in use.
+    Capacity,
+    /// The executor accepts no new tasks.
+    Executor,
+    /// The executor is kept for suspects of another job.
+    Quarantined,
+    /// The adviser's ticket has expired.
+    Ticket,
+}
+
+impl Cell {
+    /// What has changed since the start of a run was ordered; `None` if it may still be sent.
+    pub fn withdrawal(&self, id: &str, task: &TaskId, run: u64, now: u64) -> Option<Withdrawal> {
+        let worker = self.workers.get(id);
+        let slot = worker.and_then(|worker| worker.runs.get(task)).filter(|slot| slot.run == run);
+        let (Some(worker), Some(slot)) = (worker, slot) else { return Some(Withdrawal::Released) };
+        let entry = self.jobs.get(&task.job).filter(|entry| !entry.state.is_final());
+        let Some(entry) = entry else { return Some(Withdrawal::JobEnded) };
+        let Some(spec) = entry.job.steps.get(task.step) else { return Some(Withdrawal::JobEnded) };
+        let steps = entry.occurrences.get(&task.occurrence);
+        let step = steps.and_then(|steps| steps.get(task.step));
+        let state = step.and_then(|step| step.tasks.get(task.index as usize));
+        // The records of an occurrence are removed once all of its tasks are done.
+        let (Some(step), Some(state)) = (step, state) else { return Some(Withdrawal::TaskDone) };
+        // A member that is missing would end the other runs of its gang.
+        let is_passing = |obstacle| match obstacle {
+            Obstacle::Excluded => spec.long_running || spec.gang,
+            Obstacle::Silent | Obstacle::Busy => spec.gang,
+            _ => false,
+        };
+        match () {
+            () if state.done => Some(Withdrawal::TaskDone),
+            () if slot.absence.is_some() => Some(Withdrawal::Released),
+            () if slot.phase != Phase::Sent => Some(Withdrawal::Stopped),
+            () if state.worker.as_deref() != Some(id) => Some(Withdrawal::TaskMoved),
+            () if entry.held => Some(Withdrawal::JobHeld),
+            () if self.superseded || self.starts_held => Some(Withdrawal::Held),
+            () if !worker.is_within_capacity() => Some(Withdrawal::Capacity),
+            () if worker.obstacle(now).is_some_and(|o| !is_passing(o)) => {
+                Some(Withdrawal::Executor)
+            }
+            () if self.is_kept_from(id, &task.job) => Some(Withdrawal::Quarantined),
+            () if entry.needs_advice() && step.advice.ticket(id, now).is_none() => {
+                Some(Withdrawal::Ticket)
+            }
+            () => None,
+        }
+    }
+}
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -10,6 +10,7 @@
 //! was confirmed after that.
 
 mod advice;
+mod approve;
 mod assign;
 mod drain;
 mod load;
@@ -30,6 +31,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use advice::{Advice, Queries};
+pub use approve::Withdrawal;
 pub use load::{ShrinkLimits, Usage};
 pub use outcome::{Refusal, StartOutcome};
 pub use quarantine::Crash;
