Send a start at its turn only if what it was decided on still holds

Cause: a start waits at the holder for one of the four permits of its executor, for as long as others get no answer there. At its turn the holder asked only whether its run was still in its slot. Meanwhile the end of an earlier run, whose executor had been mute for longer than its lease, was read, written and acknowledged. An end marks its task done but left the slot of the later run in place.

Ruled out: a release that came too early (the runs were released as expired, the lease of the cell confirmed 22 ms before, and their executor had not answered for longer than its lease); an end between the check and the request (the starts were sent 1 ms after the check, and a call ends 900 ms after it).

Change: Cell::approve_start is the only place that lets a start go out. It examines the run, the task, the job, the holder, the executor, the quarantine and the ticket again; the lease and the ticket are those of the turn, and the time for an answer and for late orders counts from it. Otherwise the start is withdrawn: its run is released at once, as it has certainly not begun, without an attempt and without processor time, and an open task starts elsewhere. An end withdraws or stops the other runs of its task, and a stop of a run that was never sent releases it.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -105,8 +105,8 @@
     JobGivenUp = 2208,
     /// A run was released without a reported end, so that its task may start again.
     RunReleased = 2209,
-    /// What a start was decided on had changed by its turn; the fields hold what.
-    StartOutdated = 2210,
+    /// A start was withdrawn at its turn, as what it was decided on had changed; the fields hold what.
+    StartWithdrawn = 2210,
     /// An executor answered the cell's lease holder for the first time.
     ExecutorJoined = 2301,
     /// An executor did not answer, was replaced by another incarnation or left the machine list.
--- a/crates/cells/src/owner/report.rs
+++ b/crates/cells/src/owner/report.rs
@@ -114,8 +114,10 @@
             let age = Duration::from_millis(confirmed_ms);
             let reason: &str = release.reason.into();
             Metrics::observe(&self.ctx.metrics.release_seconds, &[reason], age);
-            // Ends and refused starts have log lines of their own.
-            if matches!(release.reason, ReleaseReason::Ended | ReleaseReason::Refused) {
+            // Ends, and starts that were refused or withdrawn, have log lines of their own.
+            let reason_logged =
+                [ReleaseReason::Ended, ReleaseReason::Refused, ReleaseReason::Withdrawn];
+            if reason_logged.contains(&release.reason) {
                 continue;
             }
             self.ctx.timeline.record(
--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jobs::cell::{Order, Refusal, StartOutcome, StopCause, Withdrawal};
+use jobs::TaskId;
+use jobs::cell::{Approval, Order, StartOutcome, StopCause, Withdrawal};
 use jobs::window::Outcome;
-use jobs::{TaskId, Worker};
 
 use super::Inner;
 use crate::clock;
@@ -90,45 +90,50 @@
         });
     }
 
-    /// Starts a run on an executor, once one of the executor's start permits is available.
+    /// Starts a run on an executor, once one of the executor's start permits is available and the
+    /// scheduler still approves of the start.
     async fn start(&self, worker: &str, start: &StartOrder<'_>, ordered: Instant) -> StartOutcome {
-        let Some(executor) = self.executor(worker) else { return StartOutcome::Gone };
         let waiting = self.start_permits.begin(worker);
         let Some(_permit) = waiting.permit().await else { return StartOutcome::Unsent };
-        if !self.may_order() {
-            return StartOutcome::Unsent;
-        }
-        // The executor may have shrunk, or its capacity become uncertain, since the start was ordered.
-        let is_within_capacity =
-            self.cell.borrow().workers().get(worker).is_some_and(Worker::is_within_capacity);
-        if !is_within_capacity || !self.is_registry_current() {
-            return StartOutcome::Refused(Refusal::Room);
-        }
-        let changed = self.cell.borrow().withdrawal(worker, start.task, start.run, clock::now());
-        if let Some(changed) = changed {
-            self.record_change(worker, start, changed, ordered);
-        }
-        if !self.cell.borrow_mut().handle_start_sent(worker, start.task, start.run) {
-            return StartOutcome::Withdrawn;
-        }
-        self.ctx.ports.executors.start(&executor, self.tenure.epoch, start).await
+        let approval = match self.approve_start(worker, start) {
+            Ok(approval) => approval,
+            Err(change) => {
+                self.record_withdrawal(worker, start, change, ordered);
+                return StartOutcome::Withdrawn(change);
+            }
+        };
+        let Some(executor) = self.executor(worker) else { return StartOutcome::Gone };
+        let order = StartOrder {
+            lease_end: approval.lease_end.unwrap_or(start.lease_end),
+            ticket: &approval.ticket,
+            ..*start
+        };
+        self.ctx.ports.executors.start(&executor, self.tenure.epoch, &order).await
     }
 
-    /// Records what has changed by a start's turn since it was ordered.
-    fn record_change(
+    /// Asks the scheduler whether a start may still be sent.
+    fn approve_start(&self, worker: &str, start: &StartOrder<'_>) -> Result<Approval, Withdrawal> {
+        let is_held = !self.may_order() || !self.is_registry_current();
+        let mut cell = self.cell.borrow_mut();
+        cell.hold_starts(is_held);
+        cell.approve_start(worker, start.task, start.run, clock::now())
+    }
+
+    /// Records a start that was withdrawn, and what has changed since it was ordered.
+    fn record_withdrawal(
         &self,
         worker: &str,
         start: &StartOrder<'_>,
-        changed: Withdrawal,
+        change: Withdrawal,
         ordered: Instant,
     ) {
         self.ctx.timeline.record(
-            base::Event::StartOutdated,
+            base::Event::StartWithdrawn,
             &[
                 ("task", &start.task),
                 ("run", &start.run),
                 ("executor", &worker),
-                ("changed", &changed),
+                ("changed", &change),
                 ("waited_ms", &ordered.elapsed().as_millis()),
             ],
         );
@@ -228,11 +233,14 @@
             StartOutcome::Running(_) => "running".to_owned(),
             StartOutcome::Refused(refusal) => format!("refused-{refusal}"),
             StartOutcome::Unsent => "unsent".to_owned(),
-            StartOutcome::Withdrawn => "withdrawn".to_owned(),
+            StartOutcome::Withdrawn(_) => "withdrawn".to_owned(),
             StartOutcome::Gone => "gone".to_owned(),
             StartOutcome::Unknown => "unknown".to_owned(),
         };
         Metrics::observe(&self.ctx.metrics.start_seconds, &[&outcome], sent.elapsed());
+        if outcome == "withdrawn" {
+            return;
+        }
         self.ctx.timeline.record(
             base::Event::StartSent,
             &[
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -510,6 +510,7 @@
             charge,
             phase: Phase::Sent,
             sent: self.workers[worker].sends_at_once(),
+            approved: false,
             phase_since: now,
             last_order_at: now,
             pace: 100,
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -31,7 +31,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use advice::{Advice, Queries};
-pub use approve::Withdrawal;
+pub use approve::{Approval, Withdrawal};
 pub use load::{ShrinkLimits, Usage};
 pub use outcome::{Refusal, StartOutcome};
 pub use quarantine::Crash;
--- a/crates/jobs/src/cell/outcome.rs
+++ b/crates/jobs/src/cell/outcome.rs
@@ -1,6 +1,6 @@
 //! Handling of the answers to orders.
 
-use super::{Absence, Cell, ReleaseReason, StopReason};
+use super::{Absence, Cell, ReleaseReason, StopReason, Withdrawal};
 use crate::job::TaskId;
 use crate::worker::{Phase, Slot};
 
@@ -45,8 +45,8 @@
     Refused(Refusal),
     /// The order was not sent.
     Unsent,
-    /// The order was not sent, as the cell had released the run or found it absent before.
-    Withdrawn,
+    /// The order was withdrawn at its turn and not sent.
+    Withdrawn(Withdrawal),
     /// The incarnation no longer exists.
     Gone,
     /// No answer was received; the run may have begun or may still begin.
@@ -54,19 +54,6 @@
 }
 
 impl Cell {
-    /// Handles a start order that is about to go out, and returns whether it is still wanted.
-    ///
-    /// Starts queue at the holder for a permit of their executor. A run whose start has not gone out
-    /// can't be the cause of a crash. A run that the cell has released, or found absent, must not begin
-    /// any more: its task may have started elsewhere.
-    pub fn handle_start_sent(&mut self, id: &str, task: &TaskId, run: u64) -> bool {
-        let slot = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(task));
-        let slot = slot.filter(|slot| slot.run == run && slot.absence.is_none());
-        let Some(slot) = slot else { return false };
-        slot.sent = true;
-        true
-    }
-
     /// Handles the result of a start order.
     pub fn handle_start_outcome(
         &mut self,
@@ -103,9 +90,11 @@
                     self.mark_absent(id, task, Absence { reason, requested: now, since: now });
                 }
                 self.clear_runs(id);
-                let unwanted = self.jobs.get(&task.job).is_none_or(|e| e.state.is_final());
-                if unwanted {
+                let is_active = self.jobs.get(&task.job).is_some_and(|e| !e.state.is_final());
+                if !is_active {
                     self.stop_run(id, task, StopReason::JobEnded, now);
+                } else if !self.is_wanted(id, task) {
+                    self.stop_run(id, task, StopReason::Unwanted, now);
                 }
             }
             StartOutcome::Refused(refusal) => self.handle_refusal(id, task, run, refusal, now),
@@ -113,7 +102,8 @@
                 worker.unanswered += 1;
                 self.release_unstarted(id, task, run, now);
             }
-            StartOutcome::Withdrawn => {}
+            // The cell has released the run with its approval.
+            StartOutcome::Withdrawn(_) => {}
             StartOutcome::Gone => {
                 self.release_unstarted(id, task, run, now);
                 self.mark_dead(id, now);
@@ -134,7 +124,10 @@
     /// A long-running task may be working by now, and other tasks of its step may be unavailable. The
     /// next poll shows whether it runs.
     fn doubt_start(&mut self, id: &str, task: &TaskId, now: u64) {
-        self.keep_open_start(id, task);
+        let slot = self.workers.get(id).and_then(|worker| worker.runs.get(task));
+        if slot.is_some_and(|slot| slot.sent) {
+            self.keep_open_start(id, task);
+        }
         let Some(worker) = self.workers.get_mut(id) else { return };
         match worker.runs.get_mut(task) {
             Some(slot) if slot.long_running => {
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -164,6 +164,7 @@
                     .suspects
                     .retain(|suspect| *suspect != *task && !(gang && suspect.is_in_step_of(task)));
                 self.dirty.insert(task.job.clone());
+                self.stop_surplus_runs(task, gang, end.run, now);
                 self.complete_if_done(&task.job);
             }
             RunOutcome::Failed if !long_running => {
@@ -182,6 +183,25 @@
         }
     }
 
+    /// Stops the other runs of a task of which the run `done` has ended as done, or of its gang.
+    ///
+    /// The task may have started again while its executor was not reachable.
+    fn stop_surplus_runs(&mut self, task: &TaskId, gang: bool, done: u64, now: u64) {
+        let steps = self.jobs.get(&task.job).and_then(|e| e.occurrences.get(&task.occurrence));
+        let Some(step) = steps.and_then(|steps| steps.get(task.step)) else { return };
+        let tasks = (0u32..).zip(&step.tasks).filter(|(n, _)| gang || *n == task.index);
+        let surplus: Vec<(String, TaskId)> = tasks
+            .filter_map(|(index, state)| {
+                let (worker, id) = (state.worker.as_ref()?, TaskId { index, ..task.clone() });
+                let slot = self.workers.get(worker)?.runs.get(&id)?;
+                (slot.run != done).then(|| (worker.clone(), id))
+            })
+            .collect();
+        for (worker, task) in surplus {
+            self.stop_run(&worker, &task, StopReason::Unwanted, now);
+        }
+    }
+
     /// Handles a run that an executor reports as present.
     fn handle_present(&mut self, id: &str, run: &PresentRun, clock: u64, now: u64) {
         let task = &run.task;
@@ -207,7 +227,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.runs.get_mut(task) else { return };
-        slot.sent = true;
+        (slot.sent, slot.approved) = (true, true);
         slot.start_clock.get_or_insert(clock);
         slot.unverified_since = None;
         slot.absence = None;
@@ -243,6 +263,7 @@
             charge,
             phase: Phase::Running,
             sent: true,
+            approved: true,
             phase_since: now,
             last_order_at: now,
             pace: 100,
@@ -312,7 +333,7 @@
     }
 
     /// Whether a task should run on the given executor.
-    fn is_wanted(&mut self, id: &str, task: &TaskId) -> bool {
+    pub(super) fn is_wanted(&mut self, id: &str, task: &TaskId) -> bool {
         let active = self.jobs.get(&task.job).is_some_and(|e| !e.state.is_final());
         active && self.task(task).is_some_and(|t| !t.done && t.worker.as_deref() == Some(id))
     }
--- a/crates/jobs/src/cell/release.rs
+++ b/crates/jobs/src/cell/release.rs
@@ -22,6 +22,8 @@
     Ended,
     /// The start was not sent, or the executor refused it.
     Refused,
+    /// The start was withdrawn before it was sent.
+    Withdrawn,
     /// An answer of the executor has the run neither as present nor as ended.
     Missing,
     /// Another incarnation answers at the executor's address.
@@ -157,8 +159,10 @@
             });
         }
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        entry.cpu_time +=
-            slot.map_or(0, |slot| slot.resources.cpu * now.saturating_sub(slot.phase_since));
+        let has_begun = !matches!(reason, ReleaseReason::Refused | ReleaseReason::Withdrawn);
+        entry.cpu_time += slot
+            .filter(|_| has_begun)
+            .map_or(0, |slot| slot.resources.cpu * now.saturating_sub(slot.phase_since));
         let Some(step) =
             entry.occurrences.get_mut(&task.occurrence).and_then(|t| t.get_mut(task.step))
         else {
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Drops the record of an unanswered start that has certainly not gone out.
+    pub(super) fn forget_open_start(&mut self, task: &TaskId, run: u64) {
+        self.open_starts.retain(|start| start.task != *task || start.slot.run != run);
+    }
+
     /// Lets a new incarnation be asked about the unanswered starts of the earlier ones, so that they
     /// are stopped there, although their tasks may have started elsewhere since.
     fn check_open_starts(&mut self, id: &str, now: u64) {
--- a/crates/jobs/src/cell/stop.rs
+++ b/crates/jobs/src/cell/stop.rs
@@ -1,6 +1,6 @@
 //! Stop orders, and the state on which each was decided.
 
-use super::{Cell, Order};
+use super::{Cell, Order, ReleaseReason};
 use crate::job::TaskId;
 use crate::worker::Phase;
 
@@ -48,7 +48,7 @@
 
 impl Cell {
     /// Orders the stop of a run, unless the executor has none of the task or the stop has been
-    /// ordered before.
+    /// ordered before. A run whose start has not gone out is released instead.
     ///
     /// [`Cell::repeat_stops`] sends the order again while it is unanswered.
     pub(super) fn stop_run(&mut self, id: &str, task: &TaskId, reason: StopReason, now: u64) {
@@ -61,6 +61,10 @@
         if matches!(slot.phase, Phase::Stopping | Phase::Stopped) || slot.absence.is_some() {
             return;
         }
+        if !slot.sent {
+            self.release_run(id, task, ReleaseReason::Withdrawn, now, now);
+            return;
+        }
         let run_age = now.saturating_sub(slot.phase_since);
         let cause = StopCause {
             reason,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -216,6 +216,8 @@
     pub phase: Phase,
     /// Whether the start may have gone out to the executor, rather than queue at the holder.
     pub sent: bool,
+    /// Whether the start was approved at its turn, or an executor has reported the run.
+    pub approved: bool,
     /// Time at which the run entered its phase, in milliseconds.
     pub phase_since: u64,
     /// Time at which the last order for the run was sent, in milliseconds.
--- a/crates/jobs/tests/former.rs
+++ b/crates/jobs/tests/former.rs
@@ -241,9 +241,9 @@
 #[test]
 fn a_start_on_an_ended_executor_is_not_sent_again() {
     let mut cell = holder("a", "b", 1);
-    assert!(cell.handle_start_sent("a", &task(0), 1));
+    assert!(cell.approve_start("a", &task(0), 1, VANISHED_MS).is_ok());
     cell.mark_ended("a", VANISHED_MS);
-    assert!(!cell.handle_start_sent("a", &task(0), 1));
+    assert!(cell.approve_start("a", &task(0), 1, VANISHED_MS).is_err());
 }
 
 /// Guards against a restart that waits for the next incarnation, which is taken to have the run.
--- a/crates/jobs/tests/holders.rs
+++ b/crates/jobs/tests/holders.rs
@@ -14,7 +14,7 @@
 use jobs::worker::{EndedRun, Phase, PresentRun};
 use jobs::{
     Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources, RunOutcome,
-    State, Step, TaskId, Worker,
+    State, Step, TaskId,
 };
 
 /// Duration of executors' leases, in milliseconds.
@@ -505,6 +505,7 @@
         if !self.may_order(holder) {
             return;
         }
+        self.holders[holder].cell.hold_starts(false);
         for order in self.holders[holder].cell.tick(now, now) {
             match order {
                 Order::Start { worker, task, run, lease_end, .. } => {
@@ -531,24 +532,24 @@
                 return;
             }
             let Some(call) = queue.pop_front() else { return };
-            let Call::Start { task, run, .. } = &call else { return };
-            let fits = holder.cell.workers().get(host).is_some_and(Worker::is_within_capacity);
-            let unsent = match () {
-                () if !may_order => StartOutcome::Unsent,
-                () if !fits => StartOutcome::Refused(Refusal::Room),
-                () if !holder.cell.handle_start_sent(host, task, *run) => StartOutcome::Withdrawn,
-                () => {
+            let Call::Start { task, run, lease_end } = call else { return };
+            holder.cell.hold_starts(!may_order);
+            match holder.cell.approve_start(host, &task, run, now) {
+                Ok(approval) => {
                     *in_use += 1;
                     let freeze = std::mem::take(&mut holder.freeze_next);
                     if freeze > 0 {
                         holder.frozen_until = now + freeze;
                         self.note(&format!("term {} freezes before a start", n + 1));
                     }
-                    self.send(n, host, call);
-                    continue;
+                    let lease_end = approval.lease_end.unwrap_or(lease_end);
+                    self.send(n, host, Call::Start { task, run, lease_end });
                 }
-            };
-            holder.cell.handle_start_outcome(host, task, *run, unsent, now);
+                Err(change) => {
+                    let unsent = StartOutcome::Withdrawn(change);
+                    holder.cell.handle_start_outcome(host, &task, run, unsent, now);
+                }
+            }
         }
     }
 
--- a/crates/jobs/tests/starts.rs
+++ b/crates/jobs/tests/starts.rs
@@ -1,7 +1,7 @@
 //! Starts that queue at the holder for a permit of their executor when the executor crashes.
 
 use indexmap::IndexSet;
-use jobs::cell::{Arrival, Order, StartOutcome};
+use jobs::cell::{Approval, Arrival, Order, StartOutcome, Withdrawal};
 use jobs::worker::MAX_CONCURRENT_STARTS;
 use jobs::{
     Cell, CellConfig, ExecutorReport, Job, Progress, Registration, Resources, Step, TaskId,
@@ -61,6 +61,11 @@
     }
 }
 
+/// Asks the cell for the approval of a start at its turn.
+fn approve(cell: &mut Cell, start: &Start, now: u64) -> Result<Approval, Withdrawal> {
+    cell.approve_start(&start.worker, &start.task, start.run, now)
+}
+
 fn starts(orders: Vec<Order>) -> Vec<Start> {
     let start = |order| match order {
         Order::Start { worker, task, run, .. } => Some(Start { worker, task, run }),
@@ -77,12 +82,12 @@
     assert_eq!(ordered.len(), TASKS as usize);
     assert!(ordered.iter().all(|start| start.worker == ordered[0].worker));
     for start in &ordered[..MAX_CONCURRENT_STARTS] {
-        assert!(cell.handle_start_sent(&start.worker, &start.task, start.run));
+        approve(cell, start, START_MS + 15).expect("the start is approved");
         let running = StartOutcome::Running(START_MS + 15);
         cell.handle_start_outcome(&start.worker, &start.task, start.run, running, START_MS + 15);
     }
     for start in &ordered[MAX_CONCURRENT_STARTS..2 * MAX_CONCURRENT_STARTS] {
-        assert!(cell.handle_start_sent(&start.worker, &start.task, start.run));
+        approve(cell, start, START_MS + 15).expect("the start is approved");
     }
     cell.mark_dead(&ordered[0].worker, START_MS + 20);
     cell.confirm_ownership(START_MS + 25);
@@ -111,13 +116,13 @@
     let mut cell = cell_with_executors(&["m0", "m1", "m2"]);
     let ordered = crash_with_queued_starts(&mut cell);
     for start in &ordered[2 * MAX_CONCURRENT_STARTS..] {
-        assert!(!cell.handle_start_sent(&start.worker, &start.task, start.run));
-        let withdrawn = StartOutcome::Withdrawn;
+        let change = approve(&mut cell, start, START_MS + 25).expect_err("the run was released");
+        let withdrawn = StartOutcome::Withdrawn(change);
         cell.handle_start_outcome(&start.worker, &start.task, start.run, withdrawn, START_MS + 25);
     }
     let again = starts(cell.tick(START_MS + 30, 0));
     assert_eq!(again.len(), ordered.len() - 2 * MAX_CONCURRENT_STARTS);
-    assert!(again.iter().all(|s| cell.handle_start_sent(&s.worker, &s.task, s.run)));
+    assert!(again.iter().all(|start| approve(&mut cell, start, START_MS + 30).is_ok()));
 }
 
 /// Guards against a start without a result that counts as unsent because the cell was not told: with
