Keep records only of tasks that have started and are not done

The job has 100,000 overdue occurrences of 24 tasks.

Cause: each pass began all occurrences that were due, with a record of over 200 bytes for each of their tasks; an occurrence that was done kept its records until all before it were. Nothing adds up over jobs: 4,000 jobs of up to 20,000 tasks had a record for each task from the first pass on.

Ruled out: the rows and the reading of the job. The job's row takes 100 bytes; the second holder was killed within a second of its take-over as the first was after the submission, and no progress had been written.

Change: a task is a number until it starts and a bit once it is done (Tasks). Of the occurrences that are due, a job has one begun whose tasks have not started; the next one begins in the pass in which these start (occurrences.rs). Done occurrences are spans of numbers, in memory and in the row (field x of ProgressRow), whether earlier ones are open or not; the row lists only tasks with progress. Where a later step starts nowhere, 2,500 occurrences of a job and 8,000 steps of all jobs begin at most. The counts of late work and of what waits for allowances include what has not begun. E2405 has the occurrences begun and due and the records. Rows of the earlier form are read; a process of an earlier version would run the occurrences in field x again.

--- a/crates/cells/src/blocks.rs
+++ b/crates/cells/src/blocks.rs
@@ -10,6 +10,7 @@
 //! is interrupted loses nothing that an earlier one has stored. Blocks are therefore written before
 //! the first row, and rows that are not used any more are removed after it.
 
+use std::cmp::Reverse;
 use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::str::FromStr;
@@ -26,6 +27,10 @@
 const BYTES_PER_TASK: usize = 64;
 /// Least size to which rows are limited after the table has rejected larger ones, in bytes.
 const MIN_ROW_BYTES: usize = 512;
+/// Size of a span of finished occurrences in the first row at most, and of the rest of that row, in
+/// bytes.
+const MAX_SPAN_BYTES: usize = 22;
+const MIN_FIRST_ROW_BYTES: usize = 64;
 /// Separates a job's id from the block in the key of a row.
 const KEY_SEPARATOR: char = '+';
 
@@ -117,6 +122,8 @@
     /// `limit` is the largest row that the table accepts, in bytes.
     pub fn plan(&mut self, progress: &Progress, counts: &[u32], limit: usize) -> Plan {
         let limit = if self.limit == 0 { limit } else { self.limit.min(limit) };
+        let listed = list_finished(progress, counts, limit);
+        let progress = listed.as_ref().unwrap_or(progress);
         let first = rows::encode(&ProgressRow::from(progress));
         if self.size == 0 {
             if first.len() <= limit {
@@ -219,10 +226,30 @@
     }
 }
 
+/// Returns the progress with some of its finished occurrences listed by their tasks, if their spans
+/// are too many for a row; the largest spans remain.
+fn list_finished(progress: &Progress, counts: &[u32], limit: usize) -> Option<Progress> {
+    let fits =
+        |p: &Progress| rows::encode(&ProgressRow::from(&without_occurrences(p))).len() <= limit;
+    if progress.finished.is_empty() || fits(progress) {
+        return None;
+    }
+    let mut listed = progress.clone();
+    listed.finished.sort_unstable_by_key(|(first, last)| (Reverse(last - first), *first));
+    let most = limit.saturating_sub(MIN_FIRST_ROW_BYTES) / MAX_SPAN_BYTES;
+    let all = |count: &u32| StepProgress { done: (0..*count).collect(), ..Default::default() };
+    for (first, last) in listed.finished.split_off(most.min(listed.finished.len())) {
+        listed.occurrences.extend((first..=last).map(|n| (n, counts.iter().map(all).collect())));
+    }
+    listed.finished.sort_unstable();
+    Some(listed)
+}
+
 fn without_occurrences(progress: &Progress) -> Progress {
     Progress {
         started: progress.started,
         completed_below: progress.completed_below,
+        finished: progress.finished.clone(),
         occurrences: IndexMap::new(),
     }
 }
--- a/crates/cells/src/owner/report.rs
+++ b/crates/cells/src/owner/report.rs
@@ -44,6 +44,7 @@
     pub(super) fn log_load(&self, load: &Load, usage: &Usage) {
         let waiting: u64 = load.pending.values().sum();
         let effort = self.effort.take();
+        let records = self.cell.borrow().records();
         self.ctx.timeline.record(
             base::Event::CellLoad,
             &[
@@ -55,6 +56,9 @@
                 ("backlog", &load.backlog),
                 ("room", &load.capacity),
                 ("used", &load.used),
+                ("occurrences", &records.begun),
+                ("due", &records.unbegun),
+                ("records", &records.tasks),
                 ("lasting", &usage.long_running),
                 ("timely", &usage.timely),
                 ("late", &usage.late),
--- a/crates/cells/tests/blocks.rs
+++ b/crates/cells/tests/blocks.rs
@@ -71,6 +71,36 @@
     }
 }
 
+/// Guards against a first row that the table never accepts, or that loses occurrences which are done,
+/// since every second one is.
+#[test]
+fn finished_occurrences_whose_spans_exceed_a_row_are_kept() {
+    for (limit, expect_listed) in [(65_536, false), (2_048, true), (512, true)] {
+        let finished: Vec<(u32, u32)> = (0..2_500).map(|n| (2 * n + 1, 2 * n + 1)).collect();
+        let progress = Progress {
+            started: true,
+            finished: finished.into_iter().chain([(10_000, 99_000)]).collect(),
+            ..Progress::default()
+        };
+        let mut layout = Layout::default();
+        let plan = layout.plan(&progress, &[2, 1], limit);
+        let mut table = Table::default();
+        assert!(table.write(&plan, limit, usize::MAX));
+        let (read, _) = table.read();
+        assert_eq!(!read.occurrences.is_empty(), expect_listed);
+        let is_done = |n: u32| {
+            read.finished.iter().any(|(first, last)| (*first..=*last).contains(&n))
+                || read
+                    .occurrences
+                    .get(&n)
+                    .is_some_and(|steps| steps.iter().map(|step| step.done.len()).eq([2, 1]))
+        };
+        for n in 0..100_000 {
+            assert_eq!(is_done(n), (n < 5_000 && n % 2 == 1) || (10_000..=99_000).contains(&n));
+        }
+    }
+}
+
 /// Adds an end of a run of a random task to the progress.
 fn end_run(progress: &mut Progress, counts: &[u32], rng: &mut StdRng) {
     let occurrence = rng.random_range(0..2);
--- a/crates/cells/tests/progress.rs
+++ b/crates/cells/tests/progress.rs
@@ -19,6 +19,7 @@
     let progress = Progress {
         started: true,
         completed_below: 0,
+        finished: Vec::new(),
         occurrences: IndexMap::from([(0, vec![step])]),
     };
     let text = serde_json::to_string(&ProgressRow::from(&progress)).unwrap();
--- a/crates/jobs/src/cell/approve.rs
+++ b/crates/jobs/src/cell/approve.rs
@@ -103,7 +103,7 @@
         let Some(spec) = entry.job.steps.get(task.step) else { return Some(Withdrawal::JobEnded) };
         let steps = entry.occurrences.get(&task.occurrence);
         let step = steps.and_then(|steps| steps.get(task.step));
-        let state = step.and_then(|step| step.tasks.get(task.index as usize));
+        let state = step.and_then(|step| step.tasks.get(task.index));
         // The records of an occurrence are removed once all of its tasks are done.
         let (Some(step), Some(state)) = (step, state) else { return Some(Withdrawal::TaskDone) };
         // A member that is missing would end the other runs of its gang.
--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -4,10 +4,11 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::occurrences::MAX_BEGUN_STEPS;
 use super::quarantine::{CrashRecord, is_turn, next_suspect, tasks_at_once};
 use super::quota::{self, QuotaPass};
 use super::reserve::ShortEnd;
-use super::{Cell, JobEntry, Order, StepState, new_steps};
+use super::{Cell, JobEntry, Order, StepState, Task};
 use crate::job::{State, TaskId};
 use crate::order::{Candidate, Rank};
 use crate::place;
@@ -29,6 +30,8 @@
     slow: Vec<usize>,
     /// Starts that this pass may still make.
     starts_left: usize,
+    /// Number of steps that the begun occurrences of a job may have.
+    max_begun_steps: usize,
     /// Resources reserved in this pass, by position of the executor.
     pub reserved: IndexMap<usize, Resources>,
     /// Reservations of the pass before.
@@ -98,6 +101,8 @@
         let inherited_settled = self.inherited_settled();
         let early = self.config.early_start;
         let mut ready: Vec<ReadyJob> = Vec::new();
+        self.jobs.values_mut().for_each(|entry| entry.update_due(wall + early));
+        let max_begun_steps = self.max_begun_steps();
         for (job, entry) in self.jobs.values_mut().enumerate() {
             entry.seen_at.get_or_insert(now);
             if entry.state.is_final()
@@ -107,7 +112,7 @@
             {
                 continue;
             }
-            begin_due_occurrences(entry, wall + early);
+            entry.begin_next(max_begun_steps);
             let mut steps = entry.occurrences.values().flatten();
             let has_open = steps.clone().any(|step| step.open_count > 0);
             let is_idle = has_open && !steps.any(StepState::has_runs);
@@ -154,6 +159,7 @@
             excluded,
             slow,
             starts_left: MAX_STARTS_PER_PASS,
+            max_begun_steps,
             reserved: IndexMap::new(),
             former,
             reservations: IndexMap::new(),
@@ -264,6 +270,14 @@
         }
     }
 
+    /// Number of steps that the begun occurrences of a job may have.
+    fn max_begun_steps(&self) -> usize {
+        let is_repeated = |entry: &&JobEntry| {
+            entry.job.schedule.is_some() && !entry.state.is_final() && entry.due > entry.first_open
+        };
+        MAX_BEGUN_STEPS / self.jobs.values().filter(is_repeated).count().max(1)
+    }
+
     /// Starts the open tasks of each step whose predecessors are done.
     fn assign_job(&mut self, job: usize, pass: &mut Pass) {
         let Some((_, entry)) = self.jobs.get_index(job) else { return };
@@ -273,23 +287,34 @@
         }
         let occurrences: Vec<u32> = entry.occurrences.keys().copied().collect();
         for occurrence in occurrences {
+            self.assign_occurrence(job, occurrence, pass);
+        }
+        // The next one begins only once all of these have started.
+        while pass.starts_left > 0 && !pass.suspects_only {
+            let entry = &mut self.jobs[job];
+            let Some(occurrence) = entry.begin_next(pass.max_begun_steps) else { return };
+            self.assign_occurrence(job, occurrence, pass);
+        }
+    }
+
+    /// Starts the open tasks of each step of an occurrence whose predecessors are done.
+    fn assign_occurrence(&mut self, job: usize, occurrence: u32, pass: &mut Pass) {
+        let Some((_, entry)) = self.jobs.get_index(job) else { return };
+        for step in 0..entry.job.steps.len() {
             let Some((_, entry)) = self.jobs.get_index(job) else { return };
-            for step in 0..entry.job.steps.len() {
-                let Some((_, entry)) = self.jobs.get_index(job) else { return };
-                let Some(steps) = entry.occurrences.get(&occurrence) else { break };
-                let depends_on = &entry.job.steps[step].depends_on;
-                if steps[step].open_count == 0 || !depends_on.iter().all(|n| steps[*n].is_done()) {
-                    continue;
-                }
-                let gang = entry.job.steps[step].gang;
-                if entry.needs_advice() {
-                    self.request_advice(job, occurrence, step, &pass.accepting, pass.now);
-                }
-                if gang {
-                    self.assign_gang(job, occurrence, step, pass);
-                } else {
-                    self.assign_step(job, occurrence, step, pass);
-                }
+            let Some(steps) = entry.occurrences.get(&occurrence) else { return };
+            let depends_on = &entry.job.steps[step].depends_on;
+            if steps[step].open_count == 0 || !depends_on.iter().all(|n| steps[*n].is_done()) {
+                continue;
+            }
+            let gang = entry.job.steps[step].gang;
+            if entry.needs_advice() {
+                self.request_advice(job, occurrence, step, &pass.accepting, pass.now);
+            }
+            if gang {
+                self.assign_gang(job, occurrence, step, pass);
+            } else {
+                self.assign_step(job, occurrence, step, pass);
             }
         }
     }
@@ -311,18 +336,24 @@
         let state = &entry.occurrences[&occurrence][step];
         let mut task_counts = self.tasks_per_worker(state);
         let rack = self.step_rack(state);
-        let tasks: Vec<u32> = (0u32..)
-            .zip(&state.tasks)
-            .filter(|(_, t)| !t.done && t.worker.is_none() && t.not_before <= now)
+        // Each start takes one; long-running tasks that get no executor may be reserved one.
+        let most = if long_running { usize::MAX } else { pass.starts_left };
+        let tasks: Vec<u32> = state
+            .tasks
+            .open()
+            .filter(|(_, t)| t.not_before <= now)
             .filter(|(_, t)| may_repeat || t.failed_runs.is_empty())
             .filter(|(_, t)| !pass.suspects_only || t.crashes.is_suspect())
             .map(|(n, _)| n)
+            .take(most)
             .collect();
         for index in tasks {
             if pass.starts_left == 0 || !self.is_within_quota(job, step, 1, pass) {
                 return;
             }
-            let avoid = &self.jobs[job].occurrences[&occurrence][step].tasks[index as usize].avoid;
+            let state = &self.jobs[job].occurrences[&occurrence][step];
+            let Some(Task { avoid, last_run, .. }) = state.tasks.get(index) else { continue };
+            let run = self.next_run(*last_run);
             let constraints = Constraints {
                 occurrence,
                 step,
@@ -343,8 +374,7 @@
                 return;
             };
             *task_counts.entry(worker.clone()).or_default() += 1;
-            let run = self.jobs[job].occurrences[&occurrence][step].tasks[index as usize].last_run;
-            self.start_task(job, &worker, task, self.next_run(run), pass);
+            self.start_task(job, &worker, task, run, pass);
             self.charge_quota(job, step, 1, pass);
             pass.starts_left -= 1;
         }
@@ -356,22 +386,23 @@
         let Some((id, entry)) = self.jobs.get_index(job) else { return };
         let id = id.clone();
         let state = &entry.occurrences[&occurrence][step];
-        if state.open_count != state.tasks.len() || state.tasks.iter().any(|t| t.not_before > now) {
+        let recorded = || state.tasks.recorded().map(|(_, task)| task);
+        if state.open_count != state.tasks.len() || recorded().any(|t| t.not_before > now) {
             return;
         }
-        if pass.suspects_only && !state.tasks.iter().any(|t| t.crashes.is_suspect()) {
+        if pass.suspects_only && !recorded().any(|t| t.crashes.is_suspect()) {
             return;
         }
-        let has_failed = state.tasks.iter().any(|t| !t.failed_runs.is_empty());
+        let has_failed = recorded().any(|t| !t.failed_runs.is_empty());
         if entry.terms.is_none() && has_failed && !entry.job.steps[step].long_running {
             return;
         }
         if !self.is_within_quota(job, step, state.tasks.len() as u64, pass) {
             return;
         }
-        let run = self.next_run(state.tasks.iter().map(|t| t.last_run).max().unwrap_or(0));
+        let run = self.next_run(recorded().map(|t| t.last_run).max().unwrap_or(0));
         // All members resume from the same checkpoint.
-        let checkpoint = state.tasks.iter().map(|t| t.checkpoint.clone()).max().unwrap_or_default();
+        let checkpoint = recorded().map(|t| &t.checkpoint).max().cloned().unwrap_or_default();
         let count = state.tasks.len();
         let mut task_counts = IndexMap::new();
         let mut chosen: Vec<String> = Vec::with_capacity(count);
@@ -404,10 +435,10 @@
         }
         self.charge_quota(job, step, count as u64, pass);
         for (index, worker) in (0u32..).zip(chosen) {
-            let entry = &mut self.jobs[job];
-            entry.occurrences[&occurrence][step].tasks[index as usize]
-                .checkpoint
-                .clone_from(&checkpoint);
+            let state = &mut self.jobs[job].occurrences[&occurrence][step];
+            if let Some(task) = state.tasks.get_mut(index) {
+                task.checkpoint.clone_from(&checkpoint);
+            }
             let task = TaskId { job: id.clone(), occurrence, step, index };
             self.start_task(job, &worker, task, run, pass);
             pass.starts_left = pass.starts_left.saturating_sub(1);
@@ -417,7 +448,7 @@
     /// Number of tasks of a step that each executor has.
     pub(super) fn tasks_per_worker(&self, state: &StepState) -> IndexMap<String, u32> {
         let mut task_counts = IndexMap::new();
-        for worker in state.tasks.iter().filter_map(|t| t.worker.as_ref()) {
+        for worker in state.tasks.recorded().filter_map(|(_, t)| t.worker.as_ref()) {
             *task_counts.entry(worker.clone()).or_default() += 1;
         }
         task_counts
@@ -425,7 +456,7 @@
 
     /// Rack of the first task of a step that has an executor.
     fn step_rack(&self, state: &StepState) -> Option<String> {
-        let worker = state.tasks.iter().find_map(|t| t.worker.as_ref())?;
+        let worker = state.tasks.recorded().find_map(|(_, t)| t.worker.as_ref())?;
         self.workers.get(worker)?.rack().map(str::to_owned)
     }
 
@@ -493,7 +524,7 @@
         let resources = place::required_resources(&entry.job.steps[task.step]);
         let charge = quota::charge(entry, task.step);
         let step = &mut entry.occurrences[&task.occurrence][task.step];
-        let state = &mut step.tasks[task.index as usize];
+        let Some(state) = step.tasks.get_mut(task.index) else { return };
         state.last_run = run;
         state.worker = Some(worker.to_owned());
         step.open_count -= 1;
@@ -554,24 +585,3 @@
     }
     entry.job.remaining_critical_path(|n| steps[n].is_done())
 }
-
-/// Adds the occurrences of a job that are due at the wall-clock time `wall`.
-fn begin_due_occurrences(entry: &mut JobEntry, wall: u64) {
-    let last = match entry.job.schedule {
-        None => 1,
-        Some(schedule) => match wall.checked_sub(schedule.first_due) {
-            None => 0,
-            Some(since) => {
-                let due =
-                    since.checked_div(schedule.interval).unwrap_or(u64::from(schedule.occurrences));
-                u32::try_from(due + 1).unwrap_or(u32::MAX).min(schedule.occurrences)
-            }
-        },
-    };
-    let next = entry.next_occurrence.max(entry.first_open);
-    for occurrence in next..last {
-        let job = &entry.job;
-        entry.occurrences.entry(occurrence).or_insert_with(|| new_steps(job));
-    }
-    entry.next_occurrence = next.max(last);
-}
--- a/crates/jobs/src/cell/drain.rs
+++ b/crates/jobs/src/cell/drain.rs
@@ -114,8 +114,9 @@
                 worker.runs.get(&id).is_some_and(|slot| self.is_working(worker, slot))
             })
         };
-        let others = (0u32..).zip(&step.tasks).filter(|(index, _)| *index != task.index);
-        others.filter(|(index, state)| !is_available(*index, state)).count()
+        let others = step.tasks.recorded().filter(|(index, _)| *index != task.index);
+        let available = others.filter(|(index, state)| is_available(*index, state)).count();
+        step.tasks.len().saturating_sub(1 + available)
     }
 
     /// Places that the long-running tasks will take that wait, or are being stopped for a drain.
@@ -130,10 +131,11 @@
         let jobs = self.jobs.iter().filter(|(_, e)| e.candidate.long_running);
         for (job, entry) in jobs {
             for (occurrence, steps) in &entry.occurrences {
-                for (step, state) in steps.iter().enumerate() {
+                let steps = (0..steps.len()).filter(|step| entry.job.steps[*step].long_running);
+                for step in steps {
                     let id =
                         |index| TaskId { job: job.clone(), occurrence: *occurrence, step, index };
-                    let tasks = (0u32..).zip(&state.tasks).map(|(index, _)| id(index));
+                    let tasks = (0..entry.job.steps[step].count).map(id);
                     let waiting =
                         tasks.filter(|task| self.needs_place(task) && !claimed.contains(task));
                     for task in waiting {
@@ -158,7 +160,7 @@
         if !spec.long_running || !spec.depends_on.iter().all(|n| steps[*n].is_done()) {
             return false;
         }
-        let state = steps.get(task.step).and_then(|step| step.tasks.get(task.index as usize));
+        let state = steps.get(task.step).and_then(|step| step.tasks.get(task.index));
         let Some(state) = state.filter(|state| !state.done) else { return false };
         let Some(id) = &state.worker else { return true };
         let Some(worker) = self.workers.get(id).filter(|w| w.leaving_since.is_some()) else {
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -31,6 +31,17 @@
     pub idle: usize,
 }
 
+/// Records that a cell keeps of its jobs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Records {
+    /// Number of occurrences that have begun and are not done.
+    pub begun: usize,
+    /// Number of occurrences that are due and have not begun.
+    pub unbegun: u64,
+    /// Number of tasks that have a record.
+    pub tasks: usize,
+}
+
 /// CPU in use, in thousandths of a core, by the value that its results can still have.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Usage {
@@ -130,19 +141,16 @@
             if entry.start_blocked || (entry.inherited && !settled) {
                 continue;
             }
-            for steps in entry.occurrences.values() {
-                for (state, spec) in steps.iter().zip(&entry.job.steps) {
-                    let need = place::required_resources(spec);
-                    let can_start = spec.depends_on.iter().all(|n| steps[*n].is_done());
-                    if !can_start || !largest.fits(need) {
-                        continue;
-                    }
-                    let cpu = state.open_count as u64 * need.cpu;
-                    let cpu = self.startable_part(entry.organisation, cpu);
-                    open += cpu;
-                    work = work.saturating_add(cpu.saturating_mul(spec.estimate));
-                    largest_gang = largest_gang.max(if spec.gang { cpu } else { 0 });
+            for (spec, tasks, times) in entry.startable_steps() {
+                let need = place::required_resources(spec);
+                if !largest.fits(need) {
+                    continue;
                 }
+                let cpu = self.startable_part(entry.organisation, tasks.saturating_mul(need.cpu));
+                let all = cpu.saturating_mul(times);
+                open = all.saturating_add(open);
+                work = work.saturating_add(all.saturating_mul(spec.estimate));
+                largest_gang = largest_gang.max(if spec.gang { cpu } else { 0 });
             }
         }
         let runs = self.workers.values().flat_map(|worker| &worker.runs);
@@ -190,7 +198,11 @@
             }
             blocked.push(
                 is_blocked
-                    || state.tasks.iter().filter_map(|t| t.worker.as_ref()).any(unresponsive),
+                    || state
+                        .tasks
+                        .recorded()
+                        .filter_map(|(_, t)| t.worker.as_ref())
+                        .any(unresponsive),
             );
         }
         work
@@ -272,6 +284,18 @@
         self.compared
     }
 
+    /// Records that the cell keeps of its jobs.
+    pub fn records(&self) -> Records {
+        let mut records = Records::default();
+        for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
+            records.begun += entry.occurrences.len();
+            records.unbegun += entry.unbegun();
+            let steps = entry.occurrences.values().flatten();
+            records.tasks += steps.map(|step| step.tasks.record_count()).sum::<usize>();
+        }
+        records
+    }
+
     /// Number of jobs that have not ended.
     pub fn job_count(&self) -> usize {
         self.jobs.len()
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -14,6 +14,7 @@
 mod assign;
 mod drain;
 mod load;
+mod occurrences;
 mod outcome;
 mod poll;
 mod quarantine;
@@ -24,6 +25,7 @@
 mod restart;
 mod stall;
 mod stop;
+mod tasks;
 mod wait;
 
 use std::rc::Rc;
@@ -32,7 +34,7 @@
 
 use advice::{Advice, Queries};
 pub use approve::{Approval, Withdrawal};
-pub use load::{ShrinkLimits, Usage};
+pub use load::{Records, ShrinkLimits, Usage};
 pub use outcome::{Refusal, StartOutcome};
 pub use quarantine::Crash;
 use quarantine::{CrashRecord, Quarantine};
@@ -42,14 +44,15 @@
 pub use release::{Absence, AcknowledgedEnd, Release, ReleaseReason};
 use restart::OpenStart;
 pub use stop::{StopCause, StopReason};
+use tasks::{Task, Tasks};
 pub use wait::WaitingTask;
 
-use crate::crash::Crashes;
 use crate::fair::Shares;
 use crate::job::{Job, State, TaskId};
 use crate::order::{Candidate, Policy};
-use crate::progress::Progress;
+use crate::progress::{Progress, StepProgress};
 use crate::queue::Queue;
+use crate::spans::Spans;
 use crate::terms::{Known, Terms};
 use crate::worker::{Registration, Worker};
 
@@ -127,32 +130,10 @@
     },
 }
 
-/// Scheduling state of one task of an occurrence.
-#[derive(Debug, Clone, Default)]
-struct Task {
-    done: bool,
-    /// Numbers of the runs that failed.
-    failed_runs: Vec<u64>,
-    /// Highest run number seen for this task.
-    last_run: u64,
-    /// Executor that runs the task or may run it.
-    worker: Option<String>,
-    /// Newest checkpoint; empty for none.
-    checkpoint: String,
-    /// Earliest time of the next start, in milliseconds.
-    not_before: u64,
-    /// Stops of a long-running task for a stalled start-up since it last worked at full speed.
-    slow_starts: u32,
-    /// Executors on which the task has failed.
-    avoid: Vec<String>,
-    /// Crashes that the task may have caused.
-    crashes: Crashes,
-}
-
 /// Scheduling state of one step of an occurrence.
 #[derive(Debug, Clone, Default)]
 struct StepState {
-    tasks: Vec<Task>,
+    tasks: Tasks,
     /// Number of tasks that are done.
     done_count: usize,
     /// Number of tasks that are neither done nor have a run.
@@ -198,9 +179,13 @@
     held: bool,
     /// Number of the first occurrence that is not done.
     first_open: u32,
+    /// Occurrences beyond it that are done.
+    finished: Spans,
+    /// Number of occurrences that were due at the last pass.
+    due: u32,
     /// Number of the next occurrence to begin.
     next_occurrence: u32,
-    /// Occurrences that have begun and are not yet removed as done, by number.
+    /// Occurrences that have begun and are not done, by number, in ascending order.
     occurrences: IndexMap<u32, Vec<StepState>>,
     /// Duration of its tasks relative to their estimates: number of samples, and mean in percent.
     duration_ratio: (u64, u64),
@@ -419,8 +404,8 @@
         let attempts = terms.max_attempts as usize;
         let is_exhausted = entry.occurrences.values().any(|steps| {
             let steps = steps.iter().zip(&entry.job.steps).filter(|(_, spec)| !spec.long_running);
-            let mut tasks = steps.flat_map(|(step, _)| &step.tasks);
-            tasks.any(|task| !task.done && task.failed_runs.len() >= attempts)
+            let mut tasks = steps.flat_map(|(step, _)| step.tasks.recorded());
+            tasks.any(|(_, task)| !task.done && task.failed_runs.len() >= attempts)
         });
         if is_exhausted {
             self.end_job(id, State::Failed, now);
@@ -480,6 +465,8 @@
             start_blocked: arrival.start_blocked,
             held: false,
             first_open: arrival.progress.completed_below,
+            finished: arrival.progress.finished.iter().copied().collect(),
+            due: 0,
             next_occurrence: arrival.progress.completed_below,
             occurrences: IndexMap::new(),
             duration_ratio: (0, 0),
@@ -492,13 +479,19 @@
             idle_since: None,
             job: arrival.job,
         };
+        entry.first_open = entry.finished.take_from(entry.first_open);
         for (occurrence, steps) in &arrival.progress.occurrences {
-            let mut states = new_steps(&entry.job);
+            // A process of an earlier version writes all that are due.
+            if steps.iter().all(|step| *step == StepProgress::default()) {
+                continue;
+            }
+            let Some(states) = entry.occurrence_mut(*occurrence) else { continue };
             for (state, durable) in states.iter_mut().zip(steps) {
                 record::restore(state, durable);
             }
-            entry.suspects.extend(quarantine::suspects(&arrival.id, *occurrence, &states));
-            entry.occurrences.insert(*occurrence, states);
+            let suspects = quarantine::suspects(&arrival.id, *occurrence, states);
+            entry.suspects.extend(suspects);
+            entry.finish_if_done(*occurrence);
         }
         self.jobs.insert(arrival.id.clone(), entry);
         self.assign_seen_runs(&arrival.id);
@@ -776,19 +769,10 @@
         }
     }
 
-    /// Removes occurrences that are done, and completes the job after the last one.
+    /// Completes a job of which all occurrences are done.
     fn complete_if_done(&mut self, id: &str) {
         let Some(entry) = self.jobs.get_mut(id) else { return };
-        let times = entry.job.schedule.map_or(1, |s| s.occurrences);
-        while entry
-            .occurrences
-            .get(&entry.first_open)
-            .is_some_and(|t| t.iter().all(StepState::is_done))
-        {
-            entry.occurrences.shift_remove(&entry.first_open);
-            entry.first_open += 1;
-        }
-        if entry.first_open >= times && !entry.state.is_final() {
+        if entry.first_open >= entry.occurrence_count() && !entry.state.is_final() {
             entry.state = State::Completed;
             self.dirty.insert(id.to_owned());
         }
@@ -800,7 +784,7 @@
     job.steps
         .iter()
         .map(|step| StepState {
-            tasks: vec![Task::default(); step.count as usize],
+            tasks: Tasks::new(step.count),
             done_count: 0,
             open_count: step.count as usize,
             advice: Advice::default(),
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -141,14 +141,10 @@
         let Some(spec) = entry.job.steps.get(task.step) else { return };
         let (gang, long_running) = (spec.gang, spec.long_running);
         let attempts = entry.terms.map_or(usize::MAX, |terms| terms.max_attempts as usize);
-        if task.occurrence < entry.first_open {
-            return;
-        }
-        let job = &entry.job;
-        let steps =
-            entry.occurrences.entry(task.occurrence).or_insert_with(|| super::new_steps(job));
+        let count = spec.count;
+        let Some(steps) = entry.occurrence_mut(task.occurrence) else { return };
         let Some(step) = steps.get_mut(task.step) else { return };
-        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        let Some(state) = step.tasks.get_mut(task.index) else { return };
         state.last_run = state.last_run.max(end.run);
         if !end.checkpoint.is_empty() && end.run == state.last_run {
             state.checkpoint.clone_from(&end.checkpoint);
@@ -156,15 +152,18 @@
         match end.outcome {
             RunOutcome::Done if !long_running => {
                 if gang {
-                    (0..step.tasks.len()).for_each(|n| mark_done(step, n));
+                    (0..count).for_each(|n| mark_done(step, n));
                 } else {
-                    mark_done(step, task.index as usize);
+                    mark_done(step, task.index);
                 }
                 entry
                     .suspects
                     .retain(|suspect| *suspect != *task && !(gang && suspect.is_in_step_of(task)));
                 self.dirty.insert(task.job.clone());
                 self.stop_surplus_runs(task, gang, end.run, now);
+                if let Some(entry) = self.jobs.get_mut(&task.job) {
+                    entry.finish_if_done(task.occurrence);
+                }
                 self.complete_if_done(&task.job);
             }
             RunOutcome::Failed if !long_running => {
@@ -189,7 +188,7 @@
     fn stop_surplus_runs(&mut self, task: &TaskId, gang: bool, done: u64, now: u64) {
         let steps = self.jobs.get(&task.job).and_then(|e| e.occurrences.get(&task.occurrence));
         let Some(step) = steps.and_then(|steps| steps.get(task.step)) else { return };
-        let tasks = (0u32..).zip(&step.tasks).filter(|(n, _)| gang || *n == task.index);
+        let tasks = step.tasks.recorded().filter(|(n, _)| gang || *n == task.index);
         let surplus: Vec<(String, TaskId)> = tasks
             .filter_map(|(index, state)| {
                 let (worker, id) = (state.worker.as_ref()?, TaskId { index, ..task.clone() });
@@ -219,9 +218,10 @@
             return;
         }
         let wanted = self.is_wanted(id, task);
-        if let Some(state) = self.task(task)
-            && run.run == state.last_run
+        let is_last = self.task(task).is_some_and(|state| run.run == state.last_run);
+        if is_last
             && !run.checkpoint.is_empty()
+            && let Some(state) = self.task_mut(task)
         {
             state.checkpoint.clone_from(&run.checkpoint);
         }
@@ -289,14 +289,11 @@
     /// Assigns a task to the executor that has a run of it, and returns what the run needs; `None` if
     /// its job is unknown.
     fn assign_run(&mut self, id: &str, task: &TaskId, run: u64) -> Option<Resources> {
-        let entry =
-            self.jobs.get_mut(&task.job).filter(|entry| task.occurrence >= entry.first_open)?;
+        let entry = self.jobs.get_mut(&task.job)?;
         let resources = place::required_resources(entry.job.steps.get(task.step)?);
-        let job = &entry.job;
-        let steps =
-            entry.occurrences.entry(task.occurrence).or_insert_with(|| super::new_steps(job));
-        if let Some(step) = steps.get_mut(task.step)
-            && let Some(state) = step.tasks.get_mut(task.index as usize)
+        if let Some(steps) = entry.occurrence_mut(task.occurrence)
+            && let Some(step) = steps.get_mut(task.step)
+            && let Some(state) = step.tasks.get_mut(task.index)
         {
             state.last_run = state.last_run.max(run);
             if !state.done && state.worker.is_none() {
@@ -333,15 +330,21 @@
     }
 
     /// Whether a task should run on the given executor.
-    pub(super) fn is_wanted(&mut self, id: &str, task: &TaskId) -> bool {
+    pub(super) fn is_wanted(&self, id: &str, task: &TaskId) -> bool {
         let active = self.jobs.get(&task.job).is_some_and(|e| !e.state.is_final());
         active && self.task(task).is_some_and(|t| !t.done && t.worker.as_deref() == Some(id))
     }
 
     /// Returns the scheduling state of a task.
-    pub(super) fn task(&mut self, task: &TaskId) -> Option<&mut super::Task> {
+    pub(super) fn task(&self, task: &TaskId) -> Option<&super::Task> {
+        let steps = self.jobs.get(&task.job)?.occurrences.get(&task.occurrence)?;
+        steps.get(task.step)?.tasks.get(task.index)
+    }
+
+    /// Returns the scheduling state of a task to change; `None` if it is done for good.
+    pub(super) fn task_mut(&mut self, task: &TaskId) -> Option<&mut super::Task> {
         let steps = self.jobs.get_mut(&task.job)?.occurrences.get_mut(&task.occurrence)?;
-        steps.get_mut(task.step)?.tasks.get_mut(task.index as usize)
+        steps.get_mut(task.step)?.tasks.get_mut(task.index)
     }
 
     /// Marks runs as absent that an executor should report as present but does not.
@@ -431,7 +434,7 @@
 }
 
 /// Marks a task as done.
-fn mark_done(step: &mut StepState, index: usize) {
+pub(super) fn mark_done(step: &mut StepState, index: u32) {
     let Some(task) = step.tasks.get_mut(index) else { return };
     if task.done {
         return;
@@ -441,4 +444,5 @@
     if task.worker.is_none() {
         step.open_count -= 1;
     }
+    step.tasks.settle(index);
 }
--- a/crates/jobs/src/cell/quarantine.rs
+++ b/crates/jobs/src/cell/quarantine.rs
@@ -109,7 +109,7 @@
         let mut hopeless: IndexMap<String, u32> = IndexMap::new();
         let mut suspects = Vec::new();
         for (task, just_started) in uncleared {
-            let Some(state) = self.task(&task).filter(|t| !t.done) else { continue };
+            let Some(state) = self.task_mut(&task).filter(|t| !t.done) else { continue };
             state.crashes.record(just_started && suspect_jobs == 1);
             let crashes = state.crashes;
             let Some(entry) = self.jobs.get_mut(&task.job).filter(|e| !e.state.is_final()) else {
@@ -160,7 +160,7 @@
         if !entry.suspects.swap_remove(task) {
             return;
         }
-        if let Some(state) = self.task(task) {
+        if let Some(state) = self.task_mut(task) {
             state.crashes = crash::Crashes::default();
             self.dirty.insert(task.job.clone());
         }
@@ -421,7 +421,7 @@
 fn may_share(entry: &JobEntry) -> bool {
     let may_share = |task: &TaskId| {
         let steps = entry.occurrences.get(&task.occurrence);
-        let state = steps.and_then(|steps| steps.get(task.step)?.tasks.get(task.index as usize));
+        let state = steps.and_then(|steps| steps.get(task.step)?.tasks.get(task.index));
         state.is_none_or(|state| state.crashes.may_share()) && !entry.job.steps[task.step].gang
     };
     !entry.candidate.long_running && entry.suspects.iter().all(may_share)
@@ -443,7 +443,7 @@
     let Some(steps) = entry.occurrences.get(&task.occurrence) else { return false };
     let is_open = steps
         .get(task.step)
-        .and_then(|step| step.tasks.get(task.index as usize))
+        .and_then(|step| step.tasks.get(task.index))
         .is_some_and(|t| !t.done && t.worker.is_none());
     is_open && entry.job.steps[task.step].depends_on.iter().all(|n| steps[*n].is_done())
 }
@@ -452,7 +452,7 @@
 pub(super) fn suspects(job: &str, occurrence: u32, steps: &[StepState]) -> Vec<TaskId> {
     let mut suspects = Vec::new();
     for (step, state) in steps.iter().enumerate() {
-        for (index, task) in (0u32..).zip(&state.tasks) {
+        for (index, task) in state.tasks.recorded() {
             if task.crashes.is_suspect() {
                 suspects.push(TaskId { job: job.to_owned(), occurrence, step, index });
             }
--- a/crates/jobs/src/cell/quota.rs
+++ b/crates/jobs/src/cell/quota.rs
@@ -250,10 +250,11 @@
             if entry.inherited && !settled {
                 continue;
             }
-            for (spec, count) in startable_steps(entry) {
+            for (spec, count, occurrences) in entry.startable_steps() {
+                let count = count.saturating_mul(occurrences);
                 let amount = charged_resources(spec).times(count);
                 *waiting = combine(*waiting, amount, u64::saturating_add);
-                *tasks += count;
+                *tasks = tasks.saturating_add(count);
             }
         }
     }
@@ -513,17 +514,3 @@
 fn charged_resources(step: &Step) -> Resources {
     step.resources
 }
-
-/// Steps of a job whose predecessors are done, with the numbers of their open tasks.
-fn startable_steps(entry: &JobEntry) -> impl Iterator<Item = (&Step, u64)> {
-    let begun = entry.occurrences.values().flat_map(|steps| {
-        steps.iter().zip(&entry.job.steps).filter_map(|(state, spec)| {
-            let can_start = spec.depends_on.iter().all(|n| steps[*n].is_done());
-            (can_start && state.open_count > 0).then_some((spec, state.open_count as u64))
-        })
-    });
-    // A job without a schedule begins with its first pass.
-    let is_new = entry.occurrences.is_empty() && entry.job.schedule.is_none();
-    let first = entry.job.steps.iter().filter(move |spec| is_new && spec.depends_on.is_empty());
-    begun.chain(first.map(|spec| (spec, u64::from(spec.count))))
-}
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -6,7 +6,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Cell, CrashRecord, JobEntry, MAX_ENDED_JOBS, StepState};
+use super::poll::mark_done;
+use super::{Cell, CrashRecord, JobEntry, MAX_ENDED_JOBS, StepState, occurrences};
 use crate::flush::{MAX_PROGRESS_CHANGES, Selection};
 use crate::job::State;
 use crate::progress::{Progress, StepProgress};
@@ -107,7 +108,11 @@
                 cpu_time: entry.cpu_time,
                 state: entry.state,
                 state_changed: entry.state != entry.durable_state,
-                progress: progress(entry),
+                progress: if entry.state.is_final() {
+                    Progress::default()
+                } else {
+                    progress(entry)
+                },
                 counts: entry.job.steps.iter().map(|step| step.count).collect(),
                 id,
             });
@@ -208,9 +213,9 @@
 /// Progress of a job to write to the table.
 fn progress(entry: &JobEntry) -> Progress {
     let step = |s: &StepState| {
-        let tasks = || (0u32..).zip(&s.tasks);
+        let tasks = || s.tasks.recorded();
         StepProgress {
-            done: tasks().filter(|(_, t)| t.done).map(|(n, _)| n).collect(),
+            done: s.tasks.done().collect(),
             failed: tasks()
                 .filter(|(_, t)| !t.done)
                 .flat_map(|(n, t)| t.failed_runs.iter().map(move |run| (n, *run)))
@@ -224,10 +229,13 @@
     Progress {
         started: entry.state != State::Queued,
         completed_below: entry.first_open,
+        finished: entry.finished.iter().collect(),
         occurrences: entry
             .occurrences
             .iter()
-            .map(|(n, t)| (*n, t.iter().map(step).collect()))
+            .filter(|(_, t)| !occurrences::is_untouched(t))
+            .map(|(n, t)| (*n, t.iter().map(step).collect::<Vec<_>>()))
+            .filter(|(_, t)| t.iter().any(|step| *step != StepProgress::default()))
             .collect(),
     }
 }
@@ -235,16 +243,10 @@
 /// Restores the state of a step from its durable progress.
 pub(super) fn restore(step: &mut StepState, durable: &StepProgress) {
     for index in &durable.done {
-        if let Some(task) = step.tasks.get_mut(*index as usize)
-            && !task.done
-        {
-            task.done = true;
-            step.done_count += 1;
-            step.open_count -= 1;
-        }
+        mark_done(step, *index);
     }
     for (index, run) in &durable.failed {
-        if let Some(task) = step.tasks.get_mut(*index as usize) {
+        if let Some(task) = step.tasks.get_mut(*index) {
             if !task.failed_runs.contains(run) {
                 task.failed_runs.push(*run);
             }
@@ -252,7 +254,7 @@
         }
     }
     for (index, crashes) in &durable.crashes {
-        if let Some(task) = step.tasks.get_mut(*index as usize).filter(|t| !t.done) {
+        if let Some(task) = step.tasks.get_mut(*index).filter(|t| !t.done) {
             task.crashes = *crashes;
         }
     }
--- a/crates/jobs/src/cell/release.rs
+++ b/crates/jobs/src/cell/release.rs
@@ -168,15 +168,17 @@
         else {
             return;
         };
-        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
-        if state.worker.as_deref() != Some(worker) {
+        let assigned = step.tasks.get(task.index).and_then(|state| state.worker.as_deref());
+        if assigned != Some(worker) {
             return;
         }
+        let Some(state) = step.tasks.get_mut(task.index) else { return };
         state.worker = None;
         state.not_before = state.not_before.max(now);
         if !state.done {
             step.open_count += 1;
         }
+        step.tasks.settle(task.index);
     }
 
     /// Records an end of a former holder's run that the executor may forget once `sequence` is
--- a/crates/jobs/src/cell/restart.rs
+++ b/crates/jobs/src/cell/restart.rs
@@ -164,7 +164,7 @@
         for task in tasks {
             let slot = self.workers.get_mut(earlier).and_then(|w| w.remove_run(&task));
             let Some(slot) = slot else { continue };
-            if let Some(state) = self.task(&task)
+            if let Some(state) = self.task_mut(&task)
                 && state.worker.as_deref() == Some(earlier)
             {
                 state.worker = Some(later.to_owned());
--- a/crates/jobs/src/cell/stall.rs
+++ b/crates/jobs/src/cell/stall.rs
@@ -116,7 +116,7 @@
             if reached_full_speed {
                 // It never ends as done, so this is the only success that it can have.
                 worker.record_result(true, now);
-                if let Some(state) = self.task(task) {
+                if let Some(state) = self.task_mut(task) {
                     state.slow_starts = 0;
                 }
             }
@@ -136,7 +136,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.record_result(false, now);
         }
-        if let Some(state) = self.task(task) {
+        if let Some(state) = self.task_mut(task) {
             state.slow_starts += 1;
         }
         self.stop_run(id, task, StopReason::Stalled, now);
--- a/crates/jobs/src/cell/wait.rs
+++ b/crates/jobs/src/cell/wait.rs
@@ -37,7 +37,7 @@
         for (id, entry) in jobs.filter(|(_, e)| !e.state.is_final()) {
             for (occurrence, steps) in &entry.occurrences {
                 for step in (0..steps.len()).filter(|n| entry.job.steps[*n].long_running) {
-                    for index in (0u32..).zip(&steps[step].tasks).map(|(n, _)| n) {
+                    for index in 0..entry.job.steps[step].count {
                         let task = TaskId { job: id.clone(), occurrence: *occurrence, step, index };
                         let waited = self.waited(entry, &task, now);
                         let Some(waited) = waited.filter(|waited| *waited >= min_wait) else {
@@ -56,7 +56,7 @@
 
     /// Time for which a task has not run, in milliseconds; `None` if it runs.
     fn waited(&self, entry: &JobEntry, task: &TaskId, now: u64) -> Option<u64> {
-        let state = &entry.occurrences[&task.occurrence][task.step].tasks[task.index as usize];
+        let state = entry.occurrences[&task.occurrence][task.step].tasks.get(task.index)?;
         let worker = state.worker.as_ref().and_then(|id| self.workers.get(id));
         let slot = worker.and_then(|worker| worker.runs.get(task));
         let running = slot.is_some_and(|slot| slot.phase == Phase::Running);
@@ -73,15 +73,17 @@
     /// Describes a task that does not run.
     fn waiting_task(&self, entry: &JobEntry, task: TaskId, waited: u64, now: u64) -> WaitingTask {
         let step = &entry.occurrences[&task.occurrence][task.step];
-        let state = &step.tasks[task.index as usize];
-        let worker = state.worker.as_ref().and_then(|id| self.workers.get(id));
+        let state = step.tasks.get(task.index);
+        let worker =
+            state.and_then(|state| state.worker.as_ref()).and_then(|id| self.workers.get(id));
         let slot = worker.and_then(|worker| worker.runs.get(&task));
         let spec = &entry.job.steps[task.step];
         let need = place::required_resources(spec);
         let mut obstacles: IndexMap<Obstacle, usize> = IndexMap::new();
         let mut eligible = 0;
         for (id, worker) in &self.workers {
-            let siblings = step.tasks.iter().filter(|t| t.worker.as_ref() == Some(id)).count();
+            let siblings =
+                step.tasks.recorded().filter(|(_, t)| t.worker.as_ref() == Some(id)).count();
             let siblings = u32::try_from(siblings).unwrap_or(u32::MAX);
             let obstacle = worker.obstacle(now).or_else(|| match () {
                 () if self.is_kept_from(id, &task.job) => Some(Obstacle::Quarantined),
@@ -94,8 +96,9 @@
                 None => eligible += 1,
             }
         }
-        let held_by =
-            state.worker.clone().map(|id| (id, slot.map_or(Phase::Unsure, |slot| slot.phase)));
+        let held_by = state
+            .and_then(|state| state.worker.clone())
+            .map(|id| (id, slot.map_or(Phase::Unsure, |slot| slot.phase)));
         WaitingTask { waited, task, need, held_by, obstacles, eligible }
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod relocate;
 pub mod row;
 pub mod share;
+pub mod spans;
 pub mod terms;
 pub mod watch;
 pub mod wave;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -11,6 +11,8 @@
     pub started: bool,
     /// All occurrences below this number are done.
     pub completed_below: u32,
+    /// Spans of occurrences from that number on that are done: the first and the last of each.
+    pub finished: Vec<(u32, u32)>,
     /// Occurrences in progress, by number, with the progress of each step.
     pub occurrences: IndexMap<u32, Vec<StepProgress>>,
 }
@@ -32,7 +34,9 @@
     /// assert_eq!((steps.len(), &steps[1].failed), (2, &vec![(0, 7)]));
     /// ```
     pub fn merge(&mut self, occurrence: u32, steps: IndexMap<usize, StepProgress>) {
-        if occurrence < self.completed_below {
+        let is_finished =
+            self.finished.iter().any(|(first, last)| (*first..=*last).contains(&occurrence));
+        if occurrence < self.completed_below || is_finished {
             return;
         }
         let all = self.occurrences.entry(occurrence).or_default();
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -246,6 +246,9 @@
     started: bool,
     #[serde(rename = "p", default)]
     completed_below: u32,
+    /// Occurrences from `completed_below` on that are done, as ranges such as `3-99,105`.
+    #[serde(rename = "x", default, skip_serializing_if = "String::is_empty")]
+    finished: String,
     #[serde(rename = "t", default)]
     occurrences: Vec<(u32, Vec<StepProgressRow>)>,
 }
@@ -310,6 +313,7 @@
         Self {
             started: progress.started,
             completed_below: progress.completed_below,
+            finished: format_spans(progress.finished.iter().copied()),
             occurrences: progress
                 .occurrences
                 .iter()
@@ -329,37 +333,40 @@
                 steps.into_iter().map(StepProgress::try_from).collect();
             occurrences.insert(number, steps?);
         }
-        Ok(Self { started: row.started, completed_below: row.completed_below, occurrences })
+        Ok(Self {
+            started: row.started,
+            completed_below: row.completed_below,
+            finished: parse_spans(&row.finished)?,
+            occurrences,
+        })
     }
 }
 
 /// Formats ascending numbers as ranges.
 fn format_ranges(numbers: &[u32]) -> String {
-    let mut text = String::new();
-    let mut rest = numbers.iter().copied().peekable();
-    while let Some(first) = rest.next() {
-        let mut last = first;
-        while let Some(next) = rest.next_if(|n| *n == last + 1) {
-            last = next;
-        }
-        if !text.is_empty() {
-            text.push(',');
-        }
-        text.push_str(&first.to_string());
-        if last > first {
-            text.push('-');
-            text.push_str(&last.to_string());
-        }
-    }
-    text
+    let ranges = numbers.chunk_by(|a, b| a + 1 == *b);
+    format_spans(ranges.filter_map(|range| Some((*range.first()?, *range.last()?))))
 }
 
 /// Parses the format of [`format_ranges`].
 fn parse_ranges(text: &str) -> Result<Vec<u32>, ParseIntError> {
-    let mut all = Vec::new();
-    for part in text.split(',').filter(|part| !part.is_empty()) {
+    Ok(parse_spans(text)?.into_iter().flat_map(|(first, last)| first..=last).collect())
+}
+
+/// Formats the first and the last number of some ranges.
+fn format_spans(spans: impl Iterator<Item = (u32, u32)>) -> String {
+    let format = |(first, last): (u32, u32)| match first == last {
+        true => first.to_string(),
+        false => format!("{first}-{last}"),
+    };
+    spans.map(format).collect::<Vec<_>>().join(",")
+}
+
+/// Parses the format of [`format_spans`].
+fn parse_spans(text: &str) -> Result<Vec<(u32, u32)>, ParseIntError> {
+    let parse = |part: &str| {
         let (first, last) = part.split_once('-').unwrap_or((part, part));
-        all.extend(first.parse::<u32>()?..=last.parse::<u32>()?);
-    }
-    Ok(all)
+        Ok((first.parse()?, last.parse()?))
+    };
+    text.split(',').filter(|part| !part.is_empty()).map(parse).collect()
 }
