Rank each occurrence of a repeated job by its own due time

Cause: a repeated job had one rank. From its first start it counted as started for ever, so that its backlog went before all new jobs until the objective of its first request, and before all late jobs that were requested after it. Each occurrence that became due later ranked as late.

Change: a repeated job has two places in the order, one for the occurrences of which tasks have started and one for the next one, which begins as a new job requested when it was due. Among late work of no use, the next occurrence queues from when the one before began, so that a backlog takes turns with what others have sent. Its place is computed again after each occurrence within a pass.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -1,10 +1,11 @@
 //! Assignment of open tasks to executors.
 
 use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::occurrences::MAX_BEGUN_STEPS;
+use super::occurrences::{MAX_BEGUN_STEPS, is_untouched};
 use super::quarantine::{CrashRecord, is_turn, next_suspect, tasks_at_once};
 use super::quota::{self, QuotaPass};
 use super::reserve::ShortEnd;
@@ -30,8 +31,6 @@
     slow: Vec<usize>,
     /// Starts that this pass may still make.
     starts_left: usize,
-    /// Number of steps that the begun occurrences of a job may have.
-    max_begun_steps: usize,
     /// Resources reserved in this pass, by position of the executor.
     pub reserved: IndexMap<usize, Resources>,
     /// Reservations of the pass before.
@@ -84,11 +83,24 @@
     avoid: &'a [String],
 }
 
-/// A job with open tasks and its place in the scheduling order.
+/// Part of a job that has a place of its own in the scheduling order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Part {
+    /// All of a job that runs once, or the suspects of a job.
+    Whole,
+    /// Occurrences of which tasks have started.
+    Begun,
+    /// The next occurrences.
+    Next,
+}
+
+/// A job, or a part of one, with open tasks and its place in the scheduling order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ReadyJob {
     rank: Rank,
     /// Position of the job in the cell.
     job: usize,
+    part: Part,
 }
 
 impl Cell {
@@ -100,7 +112,7 @@
         }
         let inherited_settled = self.inherited_settled();
         let early = self.config.early_start;
-        let mut ready: Vec<ReadyJob> = Vec::new();
+        let mut ready: BinaryHeap<Reverse<ReadyJob>> = BinaryHeap::new();
         self.jobs.values_mut().for_each(|entry| entry.update_due(wall + early));
         let max_begun_steps = self.max_begun_steps();
         for (job, entry) in self.jobs.values_mut().enumerate() {
@@ -112,18 +124,26 @@
             {
                 continue;
             }
-            entry.begin_next(max_begun_steps);
+            entry.begin_next(max_begun_steps, now);
             let mut steps = entry.occurrences.values().flatten();
             let has_open = steps.clone().any(|step| step.open_count > 0);
             let is_idle = has_open && !steps.any(StepState::has_runs);
             entry.idle_since = entry.idle_since.or(Some(now)).filter(|_| is_idle);
-            if has_open {
+            if !has_open {
+                continue;
+            }
+            if entry.job.schedule.is_none() || !entry.suspects.is_empty() {
                 let candidate = Candidate {
                     started: entry.state == State::Running,
                     critical_path: remaining_critical_path(entry),
                     ..entry.candidate
                 };
-                ready.push(ReadyJob { rank: candidate.rank(now), job });
+                let rank = candidate.rank(now);
+                ready.push(Reverse(ReadyJob { rank, job, part: Part::Whole }));
+            } else {
+                let parts = [Part::Begun, Part::Next].into_iter();
+                let ranks = parts.filter_map(|part| Some((part, rank_of(entry, part, now, wall)?)));
+                ready.extend(ranks.map(|(part, rank)| Reverse(ReadyJob { rank, job, part })));
             }
         }
         if ready.is_empty() {
@@ -132,12 +152,13 @@
             return;
         }
         let former = std::mem::take(&mut self.reservations);
-        ready.sort_by_key(|r| r.rank);
-        let waiting: Vec<usize> =
-            ready.iter().map(|r| r.job).filter(|job| self.has_waiting_suspects(*job)).collect();
+        let mut whole: Vec<ReadyJob> = ready.iter().map(|item| item.0).collect();
+        whole.retain(|item| item.part == Part::Whole && self.has_waiting_suspects(item.job));
+        whole.sort_unstable();
+        let waiting: Vec<usize> = whole.into_iter().map(|item| item.job).collect();
         let (waiting, without_allowance) = self.partition_by_allowance(waiting, &quota);
         self.quarantine_executors(&waiting, &without_allowance, now);
-        let least_cpu = self.least_cpu_needed(&ready);
+        let least_cpu = self.least_cpu_needed(ready.iter().map(|item| item.0.job));
         let (mut accepting, mut excluded) = (Vec::new(), Vec::new());
         let workers = self.workers.iter().enumerate();
         let workers = workers.filter(|(_, (id, _))| !self.quarantined.contains_key(*id));
@@ -159,7 +180,6 @@
             excluded,
             slow,
             starts_left: MAX_STARTS_PER_PASS,
-            max_begun_steps,
             reserved: IndexMap::new(),
             former,
             reservations: IndexMap::new(),
@@ -175,7 +195,7 @@
             quota,
             now,
         };
-        for item in ready {
+        while let Some(Reverse(item)) = ready.pop() {
             let no_executors = pass.accepting.is_empty()
                 && pass.excluded.is_empty()
                 && self.quarantined.is_empty();
@@ -190,10 +210,17 @@
                 std::mem::swap(&mut pass.unplaceable, &mut pass.unplaceable_anywhere);
             }
             if entry.suspects.is_empty() {
-                self.assign_job(item.job, &mut pass);
+                self.assign_job(item.job, item.part, &mut pass);
             } else {
                 self.assign_suspects(item.job, &mut pass);
             }
+            if item.part == Part::Next
+                && let Some(entry) = self.jobs.get_index_mut(item.job).map(|(_, entry)| entry)
+                && entry.begin_next(max_begun_steps, now).is_some()
+                && let Some(rank) = rank_of(entry, Part::Next, now, wall)
+            {
+                ready.push(Reverse(ReadyJob { rank, ..item }));
+            }
             if pass.ignores_reservations {
                 std::mem::swap(&mut pass.unplaceable, &mut pass.unplaceable_anywhere);
             }
@@ -208,10 +235,10 @@
     ///
     /// At a peak most executors have less left, and need not be compared for each task. It is 0 if
     /// the adviser has to be asked about all executors.
-    fn least_cpu_needed(&self, ready: &[ReadyJob]) -> u64 {
+    fn least_cpu_needed(&self, ready: impl Iterator<Item = usize>) -> u64 {
         let mut least = u64::MAX;
-        for item in ready {
-            let entry = &self.jobs[item.job];
+        for job in ready {
+            let entry = &self.jobs[job];
             if entry.needs_advice() {
                 return 0;
             }
@@ -244,7 +271,7 @@
         let excluded = std::mem::take(&mut pass.excluded);
         let unplaceable = std::mem::take(&mut pass.unplaceable);
         pass.suspects_only = true;
-        self.assign_job(job, pass);
+        self.assign_job(job, Part::Whole, pass);
         pass.suspects_only = false;
         pass.unplaceable = unplaceable;
         pass.excluded = excluded;
@@ -278,23 +305,17 @@
         MAX_BEGUN_STEPS / self.jobs.values().filter(is_repeated).count().max(1)
     }
 
-    /// Starts the open tasks of each step whose predecessors are done.
-    fn assign_job(&mut self, job: usize, pass: &mut Pass) {
+    /// Starts the open tasks of each step whose predecessors are done, in a part of a job.
+    fn assign_job(&mut self, job: usize, part: Part, pass: &mut Pass) {
         let Some((_, entry)) = self.jobs.get_index(job) else { return };
         // At a peak most waiting jobs are of organisations that may start nothing more.
         if pass.quota.is_closed(entry.organisation) && !entry.needs_advice() {
             return;
         }
-        let occurrences: Vec<u32> = entry.occurrences.keys().copied().collect();
+        let occurrences: Vec<u32> = occurrences_of(entry, part).map(|(n, _)| n).collect();
         for occurrence in occurrences {
             self.assign_occurrence(job, occurrence, pass);
         }
-        // The next one begins only once all of these have started.
-        while pass.starts_left > 0 && !pass.suspects_only {
-            let entry = &mut self.jobs[job];
-            let Some(occurrence) = entry.begin_next(pass.max_begun_steps) else { return };
-            self.assign_occurrence(job, occurrence, pass);
-        }
     }
 
     /// Starts the open tasks of each step of an occurrence whose predecessors are done.
@@ -574,6 +595,25 @@
     }
 }
 
+/// Occurrences of a part of a job that have records.
+fn occurrences_of(entry: &JobEntry, part: Part) -> impl Iterator<Item = (u32, &Vec<StepState>)> {
+    let is_in_part = move |steps: &[StepState]| match part {
+        Part::Whole => true,
+        Part::Begun => !is_untouched(steps),
+        Part::Next => is_untouched(steps),
+    };
+    let occurrences = entry.occurrences.iter().filter(move |(_, steps)| is_in_part(steps));
+    occurrences.map(|(n, steps)| (*n, steps))
+}
+
+/// Rank of a part of a repeated job by its first occurrence with open tasks; `None` if it has none.
+fn rank_of(entry: &JobEntry, part: Part, now: u64, wall: u64) -> Option<Rank> {
+    let is_open = |steps: &[StepState]| steps.iter().any(|step| step.open_count > 0);
+    let (n, _) = occurrences_of(entry, part).find(|(_, steps)| is_open(steps))?;
+    let rank = entry.occurrence_candidate(n, now, wall).rank(now);
+    Some(if part == Part::Next { rank.queued_since(entry.begun_at) } else { rank })
+}
+
 /// Remaining critical path of a job's first open occurrence, in milliseconds.
 fn remaining_critical_path(entry: &JobEntry) -> u64 {
     let Some((_, steps)) = entry.occurrences.get_index(0) else {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -185,6 +185,8 @@
     due: u32,
     /// Number of the next occurrence to begin.
     next_occurrence: u32,
+    /// When the latest occurrence has begun, in milliseconds.
+    begun_at: u64,
     /// Occurrences that have begun and are not done, by number, in ascending order.
     occurrences: IndexMap<u32, Vec<StepState>>,
     /// Duration of its tasks relative to their estimates: number of samples, and mean in percent.
@@ -468,6 +470,7 @@
             finished: arrival.progress.finished.iter().copied().collect(),
             due: 0,
             next_occurrence: arrival.progress.completed_below,
+            begun_at: 0,
             occurrences: IndexMap::new(),
             duration_ratio: (0, 0),
             first_start: None,
--- a/crates/jobs/src/cell/occurrences.rs
+++ b/crates/jobs/src/cell/occurrences.rs
@@ -11,6 +11,7 @@
 
 use super::{JobEntry, StepState, new_steps};
 use crate::job::Step;
+use crate::order::Candidate;
 
 /// Most steps of begun occurrences of all jobs of a cell, which each pass goes through; a job may have
 /// one occurrence beyond.
@@ -47,7 +48,7 @@
     /// number.
     ///
     /// `max_steps` is the number of steps that its begun occurrences may have.
-    pub fn begin_next(&mut self, max_steps: usize) -> Option<u32> {
+    pub fn begin_next(&mut self, max_steps: usize, now: u64) -> Option<u32> {
         let waiting = self.occurrences.values().filter(|steps| is_untouched(steps)).count();
         let most = if self.needs_advice() { MAX_ADVISED_OCCURRENCES } else { 1 };
         let begun = self.occurrences.len();
@@ -58,10 +59,30 @@
         }
         let next = self.next_unbegun()?;
         self.next_occurrence = next + 1;
+        self.begun_at = now;
         self.occurrence_mut(next)?;
         Some(next)
     }
 
+    /// Values that decide the position of an occurrence in the scheduling order; `wall` is the
+    /// wall-clock time at `now`, in milliseconds.
+    pub fn occurrence_candidate(&self, n: u32, now: u64, wall: u64) -> Candidate {
+        let Some(schedule) = self.job.schedule else { return self.candidate };
+        let due = schedule.first_due.saturating_add(schedule.interval.saturating_mul(n.into()));
+        let due = now.saturating_add(due).saturating_sub(wall);
+        let requested_at = self.candidate.requested_at.max(due);
+        let span = self.candidate.objective.saturating_sub(self.candidate.requested_at);
+        let steps = self.occurrences.get(&n).map_or(&[][..], Vec::as_slice);
+        let is_done = |n: usize| steps.get(n).is_some_and(StepState::is_done);
+        Candidate {
+            started: !is_untouched(steps),
+            requested_at,
+            objective: requested_at.saturating_add(span),
+            critical_path: self.job.remaining_critical_path(is_done),
+            ..self.candidate
+        }
+    }
+
     /// Number of occurrences that are due and have not begun.
     pub fn unbegun(&self) -> u64 {
         let Some(first) = self.next_unbegun() else { return 0 };
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -16,6 +16,10 @@
 //! 5. Late jobs, in the order of their first request.
 //! 6. Late jobs whose result is no longer useful.
 //!
+//! Each occurrence of a repeated job counts as a job of its own, requested when it is due. In the last
+//! class the next occurrence queues from the time at which the one before has begun, so that others
+//! get their turn beside a backlog.
+//!
 //! Clients of refused jobs retry within the same peak; the objective counts from their first
 //! request.
 
@@ -89,6 +93,18 @@
     priority: u32,
 }
 
+/// Position of the late jobs whose result is no longer useful.
+const USELESS_CLASS: u8 = 5;
+
+impl Rank {
+    /// Rank of a job that has queued since `at`, in milliseconds, if it is among the last ones.
+    #[must_use]
+    pub fn queued_since(self, at: u64) -> Self {
+        let key = if self.class == USELESS_CLASS { self.key.max(at) } else { self.key };
+        Self { key, ..self }
+    }
+}
+
 impl Candidate {
     /// Latest start that still meets the objective, in milliseconds.
     pub fn latest_start(&self) -> u64 {
@@ -186,7 +202,7 @@
             // A later latest start means a better chance.
             () if now + self.critical_path <= self.objective => (3, u64::MAX - latest),
             () if now <= self.useful_until() => (4, self.requested_at),
-            () => (5, self.requested_at),
+            () => (USELESS_CLASS, self.requested_at),
         };
         Rank { class, key, priority: self.priority }
     }
--- a/crates/jobs/tests/backlog.rs
+++ b/crates/jobs/tests/backlog.rs
@@ -8,12 +8,13 @@
 
 use indexmap::{IndexMap, IndexSet};
 use jobs::cell::{Arrival, Order, Records, StartOutcome};
+use jobs::order::Policy;
 use jobs::progress::StepProgress;
 use jobs::row::ProgressRow;
 use jobs::worker::{EndedRun, PresentRun};
 use jobs::{
-    Cell, CellConfig, ExecutorReport, Job, Progress, Registration, Resources, RunOutcome, Schedule,
-    State, Step, TaskId,
+    Cell, CellConfig, ExecutorReport, Job, Progress, Queue, Registration, Resources, RunOutcome,
+    Schedule, State, Step, TaskId,
 };
 
 const START_MS: u64 = 1_000_000;
@@ -99,6 +100,19 @@
         }
     }
 
+    /// Sets the terms of the queue: jobs should be completed within two seconds and thrice their duration.
+    fn configure(&mut self, policy: Policy) {
+        let queue = Queue {
+            name: "q".to_owned(),
+            max_attempts: 3,
+            stretch: 3_000,
+            objective_base: 2_000,
+            ..Queue::default()
+        };
+        self.cell.configure(std::iter::once(&queue));
+        self.cell.set_policy(policy);
+    }
+
     fn admit(&mut self, id: &str, job: Job) {
         self.table.insert(id.to_owned(), (job.clone(), ProgressRow::default()));
         self.cell.admit(arrival(id, job, Progress::default(), self.now, false));
@@ -365,6 +379,83 @@
     assert!(pool.starts.len() >= SLOTS);
 }
 
+/// Admits a small job and returns the time until it is completed, in milliseconds.
+fn time_of_usual_job(pool: &mut Pool, id: &str) -> u64 {
+    let start = pool.now;
+    pool.admit(id, Job { steps: vec![step(2, Vec::new())], ..Job::default() });
+    pool.run_until(|pool| pool.completed.contains(id), 10_000);
+    pool.now - start
+}
+
+/// Guards against a backlog of one client that keeps the jobs of all others from starting: each
+/// occurrence used to go ahead of all new jobs, as its job had started.
+#[test]
+fn other_jobs_get_their_turn_beside_a_backlog() {
+    let start = WALL_MS + START_MS;
+    // Overdue, one a millisecond, and with an estimate by which all could be in time for hours.
+    for (first_due, interval, estimate) in
+        [(0, 60_000, TASK_MS), (start, 1, TASK_MS), (start, 1, 600_000)]
+    {
+        for policy in [Policy::LeastWork, Policy::LatestStart] {
+            let mut pool = Pool::new();
+            pool.configure(policy);
+            let steps = vec![Step { estimate, ..step(24, Vec::new()) }];
+            pool.admit(JOB, repeated(steps, first_due, interval, 100_000));
+            (0..200).for_each(|_| pool.advance());
+            for n in 0..5 {
+                let took = time_of_usual_job(&mut pool, &format!("{n:016x}"));
+                assert!(
+                    took < 1_000,
+                    "{policy:?}, interval {interval}, estimate {estimate}: {took} ms"
+                );
+            }
+            assert_eq!(pool.runs.len(), SLOTS, "the backlog goes on");
+        }
+    }
+}
+
+/// Guards against jobs that are late themselves and wait for a whole backlog which was submitted before
+/// them, or for one that a new holder has read.
+#[test]
+fn late_jobs_get_their_turn_beside_a_backlog() {
+    let mut pool = Pool::new();
+    pool.admit(JOB, repeated(vec![step(24, Vec::new())], 0, 0, 100_000));
+    (0..100).for_each(|_| pool.advance());
+    assert!(time_of_usual_job(&mut pool, "00000000000000b0") < 1_000);
+    pool.take_over();
+    assert!(time_of_usual_job(&mut pool, "00000000000000b1") < 1_000);
+    // Two backlogs share the executors.
+    let second = "00000000000000bb";
+    pool.admit(second, repeated(vec![step(24, Vec::new())], 0, 0, 100_000));
+    let before = pool.starts.len();
+    (0..200).for_each(|_| pool.advance());
+    let all = pool.starts.len() - before;
+    let own = pool.starts.keys().filter(|task| task.job == second).count();
+    assert!((all * 2 / 5..all * 3 / 5).contains(&own), "{own} of {all}");
+}
+
+/// Guards against occurrences that rank as late since their job was requested long before they were
+/// due, so that they wait for a backlog of late work.
+#[test]
+fn an_occurrence_counts_as_late_from_its_own_due_time() {
+    let mut pool = Pool::new();
+    pool.configure(Policy::LeastWork);
+    let regular = "00000000000000bb";
+    pool.admit(regular, repeated(vec![step(2, Vec::new())], WALL_MS + START_MS, 1_000, 60));
+    (0..800).for_each(|_| pool.advance());
+    pool.admit(JOB, Job { steps: vec![step(10_000, Vec::new())], ..Job::default() });
+    pool.run_until(|pool| pool.starts.len() >= 3_000, 20_000);
+    let (mut late, mut due) = (0, 0);
+    for _ in 0..400 {
+        pool.advance();
+        let since = u32::try_from((pool.now - START_MS) / 1_000).expect("a small number");
+        let started = pool.starts.keys().filter(|t| t.job == regular).map(|t| t.occurrence).max();
+        due += 1;
+        late += u32::from(started.is_none_or(|n| n < since) && pool.now % 1_000 > 300);
+    }
+    assert!(late < due / 20, "late in {late} of {due} rounds");
+}
+
 /// Guards against counts for machines and limits that leave out what is due and has no records.
 #[test]
 fn late_work_counts_occurrences_that_have_not_begun() {
