--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -14,9 +14,7 @@
 //! 4. Jobs that may meet their objective, but without time to spare, the best chance first. They
 //!    get resources when several machines arrive at once.
 //! 5. Late jobs, in the order of their first request.
-//! 6. Late jobs whose result is no longer useful, in the order of their first request, put off by the
-//!    time that a pool takes for their work: a small one need not wait for hours of work of others that
-//!    was sent before, and each is delayed by a bounded number of later ones.
+//! 6. Late jobs whose result is no longer useful.
 //!
 //! Each occurrence of a repeated job counts as a job of its own, requested when it is due. In the last
 //! class the next occurrence queues from the time at which the one before has begun, so that others
@@ -95,9 +93,6 @@
     priority: u32,
 }
 
-/// Work by which a late job of no use is put off by a millisecond, in thousandths of a core times
-/// milliseconds; that of a small pool.
-const LATE_WORK_PER_MS: u64 = 32_000;
 /// Position of the late jobs whose result is no longer useful.
 const USELESS_CLASS: u8 = 5;
 
@@ -207,7 +202,7 @@
             // A later latest start means a better chance.
             () if now + self.critical_path <= self.objective => (3, u64::MAX - latest),
             () if now <= self.useful_until() => (4, self.requested_at),
-            () => (USELESS_CLASS, self.requested_at.saturating_add(self.work / LATE_WORK_PER_MS)),
+            () => (USELESS_CLASS, self.requested_at),
         };
         Rank { class, key, priority: self.priority }
     }
