Let usual late jobs go before very large ones

Cause: late jobs of no use go by their first request alone, so that one which comes after hours of work waits for hours.

Change: among them, a job of over 600 core-seconds queues from its latest start and ten minutes behind the others. Very large jobs take turns with each other, and usual jobs are served in between; a large one is put off by those that are requested within ten minutes of its last start.

The test a_small_late_job_gets_its_turn_beside_very_large_ones failed before.

--- a/crates/jobs/src/cell/assign.rs
+++ b/crates/jobs/src/cell/assign.rs
@@ -138,7 +138,7 @@
                     critical_path: remaining_critical_path(entry),
                     ..entry.candidate
                 };
-                let rank = candidate.rank(now);
+                let rank = candidate.turn(entry.last_start, now);
                 ready.push(Reverse(ReadyJob { rank, job, part: Part::Whole }));
             } else {
                 let parts = [Part::Begun, Part::Next].into_iter();
@@ -552,6 +552,7 @@
         let checkpoint = state.checkpoint.clone();
         let ticket = step.advice.ticket(worker, now).unwrap_or_default().to_owned();
         entry.first_start.get_or_insert(now);
+        entry.last_start = now;
         if entry.state == State::Queued {
             entry.state = State::Running;
             self.dirty.insert(id.clone());
@@ -610,7 +611,7 @@
 fn rank_of(entry: &JobEntry, part: Part, now: u64, wall: u64) -> Option<Rank> {
     let is_open = |steps: &[StepState]| steps.iter().any(|step| step.open_count > 0);
     let (n, _) = occurrences_of(entry, part).find(|(_, steps)| is_open(steps))?;
-    let rank = entry.occurrence_candidate(n, now, wall).rank(now);
+    let rank = entry.occurrence_candidate(n, now, wall).turn(entry.last_start, now);
     Some(if part == Part::Next { rank.queued_since(entry.begun_at) } else { rank })
 }
 
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -193,6 +193,8 @@
     duration_ratio: (u64, u64),
     /// When this holder started its first task, in milliseconds.
     first_start: Option<u64>,
+    /// When this holder last started a task of it, in milliseconds; 0 before.
+    last_start: u64,
     /// CPU time reserved by its ended runs, in thousandths of a core times milliseconds.
     cpu_time: u64,
     /// Tasks that may have crashed an executor and have not been cleared.
@@ -474,6 +476,7 @@
             occurrences: IndexMap::new(),
             duration_ratio: (0, 0),
             first_start: None,
+            last_start: 0,
             cpu_time: 0,
             suspects: IndexSet::new(),
             crash_record: CrashRecord::default(),
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -18,7 +18,8 @@
 //!
 //! Each occurrence of a repeated job counts as a job of its own, requested when it is due. In the last
 //! class the next occurrence queues from the time at which the one before has begun, so that others
-//! get their turn beside a backlog.
+//! get their turn beside a backlog. Very large jobs there queue from their latest start, some minutes
+//! behind the others: thousands of them, which each fill the pool, take turns with each other only.
 //!
 //! Clients of refused jobs retry within the same peak; the objective counts from their first
 //! request.
@@ -93,6 +94,11 @@
     priority: u32,
 }
 
+/// Work above which a job counts as very large, in thousandths of a core times milliseconds; many times
+/// that of the usual jobs.
+const VERY_LARGE_WORK: u64 = 600_000_000;
+/// Time by which a very large job that is late and of no use is put off, in milliseconds.
+const VERY_LARGE_DELAY_MS: u64 = 600_000;
 /// Position of the late jobs whose result is no longer useful.
 const USELESS_CLASS: u8 = 5;
 
@@ -152,6 +158,16 @@
             + share
     }
 
+    /// Rank of the job at the time `now`, if its tasks last started at `last_start`, in milliseconds; 0
+    /// for none.
+    pub fn turn(&self, last_start: u64, now: u64) -> Rank {
+        let rank = self.rank(now);
+        if self.work <= VERY_LARGE_WORK {
+            return rank;
+        }
+        rank.queued_since(self.requested_at.max(last_start).saturating_add(VERY_LARGE_DELAY_MS))
+    }
+
     /// Whether the job has started and can still be in time.
     pub fn is_started_and_timely(&self, now: u64) -> bool {
         self.started && now <= self.latest_start()
--- a/crates/jobs/tests/backlog.rs
+++ b/crates/jobs/tests/backlog.rs
@@ -434,6 +434,24 @@
     assert!((all * 2 / 5..all * 3 / 5).contains(&own), "{own} of {all}");
 }
 
+/// Guards against a small job that is late and waits for all jobs of the largest size that were
+/// submitted before it, and against large ones that do not go on beside each other.
+#[test]
+fn a_small_late_job_gets_its_turn_beside_very_large_ones() {
+    let mut pool = Pool::new();
+    for n in 0..50 {
+        let steps = vec![step(10_000, Vec::new()), step(10_000, vec![0])];
+        pool.admit(&format!("{n:016x}"), Job { steps, ..Job::default() });
+    }
+    (0..400).for_each(|_| pool.advance());
+    for n in 0..5 {
+        assert!(time_of_usual_job(&mut pool, &format!("b{n:015x}")) < 1_000);
+    }
+    assert_eq!(pool.runs.len(), SLOTS, "the large ones go on");
+    let started: IndexSet<&str> = pool.starts.keys().map(|task| task.job.as_str()).collect();
+    assert_eq!(started.len(), 55, "each large job gets its turn");
+}
+
 /// Guards against occurrences that rank as late since their job was requested long before they were
 /// due, so that they wait for a backlog of late work.
 #[test]
