Leave jobs in the table that the process has no memory for

Cause: a cell takes 4,000 jobs, whatever each of them takes; a job of 1,000 steps took 450 KB. A new holder read all rows of sixteen parts before it used the first.

Change: jobs have a fifth of the process's memory over all of its cells, by an estimate of each (jobs::memory). Jobs of over 16 KB have three quarters of it, so that usual ones are accepted and begin beside them. The published load has what is free, and a job without room is refused at once, with the reason memory. A holder, also a new one, parks a job that has not started and has no room: it stays in the table, counts as pending, and is read once others have ended, or at once if it is cancelled or an executor reports a run or an end of it, which are kept until then. Rows are read page by page, and counts of pending jobs keep the keys only. Tickets take memory only where there are some, and the payload is kept once.

Tests: two in cells/tests/fleet.rs.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -87,6 +87,10 @@
     TermsUnknown = 2108,
     /// A job that was not stored was cancelled, and will not be stored later.
     JobWithdrawn = 2109,
+    /// A job stays in the table, as the holder of its cell has no memory for it.
+    JobParked = 2110,
+    /// A job that stayed in the table was read.
+    JobUnparked = 2111,
     /// A start was sent to an executor; the fields hold the outcome.
     StartSent = 2201,
     /// A stop was sent to an executor; the fields hold the outcome.
--- a/crates/cells/src/context.rs
+++ b/crates/cells/src/context.rs
@@ -7,6 +7,7 @@
 use base::Timeline;
 use indexmap::{IndexMap, IndexSet};
 use jobs::Configuration;
+use jobs::memory::Room;
 use jobs::order::Policy;
 use jobs::wave::Wave;
 use jobs::window::CallWindow;
@@ -61,6 +62,8 @@
     pub order: Option<Policy>,
     /// Largest row that the table accepts, in bytes.
     pub max_row_bytes: usize,
+    /// Memory for the jobs of all cells that the process holds, in bytes.
+    pub job_memory: usize,
     /// Time limits of the platform.
     pub bounds: Bounds,
 }
@@ -108,6 +111,8 @@
     /// Names of the pools of all configurations that were in force.
     pools: RefCell<IndexSet<String>>,
     pub waves: RefCell<IndexMap<u64, Wave>>,
+    /// Memory that the jobs of each cell take which the process holds, in bytes.
+    pub job_bytes: RefCell<IndexMap<String, usize>>,
     pub registry: RefCell<Registry>,
     /// Counter that is incremented with each change of the registry.
     pub registry_version: Cell<u64>,
@@ -146,6 +151,11 @@
 }
 
 impl Context {
+    /// Returns the free memory for jobs.
+    pub fn job_room(&self) -> Room {
+        Room::of(self.settings.job_memory, self.job_bytes.borrow().values().sum())
+    }
+
     pub fn new(settings: Settings, ports: Ports, timeline: Timeline, metrics: Metrics) -> Rc<Self> {
         let store = Rc::new(MeasuredStore::new(Rc::clone(&ports.store), metrics.clone()));
         let ports = Ports { store, ..ports };
@@ -159,6 +169,7 @@
             config_confirmed_at: Cell::new(0),
             pools: RefCell::default(),
             waves: RefCell::default(),
+            job_bytes: RefCell::default(),
             registry: RefCell::default(),
             registry_version: Cell::new(0),
             registry_read: Cell::new(false),
--- a/crates/cells/src/follow.rs
+++ b/crates/cells/src/follow.rs
@@ -26,26 +26,39 @@
 /// Reads all rows of a part from a key on, and returns them with the version of the first page.
 pub(crate) async fn read_all(ctx: &Context, from: Place) -> Result<(Vec<Row>, u64), ReadError> {
     let read = async |from: &Place, limit| ctx.ports.store.read(from, limit).await;
-    read_pages(ctx, from, read).await
+    let mut all = Vec::new();
+    let version = read_pages(ctx, from, read, |rows| all.extend(rows)).await?;
+    Ok((all, version))
 }
 
-/// Like [`read_all`], with the given way to read a page.
+/// Returns the keys of all rows of a part; their values take more memory than a process may have.
+pub(crate) async fn read_keys(ctx: &Context, from: Place) -> Result<Vec<String>, ReadError> {
+    let read = async |from: &Place, limit| ctx.ports.store.read(from, limit).await;
+    let mut keys = Vec::new();
+    read_pages(ctx, from, read, |rows| keys.extend(rows.into_iter().map(|row| row.place.key)))
+        .await?;
+    Ok(keys)
+}
+
+/// Reads all rows of a part from a key on in the given way, passes each page on, and returns the
+/// version of the first one.
 pub(crate) async fn read_pages<E>(
     ctx: &Context,
     mut from: Place,
     read: impl AsyncFn(&Place, usize) -> Result<Page, E>,
-) -> Result<(Vec<Row>, u64), E> {
-    let (mut all, mut version) = (Vec::new(), None);
+    mut on_page: impl FnMut(Vec<Row>),
+) -> Result<u64, E> {
+    let mut version = None;
     loop {
         let page = read(&from, PAGE_ROWS).await?;
         ctx.record_page_clock(&page);
         version.get_or_insert(page.version);
         let last = page.rows.last().map(|row| row.place.key.clone());
-        all.extend(page.rows);
+        on_page(page.rows);
         match last {
             // The next possible key is the last one followed by a zero byte.
             Some(last) if page.more => from.key = format!("{last}\0"),
-            _ => return Ok((all, version.unwrap_or(0))),
+            _ => return Ok(version.unwrap_or(0)),
         }
     }
 }
--- a/crates/cells/src/job_api.rs
+++ b/crates/cells/src/job_api.rs
@@ -9,11 +9,11 @@
 use jobs::admit::{self, Incoming, Request, Verdict};
 use jobs::organisation::{Credential, Denial};
 use jobs::row::JobRow;
-use jobs::{Job, Organisation, Queue, State, Terms};
+use jobs::{Job, Organisation, Queue, State, Terms, memory};
 
 use crate::clock;
 use crate::context::{Context, pause};
-use crate::follow::read_all;
+use crate::follow::read_keys;
 use crate::keys;
 use crate::metrics::Metrics;
 use crate::pauses;
@@ -342,7 +342,13 @@
         let loads = self.ctx.loads.borrow();
         let load = loads.get(&queue.pool)?;
         let now = self.ctx.table_now();
-        if now > load.published_at + MAX_LOAD_AGE_MS || job.is_long_running() {
+        if now > load.published_at + MAX_LOAD_AGE_MS {
+            return None;
+        }
+        if load.room.is_some_and(|room| !room.fits(memory::job_bytes(job))) {
+            return Some(Refusal { why: "memory", retry_after: memory::RETRY_MS });
+        }
+        if job.is_long_running() {
             return None;
         }
         let critical_path = job.critical_path();
@@ -556,10 +562,10 @@
     /// Counts the pending jobs in one part of the table.
     async fn count_pending_in_part(&self, cell: &str, part: String) -> Result<u64, ReadError> {
         let place = |table: &str| Place::new(table, &part, "");
-        let (jobs, _) = read_all(&self.ctx, place(&keys::jobs_table(cell))).await?;
-        let (started, _) = read_all(&self.ctx, place(&keys::progress_table(cell))).await?;
-        let started: IndexSet<String> = started.into_iter().map(|row| row.place.key).collect();
-        let mut waiting: IndexSet<String> = jobs.into_iter().map(|row| row.place.key).collect();
+        let jobs = read_keys(&self.ctx, place(&keys::jobs_table(cell))).await?;
+        let started = read_keys(&self.ctx, place(&keys::progress_table(cell))).await?;
+        let started: IndexSet<String> = started.into_iter().collect();
+        let mut waiting: IndexSet<String> = jobs.into_iter().collect();
         let cancelled: Vec<String> =
             waiting.iter().filter_map(|key| key.strip_suffix('!')).map(str::to_owned).collect();
         waiting.retain(|key| !key.ends_with('!') && !started.contains(key));
--- a/crates/cells/src/owner/mod.rs
+++ b/crates/cells/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod confirm;
 mod duty;
 mod effort;
+mod parked;
 mod poll;
 mod recover;
 mod report;
@@ -125,6 +126,8 @@
     pub roster: RefCell<Vec<write::RosterList>>,
     /// Whether the roster is being written.
     pub writes_roster: Cell<bool>,
+    /// Jobs that stay in the table for now.
+    pub parked: parked::ParkedRows,
     /// Jobs whose cancel marker was read before the job itself.
     pub early_cancels: RefCell<IndexSet<String>>,
     /// Time at which executors were last removed from the roster, in milliseconds.
@@ -201,6 +204,7 @@
             stored_progress: RefCell::default(),
             roster: RefCell::default(),
             writes_roster: Cell::new(false),
+            parked: parked::ParkedRows::default(),
             early_cancels: RefCell::default(),
             roster_trimmed_at: Cell::new(0),
             slowest_write: Cell::new(0),
@@ -364,6 +368,7 @@
         }
         self.spawn_task("writes", Rc::clone(&self).write_loop());
         self.spawn_task("grants", Rc::clone(&self).exchange_grants());
+        self.spawn_task("parked jobs", Rc::clone(&self).read_parked());
         let mut version = self.ctx.config().map(|c| c.version);
         while self.is_active() {
             let pass_start = Instant::now();
@@ -420,8 +425,15 @@
 
     /// Applies a row of the cell's jobs table: a job or a cancel marker.
     ///
-    /// A job that no former holder can have started waits until its part's fence row covers it.
+    /// A job that no former holder can have started waits until its part's fence row covers it. One
+    /// that has not started stays in the table while the process has no memory for it.
     pub fn apply_job_row(self: &Rc<Self>, row: &Row, progress: Progress, inherited: bool) {
+        let has_started = progress.started;
+        self.apply_job(row, progress, inherited, !has_started);
+    }
+
+    /// Like [`Self::apply_job_row`]; `may_park` is whether a job may stay in the table.
+    fn apply_job(self: &Rc<Self>, row: &Row, progress: Progress, inherited: bool, may_park: bool) {
         let key = row.place.key.as_str();
         let Some(value) = &row.value else { return };
         if let Some(id) = key.strip_suffix('!') {
@@ -429,6 +441,10 @@
             if cell.contains_job(id) {
                 cell.cancel(id, clock::now());
                 self.wake.notify_one();
+            } else if cell.is_parked(id) {
+                self.early_cancels.borrow_mut().insert(id.to_owned());
+                cell.request_parked(id);
+                self.parked.wake.notify_one();
             } else if cell.has_ended(id) {
                 // The end of the job was being written when its client cancelled it.
                 self.remove_marker(row);
@@ -446,6 +462,9 @@
                 return;
             }
         };
+        if may_park && self.park(row, &job, inherited) {
+            return;
+        }
         let now = clock::now();
         let table_now = self.ctx.table_now();
         let local_time =
@@ -486,6 +505,7 @@
         if self.early_cancels.borrow_mut().swap_remove(key) {
             cell.cancel(key, now);
         }
+        self.ctx.job_bytes.borrow_mut().insert(self.tenure.cell.clone(), cell.footprint());
         self.wake.notify_one();
     }
 
@@ -607,6 +627,7 @@
             long_running: limits.long_running_cpu,
             min_executors: limits.min_executors,
             outlook: cell.outlook(now),
+            room: Some(self.ctx.job_room().published(cell.parked_count() > 0)),
             beyond_share: cell
                 .beyond_share(now)
                 .take(MAX_PUBLISHED_ORGANISATIONS)
--- a/crates/cells/src/owner/recover.rs
+++ b/crates/cells/src/owner/recover.rs
@@ -6,7 +6,6 @@
 //! calls to the table for each. All at once they exceed its rate, and so do all others, whoever makes
 //! them. The calls go out at a limited rate, and the executors' leases are renewed meanwhile.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,6 +40,11 @@
 /// Minimum time between two reads of new jobs, in milliseconds.
 const FEED_INTERVAL_MS: u64 = 20;
 
+/// Progress of jobs, by id.
+type ProgressRows = IndexMap<String, Progress>;
+/// Blocks of the progress of jobs, by id.
+type BlockRows = IndexMap<String, Vec<Block>>;
+
 impl Inner {
     /// Recovers the cell's state, with retries; false if the cell is lost meanwhile.
     pub(super) async fn recover(self: &Rc<Self>) -> bool {
@@ -129,12 +133,52 @@
         Err(WriteError::Lost)
     }
 
-    /// Reads all rows of a part of a table, and returns them with the version of the first page.
-    async fn read_rows(&self, table: &str, part: &str) -> Result<(Vec<Row>, u64), WriteError> {
+    /// Reads a part of a table page by page, and returns the version of the first page.
+    async fn for_each_page(
+        &self,
+        table: &str,
+        part: &str,
+        on_page: impl FnMut(Vec<Row>),
+    ) -> Result<u64, WriteError> {
         let read = async |from: &Place, limit| {
             self.persist(|| self.ctx.ports.store.read(from, limit)).await
         };
-        read_pages(&self.ctx, Place::new(table, part, ""), read).await
+        read_pages(&self.ctx, Place::new(table, part, ""), read, on_page).await
+    }
+
+    /// Reads the progress of the jobs in a part, with their blocks.
+    async fn read_progress_rows(
+        &self,
+        table: &str,
+        part: &str,
+    ) -> Result<(ProgressRows, BlockRows), WriteError> {
+        let mut rows = Vec::new();
+        self.for_each_page(table, part, |page| rows.extend(page)).await?;
+        Ok(self.decode_progress(&rows))
+    }
+
+    /// Decodes rows of the progress of jobs, by the ids of these, and lists their blocks.
+    pub(super) fn decode_progress(&self, rows: &[Row]) -> (ProgressRows, BlockRows) {
+        let (mut progress, mut blocks) = (ProgressRows::new(), BlockRows::new());
+        // The first row of a job sorts before those of its blocks.
+        for row in rows {
+            let Some(value) = &row.value else { continue };
+            let key = &row.place.key;
+            let added = match blocks::parse_key(key) {
+                None => read_progress(value).map(|p| drop(progress.insert(key.clone(), p))),
+                Some((id, block)) => {
+                    blocks.entry(id.to_owned()).or_default().push(block);
+                    let own = progress.entry(id.to_owned()).or_default();
+                    read_block(value).map(|steps| own.merge(block.occurrence, steps))
+                }
+            };
+            if let Err(error) = added {
+                self.ctx
+                    .timeline
+                    .record(base::Event::RowUnreadable, &[("row", key), ("error", &error)]);
+            }
+        }
+        (progress, blocks)
     }
 
     /// Renews the leases of the former holder's executors while the jobs are read.
@@ -194,45 +238,34 @@
     pub(super) async fn recover_part(self: &Rc<Self>, part: &str) -> Result<(), WriteError> {
         let startable_through = self.claim_fence(part).await?;
         let table = keys::progress_table(&self.tenure.cell);
-        let (rows, _) = self.read_rows(&table, part).await?;
-        let mut progress: IndexMap<String, Progress> = IndexMap::new();
-        let mut blocks: IndexMap<String, Vec<Block>> = IndexMap::new();
-        // The first row of a job sorts before those of its blocks.
-        for row in &rows {
-            let Some(value) = &row.value else { continue };
-            let key = &row.place.key;
-            let added = match blocks::parse_key(key) {
-                None => read_progress(value).map(|p| drop(progress.insert(key.clone(), p))),
-                Some((id, block)) => {
-                    blocks.entry(id.to_owned()).or_default().push(block);
-                    let own = progress.entry(id.to_owned()).or_default();
-                    read_block(value).map(|steps| own.merge(block.occurrence, steps))
-                }
-            };
-            if let Err(error) = added {
-                self.ctx
-                    .timeline
-                    .record(base::Event::RowUnreadable, &[("row", key), ("error", &error)]);
-            }
-        }
+        let (mut progress, mut blocks) = self.read_progress_rows(&table, part).await?;
         let table = keys::jobs_table(&self.tenure.cell);
-        let (rows, version) = self.read_rows(&table, part).await?;
+        let mut last_job = String::new();
+        // The jobs of a part may take more memory than the process has.
+        let version = self
+            .for_each_page(&table, part, |rows| {
+                for row in rows {
+                    // A job is stored before its cancel marker, which follows its row; its row is
+                    // removed when it has ended.
+                    match row.place.key.strip_suffix('!') {
+                        Some(id) if id != last_job => {
+                            self.remove_marker(&row);
+                            continue;
+                        }
+                        Some(_) => {}
+                        None => last_job.clone_from(&row.place.key),
+                    }
+                    let progress = progress.swap_remove(&row.place.key).unwrap_or_default();
+                    if let Some(blocks) = blocks.swap_remove(&row.place.key) {
+                        let mut stored = self.stored_progress.borrow_mut();
+                        let layout = &mut stored.entry(row.place.key.clone()).or_default().layout;
+                        blocks.into_iter().for_each(|block| layout.add(block));
+                    }
+                    self.apply_job_row(&row, progress, row.version <= startable_through);
+                }
+            })
+            .await?;
         self.read_versions.borrow_mut().insert(part.to_owned(), version);
-        let jobs: HashSet<String> = rows.iter().map(|row| row.place.key.clone()).collect();
-        for row in rows {
-            // A job is stored before its cancel marker, and its row is removed when it has ended.
-            if row.place.key.strip_suffix('!').is_some_and(|id| !jobs.contains(id)) {
-                self.remove_marker(&row);
-                continue;
-            }
-            let progress = progress.swap_remove(&row.place.key).unwrap_or_default();
-            if let Some(blocks) = blocks.swap_remove(&row.place.key) {
-                let mut stored = self.stored_progress.borrow_mut();
-                let layout = &mut stored.entry(row.place.key.clone()).or_default().layout;
-                blocks.into_iter().for_each(|block| layout.add(block));
-            }
-            self.apply_job_row(&row, progress, row.version <= startable_through);
-        }
         let progress_place =
             |key: &str| Self::job_place(keys::progress_table(&self.tenure.cell), part, key);
         let left: Vec<Place> = blocks
--- a/crates/cells/src/rows.rs
+++ b/crates/cells/src/rows.rs
@@ -2,6 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use jobs::admit::Outlook;
+use jobs::memory::Room;
 use jobs::quota::Entry;
 use jobs::wave::Stage;
 use jobs::{Registration, Resources, State};
@@ -88,6 +89,9 @@
     /// serve new jobs by their latest start.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub outlook: Option<Outlook>,
+    /// Free memory for jobs of the holder; none from one of an earlier version.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub room: Option<Room>,
     /// Organisations that send beyond their weight.
     #[serde(rename = "y", default, skip_serializing_if = "IndexSet::is_empty")]
     pub beyond_share: IndexSet<String>,
--- a/crates/cells/tests/fleet.rs
+++ b/crates/cells/tests/fleet.rs
@@ -18,7 +18,7 @@
 use cells::withdrawal::RETENTION_MS;
 use cells::{Access, Bounds, JobApi, Metrics, Node, Ports, Reply, Settings, clock, keys};
 use futures_util::future::LocalBoxFuture;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jobs::cell::{Refusal, StartOutcome};
 use jobs::queue::Pool;
 use jobs::wave::Wave;
@@ -101,6 +101,10 @@
     renewals: Cell<usize>,
     /// Time by which the table's clock is ahead of the process's, in milliseconds.
     clock_lead: Cell<u64>,
+    /// Memory of the process for jobs, in bytes; 0 for the usual.
+    job_memory: Cell<usize>,
+    /// Tasks whose stop was ordered.
+    stops: RefCell<Vec<TaskId>>,
 }
 
 impl World {
@@ -332,9 +336,10 @@
         &'a self,
         _: &'a Executor,
         _: u64,
-        _: &'a TaskId,
+        task: &'a TaskId,
         _: u64,
     ) -> LocalBoxFuture<'a, Result<(), OrderError>> {
+        self.0.stops.borrow_mut().push(task.clone());
         Box::pin(async { Ok(()) })
     }
 
@@ -365,6 +370,7 @@
             if to.id == self.0.executor() {
                 self.0.polled_at.set(clock::now());
             }
+            self.0.ended.borrow_mut().retain(|end| end.sequence > request.acked_through);
             Ok(ExecutorReport {
                 clock: clock::now(),
                 present: self.0.present.borrow().clone(),
@@ -552,6 +558,10 @@
     };
     let settings = Settings {
         max_row_bytes: 65_536,
+        job_memory: match world.job_memory.get() {
+            0 => 32 << 20,
+            bytes => bytes,
+        },
         name: name.to_owned(),
         centre: "c".to_owned(),
         cpu: 1_000,
@@ -1317,3 +1327,102 @@
         wait_for("removal", || !has(JOB)).await;
     });
 }
+
+/// Memory for the jobs of [`put_many_jobs`] in which a fraction of them fits, in bytes.
+const LITTLE_MEMORY: usize = 120_000;
+/// Number of these jobs, and of the steps of each.
+const MANY_JOBS: u64 = 24;
+const MANY_STEPS: u64 = 48;
+
+/// Puts jobs that take more memory than a process has, as a former holder left them.
+fn put_many_jobs(world: &World) {
+    put_former_holder(world, 0);
+    world.job_memory.set(LITTLE_MEMORY);
+    let epoch = world.version.get();
+    let step = r#"{"n":1,"c":1,"e":500}"#;
+    let steps = vec![step; usize::try_from(MANY_STEPS).expect("a small number")].join(",");
+    for n in 0..MANY_JOBS {
+        let (part, id) = (format!("q-{}", n % 3), format!("{n:016x}"));
+        let fence = Fence { epoch, startable_through: u64::MAX, ..Fence::default() };
+        world.put(&keys::fence(&part, POOL), rows::encode(&fence));
+        let job = Place::new(&keys::jobs_table(POOL), &part, &id);
+        world.put(&job, format!(r#"{{"q":"q","s":[{steps}]}}"#).into_bytes());
+    }
+}
+
+fn job_rows(world: &World) -> usize {
+    let table = keys::jobs_table(POOL);
+    world.rows.borrow().keys().filter(|place| place.table == table).count()
+}
+
+/// Ends the runs that are present, and returns their tasks.
+fn end_runs(world: &World, sequence: &mut u64) -> Vec<TaskId> {
+    let runs = world.present.take();
+    for run in &runs {
+        *sequence += 1;
+        world.ended.borrow_mut().push(EndedRun {
+            sequence: *sequence,
+            task: run.task.clone(),
+            run: run.run,
+            outcome: RunOutcome::Done,
+            checkpoint: String::new(),
+        });
+    }
+    runs.into_iter().map(|run| run.task).collect()
+}
+
+/// Guards against a new holder that ends over its memory by the jobs of its cell, and against jobs or
+/// tasks that are lost, or run twice, as they wait in the table. The former holder has started one.
+#[test]
+fn jobs_without_memory_wait_in_the_table_and_run_whole() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        put_many_jobs(&world);
+        let task =
+            TaskId { job: format!("{:016x}", MANY_JOBS - 1), occurrence: 0, step: 0, index: 0 };
+        let checkpoint = String::new();
+        let run = PresentRun { task: task.clone(), run: 1, checkpoint, percent: 50, gauge: 0 };
+        world.present.borrow_mut().push(run);
+        let _node = start(&world);
+        wait_for("load", || world.get::<Load>(&keys::load(POOL)).is_some()).await;
+        let load: Load = world.get(&keys::load(POOL)).expect("there is one");
+        assert_eq!(load.jobs, MANY_JOBS);
+        let room = load.room.expect("the holder knows its memory");
+        assert!(!room.fits(20_000) && room.fits(2_500), "{room:?}");
+        wait_for("starts", || world.present.borrow().len() > 150).await;
+        // Three of four parts of the memory are for large jobs.
+        let begun: IndexSet<String> =
+            world.present.borrow().iter().map(|run| run.task.job.clone()).collect();
+        assert!((3..=6).contains(&begun.len()), "{} jobs have begun", begun.len());
+        assert!(begun.contains(&task.job) && !world.stops.borrow().contains(&task));
+        let (mut ended, mut sequence) = (IndexSet::new(), 0);
+        let until = clock::now() + 30_000;
+        while job_rows(&world) > 0 {
+            assert!(clock::now() < until, "{} jobs are left", job_rows(&world));
+            for task in end_runs(&world, &mut sequence) {
+                assert!(ended.insert(task.clone()), "{task} has run again");
+            }
+            sleep(100).await;
+        }
+        assert_eq!(ended.len() as u64, MANY_JOBS * MANY_STEPS);
+    });
+}
+
+/// Guards against a job that runs although it was cancelled while it waited in the table.
+#[test]
+fn a_job_that_is_cancelled_as_it_waits_in_the_table_ends_without_a_run() {
+    actix::System::new().block_on(async {
+        let world = Rc::new(World::default());
+        put_many_jobs(&world);
+        let _node = start(&world);
+        wait_for("start", || !world.present.borrow().is_empty()).await;
+        let rows = job_rows(&world);
+        let (part, id) = ("q-2", format!("{:016x}", MANY_JOBS - 1));
+        let marker = Place::new(&keys::jobs_table(POOL), part, &keys::cancel_key(&id));
+        world.put(&marker, b"{}".to_vec());
+        wait_for("end of the job", || job_rows(&world) == rows - 1).await;
+        let state: StateRow = world.get(&keys::state(part, &id)).expect("it has a state");
+        assert_eq!(state.state(), Some(State::Cancelled));
+        assert!(world.present.borrow().iter().all(|run| run.task.job != id));
+    });
+}
--- a/crates/jobs/src/cell/advice.rs
+++ b/crates/jobs/src/cell/advice.rs
@@ -23,12 +23,18 @@
 /// Tickets and denials for the executors of one step.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Advice {
+    /// What the adviser has answered; `None` before, as in most queues.
+    answers: Option<Box<Answers>>,
+    /// When the last query was sent, in milliseconds; 0 for none.
+    queried_at: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Answers {
     /// Ticket and the end of its use in milliseconds, by executor.
     tickets: IndexMap<String, (String, u64)>,
     /// Executors for which the adviser gave no ticket.
     denied: IndexSet<String>,
-    /// When the last query was sent, in milliseconds; 0 for none.
-    queried_at: u64,
 }
 
 /// A query that may be sent at the end of an assignment pass.
@@ -68,13 +74,20 @@
 impl Advice {
     /// Returns the ticket for an executor if it is valid for long enough.
     pub fn ticket(&self, worker: &str, now: u64) -> Option<&str> {
-        let (ticket, until) = self.tickets.get(worker)?;
+        let (ticket, until) = self.answers.as_ref()?.tickets.get(worker)?;
         (now < *until).then_some(ticket)
     }
 
     /// Removes a ticket that the executor did not accept.
     pub fn remove_ticket(&mut self, worker: &str) {
-        self.tickets.swap_remove(worker);
+        if let Some(answers) = &mut self.answers {
+            answers.tickets.swap_remove(worker);
+        }
+    }
+
+    /// Whether the adviser gave no ticket for an executor.
+    fn is_denied(&self, worker: &str) -> bool {
+        self.answers.as_ref().is_some_and(|answers| answers.denied.contains(worker))
     }
 }
 
@@ -125,7 +138,7 @@
             return;
         }
         candidates.retain(|(_, id)| {
-            state.advice.ticket(id, now).is_none() && !state.advice.denied.contains(*id)
+            state.advice.ticket(id, now).is_none() && !state.advice.is_denied(id)
         });
         candidates.sort_by(|a, b| b.cmp(a));
         let workers: Vec<String> =
@@ -168,10 +181,11 @@
             return;
         };
         let until = now + validity.saturating_sub(TICKET_MARGIN_MS.min(validity / 4));
-        state.advice.denied.extend(queried.iter().cloned());
+        let answers = state.advice.answers.get_or_insert_default();
+        answers.denied.extend(queried.iter().cloned());
         for (worker, ticket) in tickets {
-            state.advice.denied.swap_remove(&worker);
-            state.advice.tickets.insert(worker, (ticket, until));
+            answers.denied.swap_remove(&worker);
+            answers.tickets.insert(worker, (ticket, until));
         }
     }
 }
--- a/crates/jobs/src/cell/load.rs
+++ b/crates/jobs/src/cell/load.rs
@@ -74,6 +74,9 @@
         for entry in self.jobs.values().filter(|e| e.state == State::Queued) {
             *counts.entry(entry.queue.clone()).or_default() += 1;
         }
+        for parked in self.parked.values() {
+            *counts.entry(parked.queue.clone()).or_default() += 1;
+        }
         counts
     }
 
@@ -296,9 +299,9 @@
         records
     }
 
-    /// Number of jobs that have not ended.
+    /// Number of jobs that have not ended, with those that stay in the table.
     pub fn job_count(&self) -> usize {
-        self.jobs.len()
+        self.jobs.len() + self.parked.len()
     }
 
     /// Number of jobs that a former holder may have started.
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -16,6 +16,7 @@
 mod load;
 mod occurrences;
 mod outcome;
+mod parked;
 mod poll;
 mod quarantine;
 mod quota;
@@ -36,6 +37,7 @@
 pub use approve::{Approval, Withdrawal};
 pub use load::{Records, ShrinkLimits, Usage};
 pub use outcome::{Refusal, StartOutcome};
+pub use parked::Parked;
 pub use quarantine::Crash;
 use quarantine::{CrashRecord, Quarantine};
 use quota::Quotas;
@@ -49,6 +51,7 @@
 
 use crate::fair::Shares;
 use crate::job::{Job, State, TaskId};
+use crate::memory;
 use crate::order::{Candidate, Policy};
 use crate::progress::{Progress, StepProgress};
 use crate::queue::Queue;
@@ -165,8 +168,11 @@
     needs_ticket: bool,
     /// Number of the organisation whose limits apply to its tasks.
     organisation: Option<usize>,
+    /// The job; its payload is in `payload`.
     job: Job,
     payload: Rc<str>,
+    /// Memory that it takes, in bytes.
+    bytes: usize,
     candidate: Candidate,
     state: State,
     /// State that the table holds.
@@ -247,6 +253,12 @@
     policy: Policy,
     shares: Shares,
     jobs: IndexMap<String, JobEntry>,
+    /// Jobs that stay in the table, in the order of their arrival.
+    parked: IndexMap<String, Parked>,
+    /// Ids of those that are to be read at once.
+    requested: IndexSet<String>,
+    /// Memory that `jobs` take, in bytes.
+    footprint: usize,
     workers: IndexMap<String, Worker>,
     /// Orders that the next tick returns.
     orders: Vec<Order>,
@@ -327,6 +339,9 @@
             policy: Policy::default(),
             shares: Shares::default(),
             jobs: IndexMap::new(),
+            parked: IndexMap::new(),
+            requested: IndexSet::new(),
+            footprint: 0,
             workers: IndexMap::new(),
             orders: Vec::new(),
             queries: Queries::default(),
@@ -450,13 +465,17 @@
         let counted = arrival.organisation.as_deref().filter(|_| !arrival.inherited);
         let beyond_share =
             counted.is_some_and(|name| self.shares.count(name, arrival.requested_at));
+        let bytes = memory::job_bytes(&arrival.job);
+        let (mut job, progress) = (arrival.job, arrival.progress);
+        let payload = Rc::from(std::mem::take(&mut job.payload));
         let mut entry = JobEntry {
             candidate: Candidate {
                 policy: self.policy,
                 beyond_share,
-                ..candidate(terms, &arrival.job, arrival.requested_at)
+                ..candidate(terms, &job, arrival.requested_at)
             },
-            payload: Rc::from(arrival.job.payload.as_str()),
+            payload,
+            bytes,
             part: arrival.part,
             queue: arrival.queue,
             accepted,
@@ -468,10 +487,10 @@
             inherited: arrival.inherited,
             start_blocked: arrival.start_blocked,
             held: false,
-            first_open: arrival.progress.completed_below,
-            finished: arrival.progress.finished.iter().copied().collect(),
+            first_open: progress.completed_below,
+            finished: progress.finished.iter().copied().collect(),
             due: 0,
-            next_occurrence: arrival.progress.completed_below,
+            next_occurrence: progress.completed_below,
             begun_at: 0,
             occurrences: IndexMap::new(),
             duration_ratio: (0, 0),
@@ -483,10 +502,10 @@
             quarantine_tried_at: 0,
             seen_at: None,
             idle_since: None,
-            job: arrival.job,
+            job,
         };
         entry.first_open = entry.finished.take_from(entry.first_open);
-        for (occurrence, steps) in &arrival.progress.occurrences {
+        for (occurrence, steps) in &progress.occurrences {
             // A process of an earlier version writes all that are due.
             if steps.iter().all(|step| *step == StepProgress::default()) {
                 continue;
@@ -499,6 +518,8 @@
             entry.suspects.extend(suspects);
             entry.finish_if_done(*occurrence);
         }
+        self.unpark(&arrival.id);
+        self.footprint += bytes;
         self.jobs.insert(arrival.id.clone(), entry);
         self.assign_seen_runs(&arrival.id);
         self.apply_unknown_ends(&arrival.id, self.last_owned);
--- a/crates/jobs/src/cell/poll.rs
+++ b/crates/jobs/src/cell/poll.rs
@@ -92,6 +92,7 @@
     fn keep_unknown_end(&mut self, id: &str, end: &EndedRun, now: u64) {
         let job = &end.task.job;
         let is_unknown = !self.jobs.contains_key(job) && !self.ended_jobs.contains(job);
+        self.request_parked(job);
         if let Some(worker) = self.workers.get_mut(id).filter(|_| is_unknown) {
             worker.unknown_ends.insert(end.sequence, (end.clone(), now));
         }
@@ -118,7 +119,9 @@
     /// has shown all jobs.
     pub fn settle_unknown_ends(&mut self, read_at: u64) {
         for worker in self.workers.values_mut() {
-            worker.unknown_ends.retain(|_, (_, seen_at)| *seen_at >= read_at);
+            worker.unknown_ends.retain(|_, (end, seen_at)| {
+                *seen_at >= read_at || self.parked.contains_key(&end.task.job)
+            });
             worker.settle_ends();
         }
     }
@@ -217,7 +220,8 @@
         if !known && !self.adopt_run(id, run, now) {
             return;
         }
-        let wanted = self.is_wanted(id, task);
+        self.request_parked(&task.job);
+        let wanted = self.is_wanted(id, task) || self.is_parked(&task.job);
         let is_last = self.task(task).is_some_and(|state| run.run == state.last_run);
         if is_last
             && !run.checkpoint.is_empty()
--- a/crates/jobs/src/cell/record.rs
+++ b/crates/jobs/src/cell/record.rs
@@ -157,7 +157,7 @@
         for (id, state) in &flush.jobs {
             let ended = self.jobs.get(id).is_some_and(|e| e.state == *state && state.is_final());
             if ended {
-                self.jobs.swap_remove(id);
+                self.footprint -= self.jobs.swap_remove(id).map_or(0, |entry| entry.bytes);
                 self.ended_jobs.insert(id.clone());
             }
         }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod incarnation;
 pub mod job;
 pub mod lint;
+pub mod memory;
 pub mod order;
 pub mod organisation;
 pub mod pace;
