Send waiting starts also to busy and excluded executors

Cause: withdrew starts whose executor had become busy or was excluded after failures. Three failures exclude an executor for two seconds and more, and each exclusion withdrew all starts that waited there. A failure makes an executor a worse choice than others, not a wrong one.

Change: only an executor that has ended, leaves, drains or does not answer withdraws starts.

The new test of jobs/tests/approve guards the sound start.

--- a/crates/cells/src/owner/send.rs
+++ b/crates/cells/src/owner/send.rs
@@ -238,9 +238,6 @@
             StartOutcome::Unknown => "unknown".to_owned(),
         };
         Metrics::observe(&self.ctx.metrics.start_seconds, &[&outcome], sent.elapsed());
-        if outcome == "withdrawn" {
-            return;
-        }
         self.ctx.timeline.record(
             base::Event::StartSent,
             &[
--- a/crates/jobs/src/cell/approve.rs
+++ b/crates/jobs/src/cell/approve.rs
@@ -33,7 +33,7 @@
     Held,
     /// The executor has shrunk below what is in use.
     Capacity,
-    /// The executor accepts no new tasks.
+    /// The executor has ended, leaves, drains or does not answer.
     Executor,
     /// The executor is kept for suspects of another job.
     Quarantined,
@@ -106,10 +106,11 @@
         let state = step.and_then(|step| step.tasks.get(task.index));
         // The records of an occurrence are removed once all of its tasks are done.
         let (Some(step), Some(state)) = (step, state) else { return Some(Withdrawal::TaskDone) };
-        // A member that is missing would end the other runs of its gang.
+        // Failures and rejections make an executor a worse choice than others, not a wrong one. A member
+        // that is missing would end the other runs of its gang.
         let is_passing = |obstacle| match obstacle {
-            Obstacle::Excluded => spec.long_running || spec.gang,
-            Obstacle::Silent | Obstacle::Busy => spec.gang,
+            Obstacle::Excluded | Obstacle::Busy => true,
+            Obstacle::Silent => spec.gang,
             _ => false,
         };
         match () {
--- a/crates/jobs/tests/approve.rs
+++ b/crates/jobs/tests/approve.rs
@@ -291,3 +291,22 @@
     assert_eq!(after[0].cpu_time, before[0].cpu_time);
     assert!(before[0].progress.occurrences.is_empty(), "there are no ends");
 }
+
+/// Guards against starts that wait for nothing: a pool of few executors whose tasks fail once would run
+/// a few of them every two seconds, as each failure withdrew all starts that wait.
+#[test]
+fn a_start_that_waits_is_sent_to_an_executor_on_which_tasks_have_failed() {
+    let mut cell = cell_with_job(&["m0", "m1"]);
+    let (waiting, now) = starts_that_wait(&mut cell);
+    let id = &waiting[0].worker;
+    let failed = |sequence| EndedRun {
+        sequence,
+        task: TaskId { job: "00000000000000bb".to_owned(), occurrence: 0, step: 0, index: 0 },
+        run: sequence,
+        outcome: RunOutcome::Failed,
+        checkpoint: String::new(),
+    };
+    answer(&mut cell, id, (1..=4).map(failed).collect(), now + 10);
+    assert!(!cell.workers()[id].accepts_tasks(now + 20));
+    assert_eq!(withdrawal(&mut cell, &waiting[0], now + 20), None);
+}
